First version: the ageing hold, the bound and the tenant cap decide every op

Cause: an empty repository.

A pace left over from before an idle spell turned away the first ops after it; it is now judged as time passes (scenarios keyed, due).

--- /dev/null
+++ b/mulleinhatch/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the bench's wire and the decisions."""
--- /dev/null
+++ b/mulleinhatch/decide.py
@@ -0,0 +1,518 @@
+"""All decisions of one instance: what is run, nacked, failed, called, kept and told.
+
+A host makes a `Hatch` for each instance from what it is told at start, reports what happens (`op_read`,
+`run_ended`, `call_wanted`, `call_ended`, `op_abandoned`, `leave_notice`, `woken`: these only keep the books)
+and then pulls `next_decision` until it gives None. The types that pass are in `interface.py`; the mechanism
+and its exceptions are told in `docs/design.md`. Times are seconds on the host's clock.
+"""
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Sequence
+from enum import Enum
+
+from mulleinhatch.interface import Advice, Decision, Deployment, Effect, Ending, OpType, StopMode, Verb
+
+BASE_SPAN = 20.0        # bases run evenly from 0 to this; lower starts sooner
+TENANT_ROOM = 2.0       # a tenant's running share over its fraction of the service: shares are never quite even
+BEAT = 0.1              # how often the hold is rescored and pressure is judged while there is work
+BUCKET, BUCKETS = 0.25, 10   # what "recent" means: long against a run, short against a slowdown
+FULL_ENOUGH = 0.5       # seconds at the running limit before mu is believed
+CALM_WAIT = 0.25        # the share of the shortest target latency that the hold's wait may take before advice
+ADVICE_GAIN = 1.0       # how fast the advice follows that wait, a second
+CROWD_SHARE = 0.6       # of the crowd survived: ops return from calls together, and reading runs beside
+MEMORY_SHARE = 0.9      # of the memory: what is read while a batch is under way comes on top
+ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
+STOP_MARGIN = 0.15      # before the process is stopped: nothing is owed after that
+CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
+PROVES_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
+
+
+class Stage(Enum):
+    HELD = "held"
+    FOLLOWING = "following"    # a repeat of an op that is still held here
+    REPEATING = "repeating"    # takes its answer from the op that it repeats
+    RUNNING = "running"
+    PAUSED = "paused"
+    STALLED = "stalled"        # needs a call
+    CALLING = "calling"
+
+
+AT_CALL = (Stage.STALLED, Stage.CALLING)
+IN_HAND = (Stage.RUNNING, Stage.PAUSED, *AT_CALL)
+
+
+class Ring:
+    """What was added lately, in fixed buckets of time that are used again.
+
+    >>> ring = Ring(width=1.0, count=2)
+    >>> ring.add(0.5, 3.0); ring.add(1.5, 4.0); ring.total(1.9), ring.total(2.1), ring.total(9.0)
+    (7.0, 4.0, 0.0)
+    """
+
+    def __init__(self, width: float = BUCKET, count: int = BUCKETS) -> None:
+        self.width, self.buckets, self.place = width, [0.0] * count, 0
+
+    def _turn(self, now: float) -> None:
+        place = int(now / self.width)
+        for stale in range(max(self.place + 1, place - len(self.buckets) + 1), place + 1):
+            self.buckets[stale % len(self.buckets)] = 0.0
+        self.place = max(self.place, place)
+
+    def add(self, now: float, amount: float) -> None:
+        self._turn(now)
+        self.buckets[self.place % len(self.buckets)] += amount
+
+    def total(self, now: float) -> float:
+        self._turn(now)
+        return sum(self.buckets)
+
+
+class Row:
+    """What the decisions read of an op type."""
+
+    def __init__(self, op_type: OpType, base: float) -> None:
+        self.base = base
+        self.op_timeout = op_type.get("op_timeout", math.inf)
+        self.target = min(op_type.get("target_latency", math.inf), self.op_timeout)
+        self.late_worth = op_type.get("late_worth", 0.0)
+        self.keyed = op_type.get("effect") is Effect.KEYED
+        self.retryable = op_type.get("effect", Effect.NON_RETRYABLE) is Effect.RETRYABLE
+        self.window = op_type.get("repeat_window", 0.0)
+        self.degraded_worth = op_type.get("degraded_worth", 0.0)
+
+
+def rows_of(op_types: list[OpType]) -> list[Row]:
+    """Bases evenly over the distinct importances, the highest at 0."""
+    ranks = sorted({op_type.get("importance", 1.0) for op_type in op_types}, reverse=True)
+    step = BASE_SPAN / max(1, len(ranks) - 1)
+    return [Row(op_type, step * ranks.index(op_type.get("importance", 1.0))) for op_type in op_types]
+
+
+class Op:
+    """An op that was read and has not ended."""
+
+    __slots__ = ("ref", "row", "tenant", "caller", "arrived", "due", "aim", "work", "held_kb", "further_try", "stage",
+                 "ran", "answered", "since", "spent", "leader", "kept", "call_ending", "call_until", "unwanted")
+
+    def __init__(self, ref: int, row: Row, tenant: int, caller: int, work: float, held_kb: float) -> None:
+        self.ref, self.row, self.tenant, self.caller, self.work, self.held_kb = ref, row, tenant, caller, work, held_kb
+        self.arrived = self.due = self.aim = self.since = self.spent = self.call_until = 0.0
+        self.stage = Stage.HELD
+        self.further_try = self.ran = self.answered = self.kept = self.unwanted = False
+        self.leader: Op | None = None
+        self.call_ending: int | None = None
+
+
+class Hatch:
+    def __init__(self, deployment: Deployment, seed: int, now: float) -> None:
+        get = deployment.get
+        self.rows = rows_of(get("op_types", []))
+        self.cores = max(1, get("cores", 1))
+        self.ageing_rate = max((row.target for row in self.rows), default=BASE_SPAN) / BASE_SPAN
+        self.shortest_target = min((row.target for row in self.rows), default=math.inf)
+        self.shares = [TENANT_ROOM * tenant.get("fraction", 1.0) for tenant in get("tenants", [])]
+        self.caller_share = TENANT_ROOM / max(1, get("callers", 1))
+        self.crowd, self.cold_for = get("crowd_per_core", 2.0), get("cold_for", 0.0)
+        self.cold_speed = get("cold_speed", 1.0) if get("fresh_start", False) else 1.0
+        self.drain_grace = get("drain_grace", 0.0)
+        self.memory_kb = MEMORY_SHARE * get("memory_kb", math.inf)
+        self.run_factor, self.key_kb = get("run_factor", 1.0), get("key_kb", 0.0)
+        self.stop_mode, self.advice = get("stop_mode"), get("advice")
+        self.callers, self.gauges = max(1, get("callers", 1)), get("gauges", [])
+        self.max_hold_off = get("max_hold_off", 0.0) if get("hold_off_allowed", False) else 0.0
+        self.calls_share = get("calls_share", 0.0) if get("shared_dependency", False) else math.inf
+        self.calls_window, self.linger = get("calls_window", 1.0), get("call_linger", 0.0)
+        self.margin = ANSWER_MARGIN + 2 * get("tick", 0.0)
+        self.chance = seed & 0xFFFFFFFFFFFFFFFF
+        self.started = self.now = now
+        self.ops: dict[int, Op] = {}
+        self.at: dict[Stage, dict[int, Op]] = {stage: {} for stage in Stage}
+        self.unplaced: dict[int, Op] = {}
+        self.to_forget: list[int] = []
+        self.given_up: list[Op] = []
+        self.keys: dict[int, float] = {}
+        self.key_ends: list[tuple[float, int]] = []
+        self.lingering: list[float] = []
+        self.tenant_running: dict[int, int] = {}
+        self.longest_wait: dict[int, float] = {}
+        self.kb = 0.0
+        self.limit = self.cores
+        self.full = False
+        self.mu: float | None = None
+        self.pace = 0.0
+        self.exposure, self.done, self.full_time, self.done_full = Ring(), Ring(), Ring(), Ring()
+        self.runs, self.reads, self.retries, self.reading_wait = Ring(), Ring(), Ring(), Ring()
+        self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
+        self.call_time, self.calls_done = Ring(), Ring()
+        self.shut = self.told_shut = 0.0
+        self.healthy = self.told_healthy = True
+        self.retire_at: float | None = None
+        self.stop_at = math.inf
+        self.sweep_at = self.judged_at = now
+        self.armed, self.alarms = math.inf, 0
+        self.steps = (self._forget, self._place, self._give_up, self._stop_unwanted, self._serve_call,
+                      self._follow, self._start, self._advise, self._wake)
+
+    # Bookkeeping: what the host reports.
+
+    def op_read(self, now: float, ref: int, op_type: int, age: float, wait: float, tenant: int, rank: float,
+                repeat_of: int, caller: int, key: int, work: float, held_kb: float, further_try: bool) -> None:
+        self._pass_time(now)
+        row = self.rows[op_type]
+        op = Op(ref, row, tenant if self.shares else caller, caller, work or self._mean_work(), held_kb)
+        op.arrived, op.since, op.further_try = now - age, now, further_try
+        op.due = now + wait if wait > 0.0 else max(now, op.arrived + row.op_timeout)
+        op.aim = min(op.due, op.arrived + row.target - self._already_waited(op, wait))
+        op.leader = self.ops.get(repeat_of) if repeat_of else None
+        if repeat_of and (op.leader is None or op.leader.ran):
+            op.ran = True    # some try has run: from here on it may not be nacked
+        self.ops[ref] = self.at[Stage.HELD][ref] = self.unplaced[ref] = op
+        self.kb += held_kb
+        self.sweep_at = min(self.sweep_at, op.due - self.margin)
+        self.reads.add(now, 1.0)
+        self.retries.add(now, float(further_try))
+        self.reading_wait.add(now, age)
+
+    def _already_waited(self, op: Op, wait: float) -> float:
+        """A later try's client has waited before; its remaining wait tells how long once it is cut short by that."""
+        longest = self.longest_wait[op.caller] = max(self.longest_wait.get(op.caller, 0.0), wait)
+        if not op.further_try or wait <= 0.0 or wait > longest - 0.001 and longest < op.row.op_timeout - 0.1:
+            return 0.0
+        return max(0.0, op.row.op_timeout - wait - (self.now - op.arrived))
+
+    def run_ended(self, now: float, ref: int, ending: int) -> None:
+        self._pass_time(now)
+        op = self.ops.get(ref)
+        if op is None:
+            return
+        if ending == Ending.STOPPED and not op.answered and not op.unwanted:
+            self._move(op, Stage.PAUSED)
+            return
+        was_running = op.stage is Stage.RUNNING
+        self._close(op)
+        if was_running and ending in (Ending.OK, Ending.ERROR):
+            self.done.add(now, op.work)
+            self.runs.add(now, 1.0)
+            if self.full:
+                self.done_full.add(now, op.work)
+
+    def call_wanted(self, now: float, ref: int) -> None:
+        self._pass_time(now)
+        if op := self.ops.get(ref):
+            op.call_ending = None
+            self._move(op, Stage.STALLED)
+
+    def call_ended(self, now: float, ref: int, ending: int, elapsed: float) -> None:
+        self._pass_time(now)
+        self.call_time.add(now, elapsed)
+        self.calls_done.add(now, 1.0)
+        if ending in (Ending.TIMEOUT, Ending.INTERRUPTED):
+            self.lingering.append(now + self.linger)
+        if op := self.ops.get(ref):
+            op.call_ending = ending
+            self._move(op, Stage.RUNNING if ending == Ending.OK else Stage.STALLED)
+
+    def op_abandoned(self, now: float, ref: int) -> None:
+        self._pass_time(now)
+        if op := self.ops.get(ref):
+            op.answered = True
+            if op.stage in (Stage.RUNNING, *AT_CALL):
+                op.unwanted = op.stage is Stage.RUNNING
+            else:
+                self._close(op)
+
+    def leave_notice(self, now: float, grace: float) -> None:
+        self._pass_time(now)
+        self.retire_at, self.stop_at = now, now + grace
+        self.sweep_at = now
+        for op in self.ops.values():
+            op.due = min(op.due, self.stop_at - STOP_MARGIN)
+
+    def woken(self, now: float, token: int, readings: Sequence[float]) -> None:
+        self._pass_time(now)
+        gauges = dict(zip(self.gauges, readings))
+        if token == self.alarms:
+            self.armed = math.inf
+        busy = gauges.get("core_use", 1.0)
+        if self.full and busy < 0.85 and self.limit < self._crowd_ceiling():
+            self.limit += 1
+        elif busy > 0.97 and self.limit > self.cores:
+            self.limit -= 1
+
+    def _pass_time(self, now: float) -> None:
+        span, self.now = max(0.0, now - self.now), max(now, self.now)
+        if span > 0.0:
+            self.exposure.add(now, span * len(self.at[Stage.RUNNING]))
+            if self.full:
+                self.full_time.add(now, span)
+            self.calls_below.add(now, span * (len(self.at[Stage.CALLING]) + len(self.lingering)))
+            self.lingering = [until for until in self.lingering if until > now]
+            while self.key_ends and self.key_ends[0][0] <= now:
+                end, ref = heapq.heappop(self.key_ends)
+                if self.keys.get(ref) == end:
+                    self._drop_key(ref)
+            if now - self.judged_at >= BEAT / 2:
+                self._judge()
+
+    def _judge(self) -> None:
+        """Pace, mu and pressure, about once a beat."""
+        span = min(self.now - self.judged_at, 1.0)
+        self.judged_at = self.now
+        exposure, done = self.exposure.total(self.now), self.done.total(self.now)
+        self.pace = exposure / max(done, self._mean_work()) if exposure > BUCKET * self.cores else 0.0
+        full_time = self.full_time.total(self.now)
+        done_full = self.done_full.total(self.now)
+        if full_time >= FULL_ENOUGH * (1 if done_full else 4):
+            self.mu = max(done_full, 0.001) / full_time
+        reads = self.reads.total(self.now)
+        unread = self.reading_wait.total(self.now) / reads if reads else 0.0
+        wait = (unread + self._held_wait()) / self.shortest_target
+        self.shut = min(1.0, max(0.0, self.shut + ADVICE_GAIN * span * (wait - CALM_WAIT)))
+
+    def _move(self, op: Op, stage: Stage) -> None:
+        if op.stage is stage:
+            return
+        if op.stage is Stage.RUNNING:
+            op.spent += self.now - op.since
+        del self.at[op.stage][op.ref]
+        was, held = op.stage in IN_HAND, op.held_kb
+        self.kb += held * self.run_factor * ((stage in IN_HAND) - was) - held * ((stage in IN_HAND) - was)
+        self._count_tenant(op, (stage in IN_HAND) - was)
+        self.at[stage][op.ref] = op
+        op.stage, op.since = stage, self.now
+
+    def _count_tenant(self, op: Op, change: int) -> None:
+        self.tenant_running[op.tenant] = self.tenant_running.get(op.tenant, 0) + change
+
+    def _close(self, op: Op) -> None:
+        """Its memory is back; repeats that waited for it as it was held stand on their own again."""
+        del self.ops[op.ref], self.at[op.stage][op.ref]
+        self.unplaced.pop(op.ref, None)
+        in_hand = op.stage in IN_HAND
+        self.kb -= op.held_kb * (self.run_factor if in_hand else 1.0)
+        if in_hand:
+            self._count_tenant(op, -1)
+        if op.kept and not op.ran:
+            self.to_forget.append(op.ref)
+        if not op.ran:
+            for follower in [other for other in self.at[Stage.FOLLOWING].values() if other.leader is op]:
+                follower.leader = None
+                self._move(follower, Stage.HELD)
+                self.unplaced[follower.ref] = follower
+
+    def _drop_key(self, ref: int) -> None:
+        if self.keys.pop(ref, None) is not None:
+            self.kb -= self.key_kb
+
+    # What the books say.
+
+    def _mean_work(self) -> float:
+        runs = self.runs.total(self.now)
+        return self.done.total(self.now) / runs if runs else 1.0
+
+    def _priority(self, op: Op) -> float:
+        if op.aim < self.now:
+            return math.inf    # only late worth is left: it must not delay what can still be in time
+        return op.row.base - (self.now - op.arrived) / self.ageing_rate
+
+    def _expected(self, op: Op) -> float:
+        return self.pace * op.work
+
+    def _wait_allowed(self, op: Op) -> float:
+        """How long it may still be held: W_max less its own run."""
+        last = op.due - self.margin if op.row.late_worth > 0.0 else op.aim
+        return min(last, op.due - self.margin) - self.now - self._expected(op)
+
+    def _crowd_ceiling(self) -> float:
+        warmth = (self.now - self.started) / self.cold_for if self.cold_for > 0.0 else 1.0
+        speed = min(1.0, self.cold_speed + (1.0 - self.cold_speed) * warmth)
+        return CROWD_SHARE * self.cores * (1.0 + (self.crowd - 1.0) * speed)
+
+    def _cap(self, op: Op) -> int:
+        share = self.shares[op.tenant] if op.tenant < len(self.shares) else self.caller_share
+        return max(1, math.floor(self.limit * share))
+
+    def _held_wait(self) -> float:
+        work = sum(op.work for op in self.at[Stage.HELD].values())
+        return work / self.mu if self.mu else 0.0
+
+    # Deciding: one step after another, each gives a decision or None.
+
+    def next_decision(self, now: float) -> Decision | None:
+        self._pass_time(now)
+        for step in self.steps:
+            if decision := step():
+                return decision
+        self.full = bool(self.at[Stage.HELD]) and len(self.at[Stage.RUNNING]) >= self.limit
+        return None
+
+    def _forget(self) -> Decision | None:
+        if not self.to_forget:
+            return None
+        ref = self.to_forget.pop()
+        self._drop_key(ref)
+        return Decision(Verb.FORGET, ref)
+
+    def _place(self) -> Decision | None:
+        """What becomes of an op on reading: a repeat, nacked, or held."""
+        while self.unplaced:
+            op = next(iter(self.unplaced.values()))
+            if self.retire_at is not None:
+                op.due = min(op.due, self.stop_at - STOP_MARGIN)
+                if op.arrived > self.retire_at + self.drain_grace - self.margin:
+                    return self._turn_away(op)
+            del self.unplaced[op.ref]
+            if op.ran:
+                self._move(op, Stage.REPEATING)
+                return Decision(Verb.ANSWER_FROM, op.ref)
+            if op.leader is not None:
+                self._move(op, Stage.FOLLOWING)
+                continue
+            key_kb = self.key_kb if op.row.keyed else 0.0
+            if self.kb + key_kb > self.memory_kb or self._over_bound(op):
+                return self._turn_away(op)
+            if op.row.keyed:
+                return self._keep(op)
+        return None
+
+    def _keep(self, op: Op) -> Decision:
+        span = max(0.0, op.arrived + op.row.window - self.now) + self.margin
+        op.kept = True
+        self.keys[op.ref] = self.now + span
+        heapq.heappush(self.key_ends, (self.now + span, op.ref))
+        self.kb += self.key_kb
+        return Decision(Verb.KEEP, op.ref, span)
+
+    def _work_ahead(self, op: Op) -> float:
+        own = self._priority(op)
+        return sum(other.work for other in self.at[Stage.HELD].values()
+                   if other is not op and self._priority(other) <= own)
+
+    def _over_bound(self, op: Op, ahead: float | None = None) -> bool:
+        """L_max = mu x W_max, over what would start before it; its own type is part of that."""
+        wait = self._wait_allowed(op)
+        if wait < 0.0:
+            return True
+        if self.mu is None:
+            return False
+        ahead = self._work_ahead(op) if ahead is None else ahead
+        return ahead >= max(self.limit * self._mean_work(), self.mu * wait)
+
+    def _turn_away(self, op: Op) -> Decision:
+        """The final answer to what is given up: a nack only if no try of it ever ran."""
+        leader_ran = op.leader is not None and op.leader.ran
+        if op.ran or leader_ran:
+            if op.stage in (Stage.RUNNING, *AT_CALL):
+                op.answered = True
+                op.unwanted = op.stage is Stage.RUNNING
+            else:
+                self._close(op)
+            return Decision(Verb.FAIL, op.ref)
+        self._close(op)
+        crowded = self.retries.total(self.now) > CROWDED_RETRIES * self.reads.total(self.now)
+        return Decision(Verb.NACK, op.ref, self._hold_off(), flag=crowded and op.further_try)
+
+    def _hold_off(self) -> float:
+        if self.retire_at is not None:
+            return self.max_hold_off
+        return min(self.max_hold_off, max(0.05, self._held_wait() - CALM_WAIT * self.shortest_target))
+
+    def _give_up(self) -> Decision | None:
+        """One sweep for due times and, on each beat, the bound again for all that is held."""
+        if self.now >= self.sweep_at:
+            last = self.now + self.margin
+            self.given_up = [op for op in self.ops.values() if not op.answered and op.due <= last]
+            ahead = 0.0
+            for op in sorted(self.at[Stage.HELD].values(), key=self._priority):
+                if op.due > last and self._over_bound(op, ahead):
+                    self.given_up.append(op)
+                else:
+                    ahead += op.work
+            later = (op.due for op in self.ops.values() if not op.answered and op.due > last)
+            self.sweep_at = min(min(later, default=math.inf) - self.margin, self.now + BEAT)
+        while self.given_up:
+            op = self.given_up.pop()
+            if op.ref in self.ops and not op.answered:
+                return self._turn_away(op)
+        return None
+
+    def _stop_unwanted(self) -> Decision | None:
+        if self.stop_mode is None:
+            return None
+        for op in self.at[Stage.RUNNING].values():
+            if op.unwanted:
+                op.unwanted = False
+                return Decision(Verb.STOP, op.ref)
+        return None
+
+    def _serve_call(self) -> Decision | None:
+        for op in sorted(self.at[Stage.STALLED].values(), key=self._priority):
+            if op.answered:
+                continue
+            degradable = op.row.degraded_worth > 0.0
+            left = (op.aim if degradable else op.due - self.margin) - self.now
+            if op.call_ending is not None and not (op.row.retryable or op.call_ending in PROVES_UNRUN):
+                return self._turn_away(op)
+            if degradable and (op.call_ending is not None or not self._call_fits(left)):
+                self._move(op, Stage.RUNNING)
+                return Decision(Verb.SKIP_CALL, op.ref)
+            if left > 0.0 and self._call_fits(left):
+                op.call_until = self.now + left
+                self._move(op, Stage.CALLING)
+                return Decision(Verb.CALL, op.ref, left)
+        return None
+
+    def _call_fits(self, patience: float) -> bool:
+        """Even if every call in hand lasts to its time-out, the mean below stays within this instance's share."""
+        if self.calls_share == math.inf:
+            return True
+        ahead = sum(op.call_until - self.now + self.linger for op in self.at[Stage.CALLING].values())
+        ahead += sum(until - self.now for until in self.lingering) + patience + self.linger
+        return self.calls_below.total(self.now) + ahead <= 0.9 * self.calls_share * self.calls_window
+
+    def _follow(self) -> Decision | None:
+        for op in self.at[Stage.FOLLOWING].values():
+            if op.leader.ran:
+                op.ran = True
+                self._move(op, Stage.REPEATING)
+                return Decision(Verb.ANSWER_FROM, op.ref)
+        return None
+
+    def _start(self) -> Decision | None:
+        in_hand = sum(len(self.at[stage]) for stage in IN_HAND)
+        if len(self.at[Stage.RUNNING]) >= self.limit or in_hand >= self._crowd_ceiling():
+            return None
+        waiting = [*self.at[Stage.HELD].values(), *(op for op in self.at[Stage.PAUSED].values() if not op.answered)]
+        free = [op for op in waiting if self.tenant_running.get(op.tenant, 0) < self._cap(op)]
+        if not waiting:
+            return None
+        op = min(free or waiting, key=self._priority)
+        if op.stage is Stage.HELD and self.kb + op.held_kb * (self.run_factor - 1.0) > self.memory_kb and in_hand:
+            return None
+        op.ran = True
+        self._move(op, Stage.RUNNING)
+        return Decision(Verb.RUN, op.ref)
+
+    def _advise(self) -> Decision | None:
+        healthy = self.retire_at is None
+        if healthy is not self.told_healthy:
+            self.told_healthy = healthy
+            return Decision(Verb.HEALTH, flag=healthy)
+        if self.advice is None or abs(self.shut - self.told_shut) < 0.02:
+            return None
+        self.told_shut = self.shut
+        open_part = 1.0 - self.shut
+        level = {Advice.FLOOR: self.shut, Advice.WEIGHT: open_part,
+                 Advice.ALLOWANCE: open_part * 4 * self.cores / self.callers}[self.advice]
+        return Decision(Verb.ADVISE, level=level)
+
+    def _wake(self) -> Decision | None:
+        """One alarm for the soonest thing to do."""
+        at = max(self.sweep_at, self.now + 0.001) if self.ops or self.shut > 0.0 else math.inf
+        if at >= self.armed:
+            return None
+        self.alarms += 1
+        self.armed = at
+        return Decision(Verb.WAKE, self.alarms, self.armed - self.now)
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,134 @@
+"""Plays every scenario in `scenarios/`, and one hand-written batch through the adapter.
+
+A scenario is a deployment, then lines of time and happening; `>` lists every decision that follows, in order,
+`~` some of them. Wake-ups are left out unless `alarms` is on. `all nacked 3` and the like count what came so far.
+"""
+from __future__ import annotations
+
+import json
+import struct
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from mulleinhatch.decide import Hatch
+from mulleinhatch.interface import Advice, Decision, Effect, StopMode, Verb
+
+ROOT = Path(__file__).parent
+KINDS = {kind.value: kind for family in (Effect, Advice, StopMode) for kind in family}
+
+
+def value(text: str) -> object:
+    return KINDS.get(text) or json.loads(text)
+
+
+def facts(words: list[str]) -> dict[str, object]:
+    """
+    >>> facts(["importance=5", "effect=keyed"])
+    {'importance': 5, 'effect': <Effect.KEYED: 'keyed'>}
+    """
+    return {name: value(text) for name, text in (word.split("=") for word in words)}
+
+
+def spoken(decision: Decision) -> str:
+    told = {Verb.HEALTH: " good" if decision.flag else " bad", Verb.ADVISE: ""}
+    return decision.verb.value + told.get(decision.verb, f" {decision.ref}")
+
+
+class Play:
+    def __init__(self) -> None:
+        self.deployment: dict = {"op_types": [], "tenants": [], "cores": 2}
+        self.hatch: Hatch | None = None
+        self.now = 0.0
+        self.said: list[str] = []
+        self.counts: Counter[str] = Counter()
+
+    def line(self, text: str) -> None:
+        word, *rest = text.split()
+        if word in ("deployment", "type", "tenant"):
+            target = {"type": "op_types", "tenant": "tenants"}.get(word)
+            self.deployment[target].append(facts(rest)) if target else self.deployment.update(facts(rest))
+        elif word == ">":
+            assert self.said == [said.strip() for said in " ".join(rest).split(",") if said]
+        elif word == "~":
+            assert set(said.strip() for said in " ".join(rest).split(",")) <= set(self.said), self.said
+        elif word == "all":
+            assert self.counts[" ".join(rest[:-1])] == int(rest[-1]), self.counts
+        else:
+            self.happen(float(word), *rest)
+
+    def happen(self, now: float, what: str, *rest: str) -> None:
+        self.now = now
+        self.hatch = self.hatch or Hatch(self.deployment, 7, 0.0)
+        for ref in self.refs(rest):
+            self.report(what, ref, facts([word for word in rest if "=" in word]))
+        self.said = []
+        while decision := self.hatch.next_decision(now):
+            self.counts[decision.verb.value] += 1
+            if decision.verb is not Verb.WAKE:
+                self.said.append(spoken(decision))
+
+    @staticmethod
+    def refs(words: tuple[str, ...]) -> list[int]:
+        """`3` is op 3, `3-6` are four of them, none at all is one happening without an op."""
+        first, _, last = next((word for word in words if "=" not in word), "0").partition("-")
+        return list(range(int(first), int(last or first) + 1))
+
+    def report(self, what: str, ref: int, more: dict) -> None:
+        hatch, get = self.hatch, more.get
+        if what == "op":
+            hatch.op_read(self.now, ref, get("type", 0), get("age", 0.0), get("wait", 0.0), get("tenant", 0),
+                          get("rank", 0.5), get("repeats", 0), get("caller", 0), get("key", 0), get("work", 0.0),
+                          get("kb", 1.0), bool(get("again", 0)))
+        elif what == "ended":
+            hatch.run_ended(self.now, ref, get("ending", 1))
+        elif what == "wants-call":
+            hatch.call_wanted(self.now, ref)
+        elif what == "call-ended":
+            hatch.call_ended(self.now, ref, get("ending", 1), get("took", 0.1))
+        elif what == "gone":
+            hatch.op_abandoned(self.now, ref)
+        elif what == "leave":
+            hatch.leave_notice(self.now, get("within", 5.0))
+        else:
+            hatch.woken(self.now, hatch.alarms, [get(name, 1.0) for name in self.deployment.get("gauges", [])])
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "scenarios").glob("*.txt")), ids=lambda path: path.stem)
+def test_scenario(path: Path) -> None:
+    play = Play()
+    for number, text in enumerate(path.read_text().splitlines(), 1):
+        if text.strip() and not text.startswith("#"):
+            try:
+                play.line(text)
+            except AssertionError as error:
+                raise AssertionError(f"{path.name}:{number}: {text}\n{error}") from None
+
+
+def adapter(wire: bytes) -> subprocess.CompletedProcess:
+    return subprocess.run([sys.executable, "-m", "mulleinhatch.benchlink"], input=wire, capture_output=True,
+                          cwd=ROOT.parent, timeout=60)
+
+
+def batch(body: bytes, number: int = 1) -> bytes:
+    return struct.pack(">IdI", len(body), 240.0, number) + body
+
+
+def test_a_batch_through_the_adapter() -> None:
+    pairs = b"family_info.cores=1\nclasses.count=1\nclasses.0.aim=1000.0\nclasses.0.deadline=2000.0\nnovel=1"
+    create = b"\x0a\x00\x03\x01" + struct.pack(">QI", 9, len(pairs)) + pairs
+    op = b"\x02" + struct.pack(">QddHfQBHQBdf", 77, 1.5, 900.0, 0, 0.5, 0, 0, 4, 0, 1, 12.0, 8.0)
+    done = adapter(batch(create + op))
+    assert done.returncode == 0 and not done.stderr
+    assert done.stdout[8:12] == struct.pack(">I", 1)
+    assert done.stdout[12:24] == b"\x50\x00\x03\x41" + struct.pack(">Q", 77)
+
+
+@pytest.mark.parametrize("wire, complaint", [
+    (batch(b"\x0a\x00\x03\xee"), b"byte 19"), (batch(b"\x0a\x00"), b"byte 17"), (batch(b"")[:9], b"byte 9")])
+def test_bad_wire_ends_with_one_line(wire: bytes, complaint: bytes) -> None:
+    done = adapter(wire)
+    assert done.returncode != 0 and done.stderr.count(b"\n") == 1 and complaint in done.stderr
