--- a/mulleinhatch/benchlink/__main__.py
+++ b/mulleinhatch/benchlink/__main__.py
@@ -114,8 +114,8 @@
         elif code == STALLED:
             hatch.call_wanted(now, *frame.take(U64))
         elif code == CALL_DONE:
-            ref, ending, elapsed = frame.take(RESULT)
-            hatch.call_ended(now, ref, ending, elapsed / 1000.0)
+            ref, ending, _ = frame.take(RESULT)
+            hatch.call_ended(now, ref, ending)
         elif code == RETIRE:
             hatch.leave_notice(now, frame.take(F64)[0] / 1000.0)
         elif code == ABANDONED:
--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -26,6 +26,9 @@
 ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
 STOP_MARGIN = 0.15      # before the process is stopped: nothing is owed after that
 CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
+CALL_CROWDED = 3.0      # call time over the best seen from which the dependency counts as crowded
+CALL_SHRINK, CALL_GROW = 0.9, 0.5    # of the calls in hand, a beat: as of old for a shared line, back fast, up slowly
+BEST_DRIFT = 0.01       # a second: a best call time that is never met again is forgotten
 PROVES_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
 
 
@@ -81,6 +84,7 @@
         self.retryable = op_type.get("effect", Effect.NON_RETRYABLE) is Effect.RETRYABLE
         self.window = op_type.get("repeat_window", 0.0)
         self.degraded_worth = op_type.get("degraded_worth", 0.0)
+        self.must_call = op_type.get("calls_below", False) and self.degraded_worth <= 0.0
 
 
 def rows_of(op_types: list[OpType]) -> list[Row]:
@@ -145,7 +149,8 @@
         self.exposure, self.done, self.full_time, self.done_full = Ring(), Ring(), Ring(), Ring()
         self.runs, self.reads, self.retries, self.reading_wait = Ring(), Ring(), Ring(), Ring()
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
-        self.call_time, self.calls_done = Ring(), Ring()
+        self.call_exposure, self.calls_done = Ring(), Ring()
+        self.call_limit, self.call_time, self.best_call = float(self.cores), 0.0, math.inf
         self.shut = self.told_shut = 0.0
         self.healthy = self.told_healthy = True
         self.retire_at: float | None = None
@@ -204,9 +209,8 @@
             op.call_ending = None
             self._move(op, Stage.STALLED)
 
-    def call_ended(self, now: float, ref: int, ending: int, elapsed: float) -> None:
+    def call_ended(self, now: float, ref: int, ending: int) -> None:
         self._pass_time(now)
-        self.call_time.add(now, elapsed)
         self.calls_done.add(now, 1.0)
         if ending in (Ending.TIMEOUT, Ending.INTERRUPTED):
             self.lingering.append(now + self.linger)
@@ -245,6 +249,7 @@
         span, self.now = max(0.0, now - self.now), max(now, self.now)
         if span > 0.0:
             self.exposure.add(now, span * len(self.at[Stage.RUNNING]))
+            self.call_exposure.add(now, span * len(self.at[Stage.CALLING]))
             if self.full:
                 self.full_time.add(now, span)
             self.calls_below.add(now, span * (len(self.at[Stage.CALLING]) + len(self.lingering)))
@@ -266,6 +271,13 @@
         done_full = self.done_full.total(self.now)
         if full_time >= FULL_ENOUGH * (1 if done_full else 4):
             self.mu = max(done_full, 0.001) / full_time
+        calls = self.calls_done.total(self.now)
+        if self.call_exposure.total(self.now) > 0.0:
+            self.call_time = self.call_exposure.total(self.now) / max(1.0, calls)
+            self.best_call *= 1.0 + BEST_DRIFT * span
+            self.best_call = min(self.best_call, self.call_time) if calls >= BUCKETS else self.best_call
+        self.call_limit = (max(1.0, self.call_limit * CALL_SHRINK) if self._below_crowded() else
+                           min(self.call_limit + CALL_GROW, self._crowd_ceiling()))
         reads = self.reads.total(self.now)
         unread = self.reading_wait.total(self.now) / reads if reads else 0.0
         wait = (unread + self._held_wait()) / self.shortest_target
@@ -302,6 +314,10 @@
                 self._move(follower, Stage.HELD)
                 self.unplaced[follower.ref] = follower
 
+    @property
+    def must_call_waiting(self) -> int:
+        return sum(op.row.must_call for op in self.at[Stage.STALLED].values() if not op.answered)
+
     def _drop_key(self, ref: int) -> None:
         if self.keys.pop(ref, None) is not None:
             self.kb -= self.key_kb
@@ -313,12 +329,20 @@
         return self.done.total(self.now) / runs if runs else 1.0
 
     def _priority(self, op: Op) -> float:
-        if op.aim < self.now:
+        if op.aim < self.now + (self._call_wait() if op.stage in AT_CALL else 0.0):
             return math.inf    # only late worth is left: it must not delay what can still be in time
         return op.row.base - (self.now - op.arrived) / self.ageing_rate
 
     def _expected(self, op: Op) -> float:
-        return self.pace * op.work
+        """What is left of its run, with the line before the calls that it can't do without."""
+        calls = self._call_wait() if op.row.must_call else 0.0
+        return calls if op.stage in AT_CALL else self.pace * op.work + calls
+
+    def _call_wait(self) -> float:
+        return self.call_time * (1.0 + self.must_call_waiting / self.call_limit)
+
+    def _below_crowded(self) -> bool:
+        return self.call_time > CALL_CROWDED * self.best_call
 
     def _wait_allowed(self, op: Op) -> float:
         """How long it may still be held: W_max less its own run."""
@@ -453,12 +477,13 @@
                 continue
             degradable = op.row.degraded_worth > 0.0
             left = (op.aim if degradable else op.due - self.margin) - self.now
+            fits = len(self.at[Stage.CALLING]) < self.call_limit and self._call_fits(left)
             if op.call_ending is not None and not (op.row.retryable or op.call_ending in PROVES_UNRUN):
                 return self._turn_away(op)
-            if degradable and (op.call_ending is not None or not self._call_fits(left)):
+            if degradable and (op.call_ending is not None or self._below_crowded() or not fits):
                 self._move(op, Stage.RUNNING)
                 return Decision(Verb.SKIP_CALL, op.ref)
-            if left > 0.0 and self._call_fits(left):
+            if left > 0.0 and fits:
                 op.call_until = self.now + left
                 self._move(op, Stage.CALLING)
                 return Decision(Verb.CALL, op.ref, left)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -88,7 +88,7 @@
         elif what == "wants-call":
             hatch.call_wanted(self.now, ref)
         elif what == "call-ended":
-            hatch.call_ended(self.now, ref, get("ending", 1), get("took", 0.1))
+            hatch.call_ended(self.now, ref, get("ending", 1))
         elif what == "gone":
             hatch.op_abandoned(self.now, ref)
         elif what == "leave":
