--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -28,6 +28,7 @@
 CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
 CALL_CROWDED = 3.0      # call time over the best seen from which the dependency counts as crowded
 CALL_SHRINK, CALL_GROW = 0.9, 0.5    # of the calls in hand, a beat: as of old for a shared line, back fast, up slowly
+CALL_ROOM = 3.0         # calls in hand over one more than their recent mean: room unused is a crowd when calls slow
 BEST_DRIFT = 0.01       # a second: a best call time that is never met again is forgotten
 PROVES_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
 
@@ -276,8 +277,9 @@
             self.call_time = self.call_exposure.total(self.now) / max(1.0, calls)
             self.best_call *= 1.0 + BEST_DRIFT * span
             self.best_call = min(self.best_call, self.call_time) if calls >= BUCKETS else self.best_call
+        used = self.call_exposure.total(self.now) / (BUCKET * BUCKETS)
         self.call_limit = (max(1.0, self.call_limit * CALL_SHRINK) if self._below_crowded() else
-                           min(self.call_limit + CALL_GROW, self._crowd_ceiling()))
+                           min(self.call_limit + CALL_GROW, CALL_ROOM * (1.0 + used)))
         reads = self.reads.total(self.now)
         unread = self.reading_wait.total(self.now) / reads if reads else 0.0
         wait = (unread + self._held_wait()) / self.shortest_target
