While calls are crowded, what must call is taken only if it can be in time

Cause: types with late worth were bounded by their op timeout, so the line before the calls grew until every sign-off came late or failed at a call. The late share now only counts while calls are not contended; past that, the bound is the target latency.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -346,9 +346,8 @@
     def _below_crowded(self) -> bool:
         return self.call_time > CALL_CROWDED * self.best_call
 
-    def _wait_allowed(self, op: Op) -> float:
-        """How long it may still be held: W_max less its own run."""
-        last = op.due - self.margin if op.row.late_worth > 0.0 else op.aim
+    def _wait_allowed(self, op: Op, last: float) -> float:
+        """How long it may still be held to end by then: W_max less its own run."""
         return min(last, op.due - self.margin) - self.now - self._expected(op)
 
     def _crowd_ceiling(self) -> float:
@@ -418,11 +417,12 @@
 
     def _over_bound(self, op: Op, ahead: float | None = None) -> bool:
         """L_max = mu x W_max, over what would start before it; its own type is part of that."""
-        wait = self._wait_allowed(op)
-        if wait < 0.0:
+        late_pays = op.row.late_worth > 0.0 and not (op.row.must_call and self._below_crowded())
+        if self._wait_allowed(op, op.due if late_pays else op.aim) < 0.0:
             return True
         if self.mu is None:
             return False
+        wait = max(0.0, self._wait_allowed(op, op.aim))
         ahead = self._work_ahead(op) if ahead is None else ahead
         return ahead >= max(self.limit * self._mean_work(), self.mu * wait)
 
