--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -318,7 +318,8 @@
 
     @property
     def must_call_waiting(self) -> int:
-        return sum(op.row.must_call for op in self.at[Stage.STALLED].values() if not op.answered)
+        return sum(op.row.must_call and not op.answered
+                   for stage in (Stage.RUNNING, Stage.STALLED) for op in self.at[stage].values())
 
     def _drop_key(self, ref: int) -> None:
         if self.keys.pop(ref, None) is not None:
