--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -23,6 +23,7 @@
 ADVICE_GAIN = 0.3       # how fast the advice follows that wait, a second
 CROWD_SHARE = 0.6       # of the crowd survived: ops return from calls together, and reading runs beside
 MEMORY_SHARE = 0.9      # of the memory: what is read while a batch is under way comes on top
+UNREAD_WEIGHT, UNREAD_MEMORY = 0.1, 2.0  # of one op in the mean time unread; how long it outlives the last op read
 ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
 STOP_MARGIN = 0.15      # before the process is stopped: nothing is owed after that
 CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
@@ -148,7 +149,8 @@
         self.mu: float | None = None
         self.pace = 0.0
         self.exposure, self.done, self.full_time, self.done_full = Ring(), Ring(), Ring(), Ring()
-        self.runs, self.reads, self.retries, self.reading_wait = Ring(), Ring(), Ring(), Ring()
+        self.runs, self.reads, self.retries = Ring(), Ring(), Ring()
+        self.unread = 0.0
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
         self.call_exposure, self.calls_done = Ring(), Ring()
         self.call_limit, self.call_time, self.best_call = float(self.cores), 0.0, math.inf
@@ -179,7 +181,7 @@
         self.sweep_at = min(self.sweep_at, op.due - self.margin)
         self.reads.add(now, 1.0)
         self.retries.add(now, float(further_try))
-        self.reading_wait.add(now, age)
+        self.unread += UNREAD_WEIGHT * (age - self.unread)
 
     def _already_waited(self, op: Op, wait: float) -> float:
         """A later try's client has waited before; its remaining wait tells how long once it is cut short by that."""
@@ -280,9 +282,8 @@
         used = self.call_exposure.total(self.now) / (BUCKET * BUCKETS)
         self.call_limit = (max(1.0, self.call_limit * CALL_SHRINK) if self._below_crowded() else
                            min(self.call_limit + CALL_GROW, CALL_ROOM * (1.0 + used)))
-        reads = self.reads.total(self.now)
-        unread = self.reading_wait.total(self.now) / reads if reads else 0.0
-        wait = (unread + self._held_wait()) / self.shortest_target
+        self.unread *= 1.0 - span / UNREAD_MEMORY if span < UNREAD_MEMORY else 0.0
+        wait = (self.unread + self._held_wait()) / self.shortest_target
         self.shut = min(1.0, max(0.0, self.shut + ADVICE_GAIN * span * (wait - CALM_WAIT)))
 
     def _move(self, op: Op, stage: Stage) -> None:
@@ -444,7 +445,7 @@
     def _hold_off(self) -> float:
         if self.retire_at is not None:
             return self.max_hold_off
-        return min(self.max_hold_off, max(0.05, self._held_wait() - CALM_WAIT * self.shortest_target))
+        return min(self.max_hold_off, max(0.05, self.unread + self._held_wait() - CALM_WAIT * self.shortest_target))
 
     def _give_up(self) -> Decision | None:
         """One sweep for due times and, on each beat, the bound again for all that is held."""
