--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -529,12 +529,11 @@
         if healthy is not self.told_healthy:
             self.told_healthy = healthy
             return Decision(Verb.HEALTH, flag=healthy)
-        shut = min(1.0, self.shut + max(0.0, self.unread / self.shortest_target - CALM_WAIT))
-        if self.advice is None or abs(shut - self.told_shut) < 0.02:
+        if self.advice is None or abs(self.shut - self.told_shut) < 0.02:
             return None
-        self.told_shut = shut
-        open_part = 1.0 - shut
-        level = {Advice.FLOOR: shut, Advice.WEIGHT: open_part,
+        self.told_shut = self.shut
+        open_part = 1.0 - self.shut
+        level = {Advice.FLOOR: self.shut, Advice.WEIGHT: open_part,
                  Advice.ALLOWANCE: open_part * 4 * self.cores / self.callers}[self.advice]
         return Decision(Verb.ADVISE, level=level)
 
