Health goes bad while a mean run can't be in time

Health is the one word that does not need an answer. Bad while a mean run would take 1.2 times the shortest target latency even if warm, for 4 s, doubled each time it comes back, 32 s at most. Should also guard against runs that stop ending; does harm if all are slow at once.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -24,6 +24,8 @@
 CROWD_SHARE = 0.6       # of the crowd survived: ops return from calls together, and reading runs beside
 MEMORY_SHARE = 0.9      # of the memory: what is read while a batch is under way comes on top
 UNREAD_WEIGHT, UNREAD_MEMORY = 0.1, 2.0  # of one op in the mean time unread; how long it outlives the last op read
+SICK_RUN = 1.2          # of the shortest target latency that a mean run may take before health goes bad
+SICK_FIRST, SICK_LONGEST = 4.0, 32.0     # seconds of bad health, doubled each time that it comes back
 ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
 STOP_MARGIN = 0.15      # before the process is stopped: nothing is owed after that
 CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
@@ -155,7 +157,8 @@
         self.call_exposure, self.calls_done = Ring(), Ring()
         self.call_limit, self.call_time, self.best_call = float(self.cores), 0.0, math.inf
         self.shut = self.told_shut = 0.0
-        self.healthy = self.told_healthy = True
+        self.told_healthy = True
+        self.sick_until, self.sick_for = now, SICK_FIRST
         self.retire_at: float | None = None
         self.stop_at = math.inf
         self.sweep_at = self.judged_at = now
@@ -269,11 +272,13 @@
         span = min(self.now - self.judged_at, 1.0)
         self.judged_at = self.now
         exposure, done = self.exposure.total(self.now), self.done.total(self.now)
-        self.pace = exposure / max(done, self._mean_work()) if exposure > BUCKET * self.cores else 0.0
+        least = self._mean_work() * max(1, len(self.at[Stage.RUNNING]))
+        self.pace = exposure / max(done, least) if exposure > BUCKET * self.cores else 0.0
         full_time = self.full_time.total(self.now)
         done_full = self.done_full.total(self.now)
         if full_time >= FULL_ENOUGH * (1 if done_full else 4):
             self.mu = max(done_full, 0.001) / full_time
+        self._take_pulse()
         calls = self.calls_done.total(self.now)
         if self.call_exposure.total(self.now) > 0.0:
             self.call_time = self.call_exposure.total(self.now) / max(1.0, calls)
@@ -286,6 +291,16 @@
         wait = (self.unread + self._held_wait()) / self.shortest_target
         self.shut = min(1.0, max(0.0, self.shut + ADVICE_GAIN * span * (wait - CALM_WAIT)))
 
+    def _take_pulse(self) -> None:
+        """Slow or stuck, whatever the cause but cold: a mean op can't be in time here, so callers do better elsewhere.
+        It asks for trade again after a while, each time longer; harm is done if all are slow at once."""
+        if self.pace * self._mean_work() * self._warmth() > SICK_RUN * self.shortest_target:
+            if self.now >= self.sick_until:
+                self.sick_for = min(SICK_LONGEST, 2.0 * self.sick_for)
+            self.sick_until = self.now + self.sick_for
+        elif self.pace and self.now >= self.sick_until:
+            self.sick_for = SICK_FIRST
+
     def _move(self, op: Op, stage: Stage) -> None:
         if op.stage is stage:
             return
@@ -352,10 +367,13 @@
         """How long it may still be held to end by then: W_max less its own run."""
         return min(last, op.due - self.margin) - self.now - self._expected(op)
 
+    def _warmth(self) -> float:
+        """The share of its speed that it has by now at the slowest warming."""
+        warmed = (self.now - self.started) / self.cold_for if self.cold_for > 0.0 else 1.0
+        return min(1.0, self.cold_speed + (1.0 - self.cold_speed) * warmed)
+
     def _crowd_ceiling(self) -> float:
-        warmth = (self.now - self.started) / self.cold_for if self.cold_for > 0.0 else 1.0
-        speed = min(1.0, self.cold_speed + (1.0 - self.cold_speed) * warmth)
-        return CROWD_SHARE * self.cores * (1.0 + (self.crowd - 1.0) * speed)
+        return CROWD_SHARE * self.cores * (1.0 + (self.crowd - 1.0) * self._warmth())
 
     def _cap(self, op: Op) -> int:
         share = self.shares[op.tenant] if op.tenant < len(self.shares) else self.caller_share
@@ -525,7 +543,7 @@
         return Decision(Verb.RUN, op.ref)
 
     def _advise(self) -> Decision | None:
-        healthy = self.retire_at is None
+        healthy = self.retire_at is None and self.now >= self.sick_until
         if healthy is not self.told_healthy:
             self.told_healthy = healthy
             return Decision(Verb.HEALTH, flag=healthy)
