Long shots for ops of unknown cost

Where only less important ops or none hold the cores, 0.4 of the mean run must fit. Ops with hints keep the mean.

--- a/mulleinhatch/benchlink/__main__.py
+++ b/mulleinhatch/benchlink/__main__.py
@@ -82,7 +82,7 @@
             elif code == KILLED:
                 self.hatches.pop(instance, None)
             elif instance not in self.hatches:
-                raise Malformed(f"record {code} for instance {instance}, which has not started, at byte {place}")
+                raise Malformed(f"record {code} for instance {instance}, not started, at byte {place}")
             else:
                 self.tell(self.hatches[instance], code, frame, now, place)
         records: list[bytes] = []
@@ -104,9 +104,9 @@
     @staticmethod
     def tell(hatch: Hatch, code: int, frame: Frame, now: float, place: int) -> None:
         if code == REQUEST_CODE:
-            (ref, age, wait, tenant, rank, repeat_of, op_type, caller, key, bits, work,
+            (ref, age, wait, tenant, _, repeat_of, op_type, caller, _, bits, work,
              held_kb) = frame.take(REQUEST)
-            hatch.op_read(now, ref, op_type, age / 1000.0, wait / 1000.0, tenant, rank, repeat_of, caller, key,
+            hatch.op_read(now, ref, op_type, age / 1000.0, wait / 1000.0, tenant, repeat_of, caller,
                           work / 1000.0 if bits & HINT else 0.0, held_kb, bool(bits & FURTHER_TRY))
         elif code == RESULT_CODE:
             ref, ending, _ = frame.take(RESULT)
@@ -146,7 +146,8 @@
             raise
         except Exception as error:  # whatever the module throws, the host is told in the wire's own way
             text = f"{type(error).__name__}: {error}".encode()[:65535]
-            count, records = 2, b"".join((b"\x50", U16.pack(link.current), b"\x4f", U16.pack(len(text)), text))
+            words = (b"\x50", U16.pack(link.current), b"\x4f", U16.pack(len(text)), text)
+            count, records = 2, b"".join(words)
         sink.write(REPLY.pack(count, len(records), number) + records)
         sink.flush()
         read += BATCH.size + size
--- a/mulleinhatch/benchlink/start.py
+++ b/mulleinhatch/benchlink/start.py
@@ -70,7 +70,8 @@
     >>> told({"tick": "2.0", "novel": "1"}, {"tick": ("tick", seconds), "servers": ("instances", whole)})
     {'tick': 0.002}
     """
-    values = {name: read(pairs[prefix + path]) for path, (name, read) in reading.items() if prefix + path in pairs}
+    values = {name: read(pairs[prefix + path])
+              for path, (name, read) in reading.items() if prefix + path in pairs}
     return {name: value for name, value in values.items() if value is not None}
 
 
--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -15,7 +15,7 @@
 from mulleinhatch.interface import Advice, Decision, Deployment, Effect, Ending, OpType, StopMode, Verb
 
 BASE_SPAN = 20.0        # bases run evenly from 0 to this; lower starts sooner
-TENANT_ROOM = 2.0       # a tenant's running share over its fraction of the service: shares are never quite even
+TENANT_ROOM = 2.0       # a tenant's running share over its fraction of the service: traffic is never even
 BEAT = 0.1              # how often the hold is rescored and pressure is judged while there is work
 BUCKET, BUCKETS = 0.25, 10   # what "recent" means: long against a run, short against a slowdown
 FULL_ENOUGH = 0.5       # seconds at the running limit before mu is believed
@@ -23,15 +23,16 @@
 ADVICE_GAIN = 0.3       # how fast the advice follows that wait, a second
 CROWD_SHARE = 0.6       # of the crowd survived: ops return from calls together, and reading runs beside
 MEMORY_SHARE = 0.9      # of the memory: what is read while a batch is under way comes on top
-UNREAD_WEIGHT, UNREAD_MEMORY = 0.1, 2.0  # of one op in the mean time unread; how long it outlives the last op read
+UNREAD_WEIGHT, UNREAD_MEMORY = 0.1, 2.0  # of one op in the mean time unread; how long that outlives it
 SICK_RUN = 1.2          # of the shortest target latency that a mean run may take before health goes bad
 SICK_FIRST, SICK_LONGEST = 4.0, 32.0     # seconds of bad health, doubled each time that it comes back
+LONG_SHOT = 0.4         # of the mean run, when chances are that an op of unknown cost is shorter
 ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
 STOP_MARGIN = 0.15      # before the process is stopped: nothing is owed after that
 CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
 CALL_CROWDED = 3.0      # call time over the best seen from which the dependency counts as crowded
-CALL_SHRINK, CALL_GROW = 0.9, 0.5    # of the calls in hand, a beat: as of old for a shared line, back fast, up slowly
-CALL_ROOM = 3.0         # calls in hand over one more than their recent mean: room unused is a crowd when calls slow
+CALL_SHRINK, CALL_GROW = 0.9, 0.5    # of the calls in hand, a beat: back fast, up slowly
+CALL_ROOM = 3.0         # calls in hand over one more than their mean: unused room fills when calls slow
 BEST_DRIFT = 0.01       # a second: a best call time that is never met again is forgotten
 PROVES_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
 
@@ -101,14 +102,16 @@
 class Op:
     """An op that was read and has not ended."""
 
-    __slots__ = ("ref", "row", "tenant", "caller", "arrived", "due", "aim", "work", "held_kb", "further_try", "stage",
-                 "ran", "answered", "since", "spent", "leader", "kept", "call_ending", "call_until", "unwanted")
+    __slots__ = ("ref", "row", "tenant", "caller", "arrived", "due", "aim", "work", "held_kb", "further_try",
+                 "hinted", "stage", "ran", "answered", "since", "spent", "leader", "kept", "call_ending",
+                 "call_until", "unwanted")
 
     def __init__(self, ref: int, row: Row, tenant: int, caller: int, work: float, held_kb: float) -> None:
-        self.ref, self.row, self.tenant, self.caller, self.work, self.held_kb = ref, row, tenant, caller, work, held_kb
+        self.ref, self.row, self.tenant, self.caller = ref, row, tenant, caller
+        self.work, self.held_kb = work, held_kb
         self.arrived = self.due = self.aim = self.since = self.spent = self.call_until = 0.0
         self.stage = Stage.HELD
-        self.further_try = self.ran = self.answered = self.kept = self.unwanted = False
+        self.further_try = self.hinted = self.ran = self.answered = self.kept = self.unwanted = False
         self.leader: Op | None = None
         self.call_ending: int | None = None
 
@@ -168,12 +171,12 @@
 
     # Bookkeeping: what the host reports.
 
-    def op_read(self, now: float, ref: int, op_type: int, age: float, wait: float, tenant: int, rank: float,
-                repeat_of: int, caller: int, key: int, work: float, held_kb: float, further_try: bool) -> None:
+    def op_read(self, now: float, ref: int, op_type: int, age: float, wait: float, tenant: int,
+                repeat_of: int, caller: int, work: float, held_kb: float, further_try: bool) -> None:
         self._pass_time(now)
         row = self.rows[op_type]
         op = Op(ref, row, tenant if self.shares else caller, caller, work or self._mean_work(), held_kb)
-        op.arrived, op.since, op.further_try = now - age, now, further_try
+        op.arrived, op.since, op.further_try, op.hinted = now - age, now, further_try, work > 0.0
         op.due = now + wait if wait > 0.0 else max(now, op.arrived + row.op_timeout)
         op.aim = min(op.due, op.arrived + row.target - self._already_waited(op, wait))
         op.leader = self.ops.get(repeat_of) if repeat_of else None
@@ -187,7 +190,7 @@
         self.unread += UNREAD_WEIGHT * (age - self.unread)
 
     def _already_waited(self, op: Op, wait: float) -> float:
-        """A later try's client has waited before; its remaining wait tells how long once it is cut short by that."""
+        """A later try's client has waited before: how long, its remaining wait tells once that is cut short."""
         longest = self.longest_wait[op.caller] = max(self.longest_wait.get(op.caller, 0.0), wait)
         if not op.further_try or wait <= 0.0 or wait > longest - 0.001 and longest < op.row.op_timeout - 0.1:
             return 0.0
@@ -292,8 +295,8 @@
         self.shut = min(1.0, max(0.0, self.shut + ADVICE_GAIN * span * (wait - CALM_WAIT)))
 
     def _take_pulse(self) -> None:
-        """Slow or stuck, whatever the cause but cold: a mean op can't be in time here, so callers do better elsewhere.
-        It asks for trade again after a while, each time longer; harm is done if all are slow at once."""
+        """Slow or stuck, whatever the cause but cold: a mean op can't be in time here, so callers should go
+        elsewhere. It asks for trade again after a while, each time longer; harm is done if all are slow at once."""
         if self.pace * self._mean_work() * self._warmth() > SICK_RUN * self.shortest_target:
             if self.now >= self.sick_until:
                 self.sick_for = min(SICK_LONGEST, 2.0 * self.sick_for)
@@ -364,8 +367,14 @@
         return self.call_time > CALL_CROWDED * self.best_call
 
     def _wait_allowed(self, op: Op, last: float) -> float:
-        """How long it may still be held to end by then: W_max less its own run."""
-        return min(last, op.due - self.margin) - self.now - self._expected(op)
+        """How long it may still be held to end by then: W_max less its own run. An op without a hint may be
+        far shorter than the mean: a long shot, where only less important ops or none hold the cores."""
+        run = self._expected(op) * (LONG_SHOT if self._is_shot(op) else 1.0)
+        return min(last, op.due - self.margin) - self.now - run
+
+    def _is_shot(self, op: Op) -> bool:
+        rivals = sum(other.row.base <= op.row.base for other in self.at[Stage.RUNNING].values())
+        return not op.hinted and rivals < self.limit
 
     def _warmth(self) -> float:
         """The share of its speed that it has by now at the slowest warming."""
@@ -463,7 +472,8 @@
     def _hold_off(self) -> float:
         if self.retire_at is not None:
             return self.max_hold_off
-        return min(self.max_hold_off, max(0.05, self.unread + self._held_wait() - CALM_WAIT * self.shortest_target))
+        wait = self.unread + self._held_wait() - CALM_WAIT * self.shortest_target
+        return min(self.max_hold_off, max(0.05, wait))
 
     def _give_up(self) -> Decision | None:
         """One sweep for due times and, on each beat, the bound again for all that is held."""
@@ -512,7 +522,7 @@
         return None
 
     def _call_fits(self, patience: float) -> bool:
-        """Even if every call in hand lasts to its time-out, the mean below stays within this instance's share."""
+        """Even if every call in hand lasts to its time-out, the mean below stays within our share."""
         if self.calls_share == math.inf:
             return True
         ahead = sum(op.call_until - self.now + self.linger for op in self.at[Stage.CALLING].values())
@@ -531,12 +541,13 @@
         in_hand = sum(len(self.at[stage]) for stage in IN_HAND)
         if len(self.at[Stage.RUNNING]) >= self.limit or in_hand >= self._crowd_ceiling():
             return None
-        waiting = [*self.at[Stage.HELD].values(), *(op for op in self.at[Stage.PAUSED].values() if not op.answered)]
+        waiting = [*self.at[Stage.HELD].values(), *self.at[Stage.PAUSED].values()]
         free = [op for op in waiting if self.tenant_running.get(op.tenant, 0) < self._cap(op)]
         if not waiting:
             return None
         op = min(free or waiting, key=self._priority)
-        if op.stage is Stage.HELD and self.kb + op.held_kb * (self.run_factor - 1.0) > self.memory_kb and in_hand:
+        more_kb = op.held_kb * (self.run_factor - 1.0) if op.stage is Stage.HELD else 0.0
+        if self.kb + more_kb > self.memory_kb and in_hand:
             return None
         op.ran = True
         self._move(op, Stage.RUNNING)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,7 +1,7 @@
 """Plays every scenario in `scenarios/`, and one hand-written batch through the adapter.
 
 A scenario is a deployment, then lines of time and happening; `>` lists every decision that follows, in order,
-`~` some of them. Wake-ups are left out unless `alarms` is on. `all nacked 3` and the like count what came so far.
+`~` some of them; wake-ups are left out. `all nack 3` and the like count what came so far.
 """
 from __future__ import annotations
 
@@ -81,8 +81,8 @@
         hatch, get = self.hatch, more.get
         if what == "op":
             hatch.op_read(self.now, ref, get("type", 0), get("age", 0.0), get("wait", 0.0), get("tenant", 0),
-                          get("rank", 0.5), get("repeats", 0), get("caller", 0), get("key", 0), get("work", 0.0),
-                          get("kb", 1.0), bool(get("again", 0)))
+                          get("repeats", 0), get("caller", 0), get("work", 0.0), get("kb", 1.0),
+                          bool(get("again", 0)))
         elif what == "ended":
             hatch.run_ended(self.now, ref, get("ending", 1))
         elif what == "wants-call":
