Ops of tenants beyond their part of the quota go back in the order

First tries of each tenant are counted here against its quota over the instances; the part beyond moves all of the tenant's ops back by up to 20 points. Does harm where traffic is spread unevenly over the instances.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -27,6 +27,7 @@
 SICK_RUN = 1.2          # of the shortest target latency that a mean run may take before health goes bad
 SICK_FIRST, SICK_LONGEST = 4.0, 32.0     # seconds of bad health, doubled each time that it comes back
 LONG_SHOT = 0.4         # of the mean run, when chances are that an op of unknown cost is shorter
+OVER_SHARE = 20.0       # points that an op goes back when all its tenant's traffic is beyond its quota
 ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
 STOP_MARGIN = 0.15      # before the process is stopped: nothing is owed after that
 CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
@@ -104,11 +105,12 @@
 
     __slots__ = ("ref", "row", "tenant", "caller", "arrived", "due", "aim", "work", "held_kb", "further_try",
                  "hinted", "stage", "ran", "answered", "since", "spent", "leader", "kept", "call_ending",
-                 "call_until", "unwanted")
+                 "call_until", "unwanted", "over")
 
     def __init__(self, ref: int, row: Row, tenant: int, caller: int, work: float, held_kb: float) -> None:
         self.ref, self.row, self.tenant, self.caller = ref, row, tenant, caller
         self.work, self.held_kb = work, held_kb
+        self.over = 0.0
         self.arrived = self.due = self.aim = self.since = self.spent = self.call_until = 0.0
         self.stage = Stage.HELD
         self.further_try = self.hinted = self.ran = self.answered = self.kept = self.unwanted = False
@@ -124,6 +126,9 @@
         self.ageing_rate = max((row.target for row in self.rows), default=BASE_SPAN) / BASE_SPAN
         self.shortest_target = min((row.target for row in self.rows), default=math.inf)
         self.shares = [TENANT_ROOM * tenant.get("fraction", 1.0) for tenant in get("tenants", [])]
+        self.quotas = [tenant.get("quota_per_s", math.inf) / max(1, get("instances", 1))
+                       for tenant in get("tenants", [])]
+        self.tenant_reads = [Ring() for _ in self.quotas]
         self.caller_share = TENANT_ROOM / max(1, get("callers", 1))
         self.crowd, self.cold_for = get("crowd_per_core", 2.0), get("cold_for", 0.0)
         self.cold_speed = get("cold_speed", 1.0) if get("fresh_start", False) else 1.0
@@ -186,9 +191,20 @@
         self.kb += held_kb
         self.sweep_at = min(self.sweep_at, op.due - self.margin)
         self.reads.add(now, 1.0)
+        op.over = self._over_share(op)
         self.retries.add(now, float(further_try))
         self.unread += UNREAD_WEIGHT * (age - self.unread)
 
+    def _over_share(self, op: Op) -> float:
+        """Points by which an op goes back for its tenant's first tries here beyond its part of the fleet's quota."""
+        if op.tenant >= len(self.quotas):
+            return 0.0
+        if not op.further_try:
+            self.tenant_reads[op.tenant].add(self.now, 1.0)
+        rate = self.tenant_reads[op.tenant].total(self.now) / (BUCKET * BUCKETS)
+        over = 1.0 - self.quotas[op.tenant] / rate if rate else 0.0
+        return OVER_SHARE * max(0.0, over)
+
     def _already_waited(self, op: Op, wait: float) -> float:
         """A later try's client has waited before: how long, its remaining wait tells once that is cut short."""
         longest = self.longest_wait[op.caller] = max(self.longest_wait.get(op.caller, 0.0), wait)
@@ -353,7 +369,7 @@
     def _priority(self, op: Op) -> float:
         if op.aim < self.now + (self._call_wait() if op.stage in AT_CALL else 0.0):
             return math.inf    # only late worth is left: it must not delay what can still be in time
-        return op.row.base - (self.now - op.arrived) / self.ageing_rate
+        return op.row.base + op.over - (self.now - op.arrived) / self.ageing_rate
 
     def _expected(self, op: Op) -> float:
         """What is left of its run, with the line before the calls that it can't do without."""
