--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -164,7 +164,7 @@
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
         self.call_exposure, self.calls_done = Ring(), Ring()
         self.call_limit, self.call_time, self.best_call = float(self.cores), 0.0, math.inf
-        self.shut = self.told_shut = 0.0
+        self.shut, self.told_shut = 0.5 * (1.0 - self.cold_speed), 0.0
         self.told_healthy = True
         self.sick_until, self.sick_for = now, SICK_FIRST
         self.retire_at: float | None = None
