The bound leaves each op room for being longer than expected

W_max is now less half the expected run for hinted ops, less the whole of it again for ops of unknown cost.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -26,6 +26,7 @@
 UNREAD_WEIGHT, UNREAD_MEMORY = 0.1, 2.0  # of one op in the mean time unread; how long that outlives it
 SICK_RUN = 1.2          # of the shortest target latency that a mean run may take before health goes bad
 SICK_FIRST, SICK_LONGEST = 4.0, 32.0     # seconds of bad health, doubled each time that it comes back
+HINTED_SPREAD, UNKNOWN_SPREAD = 0.5, 1.0     # of its expected run that the bound leaves an op for being longer
 LONG_SHOT = 0.4         # of the mean run, when chances are that an op of unknown cost is shorter
 OVER_SHARE = 20.0       # points that an op goes back when all its tenant's traffic is beyond its quota
 ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
@@ -467,7 +468,8 @@
             return True
         if self.mu is None:
             return False
-        wait = max(0.0, self._wait_allowed(op, op.aim))
+        spread = (HINTED_SPREAD if op.hinted else UNKNOWN_SPREAD) * self.pace * op.work
+        wait = max(0.0, self._wait_allowed(op, op.aim) - spread)
         ahead = self._work_ahead(op) if ahead is None else ahead
         return ahead >= max(self.limit * self._mean_work(), self.mu * wait)
 
