Health goes bad and advice shuts while half of all runs fail

Guards against an instance that fails at once: it is idle and quick, so callers that count open tries or times send it ever more. Harm: if what fails is shared, all shut at once. Advice now shuts with bad health of either kind.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -25,8 +25,9 @@
 MEMORY_SHARE = 0.9      # of the memory: what is read while a batch is under way comes on top
 UNREAD_WEIGHT, UNREAD_MEMORY = 0.1, 2.0  # of one op in the mean time unread; how long that outlives it
 SICK_RUN = 1.2          # of the shortest target latency that a mean run may take before health goes bad
+SICK_ERRORS = 0.5       # of recent runs that may fail before health goes bad
 SICK_FIRST, SICK_LONGEST = 4.0, 32.0     # seconds of bad health, doubled each time that it comes back
-HINTED_SPREAD, UNKNOWN_SPREAD = 0.5, 1.0     # of its expected run that the bound leaves an op for being longer
+HINTED_SPREAD, UNKNOWN_SPREAD = 0.5, 1.0     # of its expected run that the bound leaves an op besides
 LONG_SHOT = 0.4         # of the mean run, when chances are that an op of unknown cost is shorter
 OVER_SHARE = 20.0       # points that an op goes back when all its tenant's traffic is beyond its quota
 ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
@@ -160,7 +161,7 @@
         self.mu: float | None = None
         self.pace = 0.0
         self.exposure, self.done, self.full_time, self.done_full = Ring(), Ring(), Ring(), Ring()
-        self.runs, self.reads, self.retries = Ring(), Ring(), Ring()
+        self.runs, self.errors, self.reads, self.retries = Ring(), Ring(), Ring(), Ring()
         self.unread = 0.0
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
         self.call_exposure, self.calls_done = Ring(), Ring()
@@ -197,7 +198,7 @@
         self.unread += UNREAD_WEIGHT * (age - self.unread)
 
     def _over_share(self, op: Op) -> float:
-        """Points by which an op goes back for its tenant's first tries here beyond its part of the fleet's quota."""
+        """Points by which an op goes back for its tenant's first tries here beyond its part of the quota."""
         if op.tenant >= len(self.quotas):
             return 0.0
         if not op.further_try:
@@ -207,7 +208,7 @@
         return OVER_SHARE * max(0.0, over)
 
     def _already_waited(self, op: Op, wait: float) -> float:
-        """A later try's client has waited before: how long, its remaining wait tells once that is cut short."""
+        """A later try's client has waited before: how long, its remaining wait tells once cut short."""
         longest = self.longest_wait[op.caller] = max(self.longest_wait.get(op.caller, 0.0), wait)
         if not op.further_try or wait <= 0.0 or wait > longest - 0.001 and longest < op.row.op_timeout - 0.1:
             return 0.0
@@ -224,6 +225,7 @@
         was_running = op.stage is Stage.RUNNING
         self._close(op)
         if was_running and ending in (Ending.OK, Ending.ERROR):
+            self.errors.add(now, float(ending == Ending.ERROR))
             self.done.add(now, op.work)
             self.runs.add(now, 1.0)
             if self.full:
@@ -312,9 +314,10 @@
         self.shut = min(1.0, max(0.0, self.shut + ADVICE_GAIN * span * (wait - CALM_WAIT)))
 
     def _take_pulse(self) -> None:
-        """Slow or stuck, whatever the cause but cold: a mean op can't be in time here, so callers should go
-        elsewhere. It asks for trade again after a while, each time longer; harm is done if all are slow at once."""
-        if self.pace * self._mean_work() * self._warmth() > SICK_RUN * self.shortest_target:
+        """Slow or stuck, whatever the cause but cold, or failing what it runs, which is quick and draws
+        callers: they should go elsewhere. It asks for trade again later, each time longer. Harm if all are so."""
+        slow = self.pace * self._mean_work() * self._warmth() > SICK_RUN * self.shortest_target
+        if slow or self.errors.total(self.now) > max(self.cores, SICK_ERRORS * self.runs.total(self.now)):
             if self.now >= self.sick_until:
                 self.sick_for = min(SICK_LONGEST, 2.0 * self.sick_for)
             self.sick_until = self.now + self.sick_for
@@ -576,11 +579,12 @@
         if healthy is not self.told_healthy:
             self.told_healthy = healthy
             return Decision(Verb.HEALTH, flag=healthy)
-        if self.advice is None or abs(self.shut - self.told_shut) < 0.02:
+        shut = self.shut if healthy else 1.0
+        if self.advice is None or abs(shut - self.told_shut) < 0.02:
             return None
-        self.told_shut = self.shut
-        open_part = 1.0 - self.shut
-        level = {Advice.FLOOR: self.shut, Advice.WEIGHT: open_part,
+        self.told_shut = shut
+        open_part = 1.0 - shut
+        level = {Advice.FLOOR: shut, Advice.WEIGHT: open_part,
                  Advice.ALLOWANCE: open_part * 4 * self.cores / self.callers}[self.advice]
         return Decision(Verb.ADVISE, level=level)
 
