--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -164,7 +164,7 @@
         self.runs, self.errors, self.reads, self.retries = Ring(), Ring(), Ring(), Ring()
         self.unread = 0.0
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
-        self.call_exposure, self.calls_done = Ring(), Ring()
+        self.call_exposure, self.calls_done = Ring(BEAT), Ring(BEAT)
         self.call_limit, self.call_time, self.best_call = float(self.cores), 0.0, math.inf
         self.shut, self.told_shut = 0.5 * (1.0 - self.cold_speed), 0.0
         self.told_healthy = True
@@ -306,7 +306,7 @@
             self.call_time = self.call_exposure.total(self.now) / max(1.0, calls)
             self.best_call *= 1.0 + BEST_DRIFT * span
             self.best_call = min(self.best_call, self.call_time) if calls >= BUCKETS else self.best_call
-        used = self.call_exposure.total(self.now) / (BUCKET * BUCKETS)
+        used = self.call_exposure.total(self.now) / (BEAT * BUCKETS)
         self.call_limit = (max(1.0, self.call_limit * CALL_SHRINK) if self._below_crowded() else
                            min(self.call_limit + CALL_GROW, CALL_ROOM * (1.0 + used)))
         self.unread *= 1.0 - span / UNREAD_MEMORY if span < UNREAD_MEMORY else 0.0
