Skipped calls are tried again; bad health ends by chance; unread start values dropped

A defect found on rereading: once a dependency was called crowded and every op in hand may skip its call, no call was ever made that could tell that it is well again. With none in hand for a second its time is unknown again (scenario slow_below fails without it). Guards any deployment whose calls can all be left out; harm: a call each second into a slow dependency. The end of bad health is spread by a quarter, so that instances that fell ill together don't ask for trade together.

--- a/mulleinhatch/benchlink/start.py
+++ b/mulleinhatch/benchlink/start.py
@@ -29,7 +29,6 @@
     "family_info.memory_kb": ("memory_kb", float),
     "family_info.run_factor": ("run_factor", float),
     "family_info.key_kb": ("key_kb", float),
-    "family_info.fresh_for": ("fresh_for", seconds),
     "family_info.callers": ("callers", whole),
     "family_info.gauges": ("gauges", lambda text: text.split(",")),
     "family_info.calls_out": ("calls_share", float),
@@ -44,8 +43,6 @@
     "rules.tip_multiple": ("crowd_per_core", float),
     "limits.retry_after": ("hold_off_allowed", flag),
     "limits.max_retry_after": ("max_hold_off", seconds),
-    "clients.marks_retry": ("retries_marked", flag),
-    "over_share_worth": ("over_share_worth", float),
     "servers": ("instances", whole),
     "tick": ("tick", seconds),
 }
--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -26,7 +26,7 @@
 UNREAD_WEIGHT, UNREAD_MEMORY = 0.1, 2.0  # of one op in the mean time unread; how long that outlives it
 SICK_RUN = 1.2          # of the shortest target latency that a mean run may take before health goes bad
 SICK_ERRORS = 0.5       # of recent runs that may fail before health goes bad
-SICK_FIRST, SICK_LONGEST = 4.0, 32.0     # seconds of bad health, doubled each time that it comes back
+SICK_FIRST, SICK_LONGEST = 4.0, 32.0     # seconds of bad health, doubled before each spell
 HINTED_SPREAD, UNKNOWN_SPREAD = 0.5, 1.0     # of its expected run that the bound leaves an op besides
 LONG_SHOT = 0.4         # of the mean run, when chances are that an op of unknown cost is shorter
 OVER_SHARE = 20.0       # points that an op goes back when all its tenant's traffic is beyond its quota
@@ -143,7 +143,7 @@
         self.calls_share = get("calls_share", 0.0) if get("shared_dependency", False) else math.inf
         self.calls_window, self.linger = get("calls_window", 1.0), get("call_linger", 0.0)
         self.margin = ANSWER_MARGIN + 2 * get("tick", 0.0)
-        self.chance = seed & 0xFFFFFFFFFFFFFFFF
+        self.chance = seed % 2 ** 64
         self.started = self.now = now
         self.ops: dict[int, Op] = {}
         self.at: dict[Stage, dict[int, Op]] = {stage: {} for stage in Stage}
@@ -306,6 +306,8 @@
             self.call_time = self.call_exposure.total(self.now) / max(1.0, calls)
             self.best_call *= 1.0 + BEST_DRIFT * span
             self.best_call = min(self.best_call, self.call_time) if calls >= BUCKETS else self.best_call
+        else:
+            self.call_time = 0.0    # unknown again: where every op may skip its call, no call would ever tell
         used = self.call_exposure.total(self.now) / (BEAT * BUCKETS)
         self.call_limit = (max(1.0, self.call_limit * CALL_SHRINK) if self._below_crowded() else
                            min(self.call_limit + CALL_GROW, CALL_ROOM * (1.0 + used)))
@@ -320,10 +322,15 @@
         if slow or self.errors.total(self.now) > max(self.cores, SICK_ERRORS * self.runs.total(self.now)):
             if self.now >= self.sick_until:
                 self.sick_for = min(SICK_LONGEST, 2.0 * self.sick_for)
-            self.sick_until = self.now + self.sick_for
+            self.sick_until = self.now + self.sick_for * (0.75 + 0.5 * self._draw())
         elif self.pace and self.now >= self.sick_until:
             self.sick_for = SICK_FIRST
 
+    def _draw(self) -> float:
+        """Below 1, by chance: instances that fell ill together must not ask for trade again together."""
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % 2 ** 64
+        return (self.chance >> 33) / 2 ** 31
+
     def _move(self, op: Op, stage: Stage) -> None:
         if op.stage is stage:
             return
--- a/mulleinhatch/interface.py
+++ b/mulleinhatch/interface.py
@@ -72,17 +72,14 @@
     memory_kb: float
     run_factor: float          # memory of a running op over that of a held one
     key_kb: float
-    fresh_for: float           # how long an answer may serve other reads of its key
     stop_mode: StopMode
     advice: Advice
     callers: int
     instances: int
     gauges: list[str]          # names of the gauges that come with a wake-up, in their order
     tick: float
-    over_share_worth: float
     hold_off_allowed: bool
     max_hold_off: float
-    retries_marked: bool
     shared_dependency: bool
     calls_share: float         # mean calls in hand that this instance may add below
     calls_window: float        # the time of that mean
