Every nack asks not to go elsewhere while retries are common

Harm: a caller whose other instances are empty gives up early, while retries from elsewhere still come here.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -495,7 +495,7 @@
             return Decision(Verb.FAIL, op.ref)
         self._close(op)
         crowded = self.retries.total(self.now) > CROWDED_RETRIES * self.reads.total(self.now)
-        return Decision(Verb.NACK, op.ref, self._hold_off(), flag=crowded and op.further_try)
+        return Decision(Verb.NACK, op.ref, self._hold_off(), flag=crowded)
 
     def _hold_off(self) -> float:
         if self.retire_at is not None:
