Twin pieces of the module folded; behaviour unchanged

What becomes of an op nobody waits for stood in two places; the memory ledger, the callers and the time in calls were reckoned twice over; the count of rivals was made for hinted ops that don't need it.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -131,14 +131,14 @@
         self.quotas = [tenant.get("quota_per_s", math.inf) / max(1, get("instances", 1))
                        for tenant in get("tenants", [])]
         self.tenant_reads = [Ring() for _ in self.quotas]
-        self.caller_share = TENANT_ROOM / max(1, get("callers", 1))
+        self.callers, self.gauges = max(1, get("callers", 1)), get("gauges", [])
+        self.caller_share = TENANT_ROOM / self.callers
         self.crowd, self.cold_for = get("crowd_per_core", 2.0), get("cold_for", 0.0)
         self.cold_speed = get("cold_speed", 1.0) if get("fresh_start", False) else 1.0
         self.drain_grace = get("drain_grace", 0.0)
         self.memory_kb = MEMORY_SHARE * get("memory_kb", math.inf)
         self.run_factor, self.key_kb = get("run_factor", 1.0), get("key_kb", 0.0)
         self.stop_mode, self.advice = get("stop_mode"), get("advice")
-        self.callers, self.gauges = max(1, get("callers", 1)), get("gauges", [])
         self.max_hold_off = get("max_hold_off", 0.0) if get("hold_off_allowed", False) else 0.0
         self.calls_share = get("calls_share", 0.0) if get("shared_dependency", False) else math.inf
         self.calls_window, self.linger = get("calls_window", 1.0), get("call_linger", 0.0)
@@ -249,11 +249,7 @@
     def op_abandoned(self, now: float, ref: int) -> None:
         self._pass_time(now)
         if op := self.ops.get(ref):
-            op.answered = True
-            if op.stage in (Stage.RUNNING, *AT_CALL):
-                op.unwanted = op.stage is Stage.RUNNING
-            else:
-                self._close(op)
+            self._let_go(op)
 
     def leave_notice(self, now: float, grace: float) -> None:
         self._pass_time(now)
@@ -301,14 +297,14 @@
         if full_time >= FULL_ENOUGH * (1 if done_full else 4):
             self.mu = max(done_full, 0.001) / full_time
         self._take_pulse()
-        calls = self.calls_done.total(self.now)
-        if self.call_exposure.total(self.now) > 0.0:
-            self.call_time = self.call_exposure.total(self.now) / max(1.0, calls)
+        calls, calling = self.calls_done.total(self.now), self.call_exposure.total(self.now)
+        if calling > 0.0:
+            self.call_time = calling / max(1.0, calls)
             self.best_call *= 1.0 + BEST_DRIFT * span
             self.best_call = min(self.best_call, self.call_time) if calls >= BUCKETS else self.best_call
         else:
             self.call_time = 0.0    # unknown again: where every op may skip its call, no call would ever tell
-        used = self.call_exposure.total(self.now) / (BEAT * BUCKETS)
+        used = calling / (BEAT * BUCKETS)
         self.call_limit = (max(1.0, self.call_limit * CALL_SHRINK) if self._below_crowded() else
                            min(self.call_limit + CALL_GROW, CALL_ROOM * (1.0 + used)))
         self.unread *= 1.0 - span / UNREAD_MEMORY if span < UNREAD_MEMORY else 0.0
@@ -317,7 +313,7 @@
 
     def _take_pulse(self) -> None:
         """Slow or stuck, whatever the cause but cold, or failing what it runs, which is quick and draws
-        callers: they should go elsewhere. It asks for trade again later, each time longer. Harm if all are so."""
+        callers: they should go elsewhere. It asks for trade again, later each time. Harm if all are so."""
         slow = self.pace * self._mean_work() * self._warmth() > SICK_RUN * self.shortest_target
         if slow or self.errors.total(self.now) > max(self.cores, SICK_ERRORS * self.runs.total(self.now)):
             if self.now >= self.sick_until:
@@ -337,9 +333,9 @@
         if op.stage is Stage.RUNNING:
             op.spent += self.now - op.since
         del self.at[op.stage][op.ref]
-        was, held = op.stage in IN_HAND, op.held_kb
-        self.kb += held * self.run_factor * ((stage in IN_HAND) - was) - held * ((stage in IN_HAND) - was)
-        self._count_tenant(op, (stage in IN_HAND) - was)
+        change = (stage in IN_HAND) - (op.stage in IN_HAND)
+        self.kb += change * op.held_kb * (self.run_factor - 1.0)
+        self._count_tenant(op, change)
         self.at[stage][op.ref] = op
         op.stage, op.since = stage, self.now
 
@@ -362,10 +358,13 @@
                 self._move(follower, Stage.HELD)
                 self.unplaced[follower.ref] = follower
 
-    @property
-    def must_call_waiting(self) -> int:
-        return sum(op.row.must_call and not op.answered
-                   for stage in (Stage.RUNNING, Stage.STALLED) for op in self.at[stage].values())
+    def _let_go(self, op: Op) -> None:
+        """Nobody waits for it any more; what runs or is at a call still fills its place until it ends."""
+        if op.stage in (Stage.RUNNING, *AT_CALL):
+            op.answered = True
+            op.unwanted = op.stage is Stage.RUNNING
+        else:
+            self._close(op)
 
     def _drop_key(self, ref: int) -> None:
         if self.keys.pop(ref, None) is not None:
@@ -388,7 +387,9 @@
         return calls if op.stage in AT_CALL else self.pace * op.work + calls
 
     def _call_wait(self) -> float:
-        return self.call_time * (1.0 + self.must_call_waiting / self.call_limit)
+        line = sum(op.row.must_call and not op.answered
+                   for stage in (Stage.RUNNING, Stage.STALLED) for op in self.at[stage].values())
+        return self.call_time * (1.0 + line / self.call_limit)
 
     def _below_crowded(self) -> bool:
         return self.call_time > CALL_CROWDED * self.best_call
@@ -400,8 +401,9 @@
         return min(last, op.due - self.margin) - self.now - run
 
     def _is_shot(self, op: Op) -> bool:
-        rivals = sum(other.row.base <= op.row.base for other in self.at[Stage.RUNNING].values())
-        return not op.hinted and rivals < self.limit
+        if op.hinted:
+            return False
+        return sum(other.row.base <= op.row.base for other in self.at[Stage.RUNNING].values()) < self.limit
 
     def _warmth(self) -> float:
         """The share of its speed that it has by now at the slowest warming."""
@@ -487,11 +489,7 @@
         """The final answer to what is given up: a nack only if no try of it ever ran."""
         leader_ran = op.leader is not None and op.leader.ran
         if op.ran or leader_ran:
-            if op.stage in (Stage.RUNNING, *AT_CALL):
-                op.answered = True
-                op.unwanted = op.stage is Stage.RUNNING
-            else:
-                self._close(op)
+            self._let_go(op)
             return Decision(Verb.FAIL, op.ref)
         self._close(op)
         crowded = self.retries.total(self.now) > CROWDED_RETRIES * self.reads.total(self.now)
