Pace credits runs that have not ended as far as they should have come

Cause: on two cores one or two long ops were all that the last seconds held, and the mean work fell back to one second where nothing had ended, so that sound instances called themselves unhealthy; the list dropped a third of the fleet. Also guards against a stuck run hidden by quick ends. Harm: without hints a long run still counts as one mean op.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -160,8 +160,9 @@
         self.full = False
         self.mu: float | None = None
         self.pace = 0.0
-        self.exposure, self.done, self.full_time, self.done_full = Ring(), Ring(), Ring(), Ring()
+        self.spent, self.done, self.full_time, self.done_full = Ring(), Ring(), Ring(), Ring()
         self.runs, self.errors, self.reads, self.retries = Ring(), Ring(), Ring(), Ring()
+        self.hints, self.hinted = Ring(1.0), Ring(1.0)
         self.unread = 0.0
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
         self.call_exposure, self.calls_done = Ring(BEAT), Ring(BEAT)
@@ -182,6 +183,9 @@
                 repeat_of: int, caller: int, work: float, held_kb: float, further_try: bool) -> None:
         self._pass_time(now)
         row = self.rows[op_type]
+        if work > 0.0:
+            self.hints.add(now, 1.0)
+            self.hinted.add(now, work)
         op = Op(ref, row, tenant if self.shares else caller, caller, work or self._mean_work(), held_kb)
         op.arrived, op.since, op.further_try, op.hinted = now - age, now, further_try, work > 0.0
         op.due = now + wait if wait > 0.0 else max(now, op.arrived + row.op_timeout)
@@ -223,8 +227,10 @@
             self._move(op, Stage.PAUSED)
             return
         was_running = op.stage is Stage.RUNNING
+        spent = self._spent(op)
         self._close(op)
         if was_running and ending in (Ending.OK, Ending.ERROR):
+            self.spent.add(now, spent)
             self.errors.add(now, float(ending == Ending.ERROR))
             self.done.add(now, op.work)
             self.runs.add(now, 1.0)
@@ -272,7 +278,6 @@
     def _pass_time(self, now: float) -> None:
         span, self.now = max(0.0, now - self.now), max(now, self.now)
         if span > 0.0:
-            self.exposure.add(now, span * len(self.at[Stage.RUNNING]))
             self.call_exposure.add(now, span * len(self.at[Stage.CALLING]))
             if self.full:
                 self.full_time.add(now, span)
@@ -289,9 +294,7 @@
         """Pace, mu and pressure, about once a beat."""
         span = min(self.now - self.judged_at, 1.0)
         self.judged_at = self.now
-        exposure, done = self.exposure.total(self.now), self.done.total(self.now)
-        least = self._mean_work() * max(1, len(self.at[Stage.RUNNING]))
-        self.pace = exposure / max(done, least) if exposure > BUCKET * self.cores else 0.0
+        self.pace = self._pace()
         full_time = self.full_time.total(self.now)
         done_full = self.done_full.total(self.now)
         if full_time >= FULL_ENOUGH * (1 if done_full else 4):
@@ -311,6 +314,20 @@
         wait = (self.unread + self._held_wait()) / self.shortest_target
         self.shut = min(1.0, max(0.0, self.shut + ADVICE_GAIN * span * (wait - CALM_WAIT)))
 
+    def _pace(self) -> float:
+        """Slot time for each unit of work. What still runs counts as far as it should have come, all its work
+        at most: else one long op on few cores looks like a slow machine, and a stuck machine like a sound one."""
+        running = [(self._spent(op), op.work) for op in self.at[Stage.RUNNING].values()]
+        spent = self.spent.total(self.now) + sum(time for time, _ in running)
+        if spent <= BUCKET * self.cores:
+            return 0.0
+        done = self.done.total(self.now)
+        pace = self.pace or spent / (done + sum(work for _, work in running))
+        return spent / (done + sum(min(work, time / pace) for time, work in running))
+
+    def _spent(self, op: Op) -> float:
+        return op.spent + (self.now - op.since if op.stage is Stage.RUNNING else 0.0)
+
     def _take_pulse(self) -> None:
         """Slow or stuck, whatever the cause but cold, or failing what it runs, which is quick and draws
         callers: they should go elsewhere. It asks for trade again, later each time. Harm if all are so."""
@@ -373,8 +390,8 @@
     # What the books say.
 
     def _mean_work(self) -> float:
-        runs = self.runs.total(self.now)
-        return self.done.total(self.now) / runs if runs else 1.0
+        hints = self.hints.total(self.now)
+        return self.hinted.total(self.now) / hints if hints else 1.0
 
     def _priority(self, op: Op) -> float:
         if op.aim < self.now + (self._call_wait() if op.stage in AT_CALL else 0.0):
