The running limit grows only after being full for as long as the core gauge covers

Cause: the gauge tells of the last half second, and on two cores the limit is full for moments at a time: cores that idled before it was full let it creep up to five runs a core, and long ops ended late. Told from slow machines by the late ops: 2.5 times their hinted work, evenly over all instances. Harm: runs that wait for a disk fill the cores half a second later.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -18,6 +18,7 @@
 TENANT_ROOM = 2.0       # a tenant's running share over its fraction of the service: traffic is never even
 BEAT = 0.1              # how often the hold is rescored and pressure is judged while there is work
 BUCKET, BUCKETS = 0.25, 10   # what "recent" means: long against a run, short against a slowdown
+GAUGE_SPAN = 0.5        # seconds that the gauge of core use covers: full for less, it tells nothing
 FULL_ENOUGH = 0.5       # seconds at the running limit before mu is believed
 CALM_WAIT = 0.18        # the share of the shortest target latency that the hold's wait may take before advice
 ADVICE_GAIN = 0.3       # how fast the advice follows that wait, a second
@@ -157,7 +158,7 @@
         self.longest_wait: dict[int, float] = {}
         self.kb = 0.0
         self.limit = self.cores
-        self.full = False
+        self.full_since = math.inf
         self.mu: float | None = None
         self.pace = 0.0
         self.spent, self.done, self.full_time, self.done_full = Ring(), Ring(), Ring(), Ring()
@@ -234,7 +235,7 @@
             self.errors.add(now, float(ending == Ending.ERROR))
             self.done.add(now, op.work)
             self.runs.add(now, 1.0)
-            if self.full:
+            if now >= self.full_since:
                 self.done_full.add(now, op.work)
 
     def call_wanted(self, now: float, ref: int) -> None:
@@ -270,7 +271,7 @@
         if token == self.alarms:
             self.armed = math.inf
         busy = gauges.get("core_use", 1.0)
-        if self.full and busy < 0.85 and self.limit < self._crowd_ceiling():
+        if now >= self.full_since + GAUGE_SPAN and busy < 0.85 and self.limit < self._crowd_ceiling():
             self.limit += 1
         elif busy > 0.97 and self.limit > self.cores:
             self.limit -= 1
@@ -279,7 +280,7 @@
         span, self.now = max(0.0, now - self.now), max(now, self.now)
         if span > 0.0:
             self.call_exposure.add(now, span * len(self.at[Stage.CALLING]))
-            if self.full:
+            if now >= self.full_since:
                 self.full_time.add(now, span)
             self.calls_below.add(now, span * (len(self.at[Stage.CALLING]) + len(self.lingering)))
             self.lingering = [until for until in self.lingering if until > now]
@@ -445,7 +446,8 @@
         for step in self.steps:
             if decision := step():
                 return decision
-        self.full = bool(self.at[Stage.HELD]) and len(self.at[Stage.RUNNING]) >= self.limit
+        full = self.at[Stage.HELD] and len(self.at[Stage.RUNNING]) >= self.limit
+        self.full_since = min(self.full_since, now) if full else math.inf
         return None
 
     def _forget(self) -> Decision | None:
