Calls in hand may be a part of one; slow calls are told from four

Cause: at full size an instance makes a few calls a second: ten in one second, wanted before a best call time was believed, never came, so no dependency ever counted as crowded, and 290 instances with one call each in hand are nine times its slots. Now a call time leans on four calls, the limit falls below one down to 0.4 of our share of what the dependency survives (calls then lie apart in time), and a call whose time-out would not fit the share gets a shorter one. Also guards against a dependency that sends calls back: each shrinks the limit. Harm: after a slow spell reads go without their call for some seconds more.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -35,7 +35,10 @@
 STOP_MARGIN = 0.15      # before the process is stopped: nothing is owed after that
 CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
 CALL_CROWDED = 3.0      # call time over the best seen from which the dependency counts as crowded
-CALL_SHRINK, CALL_GROW = 0.9, 0.5    # of the calls in hand, a beat: back fast, up slowly
+CALL_SHRINK, CALL_GROW = 0.9, 1.1    # of the calls in hand, a beat
+CALL_FLOOR = 0.4        # of our share of what the dependency survives, when even calls far apart are slow
+CALLS_ENOUGH = 4        # calls that a call time leans on, and that are seen before one is the best
+CALL_MEMORY = 2.5       # seconds without a call in which a slow one is forgotten: else none would ask again
 CALL_ROOM = 3.0         # calls in hand over one more than their mean: unused room fills when calls slow
 BEST_DRIFT = 0.01       # a second: a best call time that is never met again is forgotten
 PROVES_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
@@ -166,8 +169,9 @@
         self.hints, self.hinted = Ring(1.0), Ring(1.0)
         self.unread = 0.0
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
-        self.call_exposure, self.calls_done = Ring(BEAT), Ring(BEAT)
-        self.call_limit, self.call_time, self.best_call = float(self.cores), 0.0, math.inf
+        self.call_limit, self.call_floor = float(self.cores), min(1.0, max(0.01, CALL_FLOOR * self.calls_share))
+        self.call_mean, self.call_time, self.best_call, self.calls_seen = 0.0, 0.0, math.inf, 0
+        self.last_call, self.last_call_time = now, 0.0
         self.shut, self.told_shut = 0.5 * (1.0 - self.cold_speed), 0.0
         self.told_healthy = True
         self.sick_until, self.sick_for = now, SICK_FIRST
@@ -246,13 +250,21 @@
 
     def call_ended(self, now: float, ref: int, ending: int) -> None:
         self._pass_time(now)
-        self.calls_done.add(now, 1.0)
         if ending in (Ending.TIMEOUT, Ending.INTERRUPTED):
             self.lingering.append(now + self.linger)
         if op := self.ops.get(ref):
+            self._time_call(ending, now - op.since)
             op.call_ending = ending
             self._move(op, Stage.RUNNING if ending == Ending.OK else Stage.STALLED)
 
+    def _time_call(self, ending: int, elapsed: float) -> None:
+        self.last_call, self.last_call_time = self.now, elapsed
+        if ending in PROVES_UNRUN:
+            self.call_limit = max(self.call_floor, self.call_limit * CALL_SHRINK)
+            return
+        self.calls_seen += 1
+        self.call_mean += (elapsed - self.call_mean) / min(self.calls_seen, CALLS_ENOUGH)
+
     def op_abandoned(self, now: float, ref: int) -> None:
         self._pass_time(now)
         if op := self.ops.get(ref):
@@ -279,7 +291,6 @@
     def _pass_time(self, now: float) -> None:
         span, self.now = max(0.0, now - self.now), max(now, self.now)
         if span > 0.0:
-            self.call_exposure.add(now, span * len(self.at[Stage.CALLING]))
             if now >= self.full_since:
                 self.full_time.add(now, span)
             self.calls_below.add(now, span * (len(self.at[Stage.CALLING]) + len(self.lingering)))
@@ -293,28 +304,32 @@
 
     def _judge(self) -> None:
         """Pace, mu and pressure, about once a beat."""
-        span = min(self.now - self.judged_at, 1.0)
-        self.judged_at = self.now
+        since, self.judged_at = self.now - self.judged_at, self.now
+        span = min(since, 1.0)
         self.pace = self._pace()
         full_time = self.full_time.total(self.now)
         done_full = self.done_full.total(self.now)
         if full_time >= FULL_ENOUGH * (1 if done_full else 4):
             self.mu = max(done_full, 0.001) / full_time
         self._take_pulse()
-        calls, calling = self.calls_done.total(self.now), self.call_exposure.total(self.now)
-        if calling > 0.0:
-            self.call_time = calling / max(1.0, calls)
-            self.best_call *= 1.0 + BEST_DRIFT * span
-            self.best_call = min(self.best_call, self.call_time) if calls >= BUCKETS else self.best_call
-        else:
-            self.call_time = 0.0    # unknown again: where every op may skip its call, no call would ever tell
-        used = calling / (BEAT * BUCKETS)
-        self.call_limit = (max(1.0, self.call_limit * CALL_SHRINK) if self._below_crowded() else
-                           min(self.call_limit + CALL_GROW, CALL_ROOM * (1.0 + used)))
+        self._judge_calls(since)
         self.unread *= 1.0 - span / UNREAD_MEMORY if span < UNREAD_MEMORY else 0.0
         wait = (self.unread + self._held_wait()) / self.shortest_target
         self.shut = min(1.0, max(0.0, self.shut + ADVICE_GAIN * span * (wait - CALM_WAIT)))
 
+    def _judge_calls(self, span: float) -> None:
+        """Many instances share the dependency: our part of the calls it bears may be under one at a time."""
+        in_hand = [self.now - op.since for op in self.at[Stage.CALLING].values()]
+        if self.calls_seen >= CALLS_ENOUGH:
+            self.best_call = min(self.best_call * (1.0 + BEST_DRIFT * span), self.call_mean)
+            if not in_hand:
+                self.call_mean += (self.best_call - self.call_mean) * min(1.0, span / CALL_MEMORY)
+        come = sum(min(1.0, time / self.call_mean) for time in in_hand) if self.call_mean else len(in_hand)
+        self.call_time = (CALLS_ENOUGH * self.call_mean + sum(in_hand)) / (CALLS_ENOUGH + come)
+        used = self.calls_below.total(self.now) / self.calls_window
+        self.call_limit = (max(self.call_floor, self.call_limit * CALL_SHRINK) if self._below_crowded() else
+                           min(self.call_limit * CALL_GROW, CALL_ROOM * (1.0 + used)))
+
     def _pace(self) -> float:
         """Slot time for each unit of work. What still runs counts as far as it should have come, all its work
         at most: else one long op on few cores looks like a slow machine, and a stuck machine like a sound one."""
@@ -407,7 +422,11 @@
     def _call_wait(self) -> float:
         line = sum(op.row.must_call and not op.answered
                    for stage in (Stage.RUNNING, Stage.STALLED) for op in self.at[stage].values())
-        return self.call_time * (1.0 + line / self.call_limit)
+        return self.call_time * (1.0 + line / self.call_limit) + max(0.0, self._call_pause())
+
+    def _call_pause(self) -> float:
+        """Until the next call where less than one at a time is our part: calls spread in time."""
+        return self.last_call + self.last_call_time * (1.0 / self.call_limit - 1.0) - self.now
 
     def _below_crowded(self) -> bool:
         return self.call_time > CALL_CROWDED * self.best_call
@@ -554,25 +573,28 @@
                 continue
             degradable = op.row.degraded_worth > 0.0
             left = (op.aim if degradable else op.due - self.margin) - self.now
-            fits = len(self.at[Stage.CALLING]) < self.call_limit and self._call_fits(left)
+            patience = min(left, self._call_room())
+            fits = self._call_free() and patience >= min(left, 2.0 * self.call_time)
             if op.call_ending is not None and not (op.row.retryable or op.call_ending in PROVES_UNRUN):
                 return self._turn_away(op)
             if degradable and (op.call_ending is not None or self._below_crowded() or not fits):
                 self._move(op, Stage.RUNNING)
                 return Decision(Verb.SKIP_CALL, op.ref)
-            if left > 0.0 and fits:
-                op.call_until = self.now + left
+            if patience > 0.0 and fits:
+                op.call_until = self.now + patience
                 self._move(op, Stage.CALLING)
-                return Decision(Verb.CALL, op.ref, left)
+                return Decision(Verb.CALL, op.ref, patience)
         return None
 
-    def _call_fits(self, patience: float) -> bool:
-        """Even if every call in hand lasts to its time-out, the mean below stays within our share."""
-        if self.calls_share == math.inf:
-            return True
+    def _call_free(self) -> bool:
+        calling = len(self.at[Stage.CALLING])
+        return calling < self.call_limit and (self.call_limit >= 1.0 or self._call_pause() <= 0.0)
+
+    def _call_room(self) -> float:
+        """The time-out with which the mean below stays within our share even if every call lasts to its own."""
         ahead = sum(op.call_until - self.now + self.linger for op in self.at[Stage.CALLING].values())
-        ahead += sum(until - self.now for until in self.lingering) + patience + self.linger
-        return self.calls_below.total(self.now) + ahead <= 0.9 * self.calls_share * self.calls_window
+        ahead += sum(until - self.now for until in self.lingering) + self.linger
+        return 0.9 * self.calls_share * self.calls_window - self.calls_below.total(self.now) - ahead
 
     def _follow(self) -> Decision | None:
         for op in self.at[Stage.FOLLOWING].values():
