--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -37,7 +37,7 @@
 CALL_CROWDED = 3.0      # call time over the best seen from which the dependency counts as crowded
 CALL_SHRINK, CALL_GROW = 0.9, 1.1    # of the calls in hand, a beat
 CALL_FLOOR = 0.4        # of our share of what the dependency survives, when even calls far apart are slow
-CALLS_ENOUGH = 4        # calls that a call time leans on, and that are seen before one is the best
+CALLS_ENOUGH, CALLS_USUAL = 4, 16    # calls that the call time leans on now, and the usual one: the least of few is luck
 CALL_MEMORY = 2.5       # seconds without a call in which a slow one is forgotten: else none would ask again
 CALL_ROOM = 3.0         # calls in hand over one more than their mean: unused room fills when calls slow
 BEST_DRIFT = 0.01       # a second: a best call time that is never met again is forgotten
@@ -170,7 +170,8 @@
         self.unread = 0.0
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
         self.call_limit, self.call_floor = float(self.cores), min(1.0, max(0.01, CALL_FLOOR * self.calls_share))
-        self.call_mean, self.call_time, self.best_call, self.calls_seen = 0.0, 0.0, math.inf, 0
+        self.call_mean = self.usual_call = self.call_time = 0.0
+        self.best_call, self.calls_seen = math.inf, 0
         self.last_call, self.last_call_time = now, 0.0
         self.shut, self.told_shut = 0.5 * (1.0 - self.cold_speed), 0.0
         self.told_healthy = True
@@ -264,6 +265,7 @@
             return
         self.calls_seen += 1
         self.call_mean += (elapsed - self.call_mean) / min(self.calls_seen, CALLS_ENOUGH)
+        self.usual_call += (elapsed - self.usual_call) / min(self.calls_seen, CALLS_USUAL)
 
     def op_abandoned(self, now: float, ref: int) -> None:
         self._pass_time(now)
@@ -321,7 +323,7 @@
         """Many instances share the dependency: our part of the calls it bears may be under one at a time."""
         in_hand = [self.now - op.since for op in self.at[Stage.CALLING].values()]
         if self.calls_seen >= CALLS_ENOUGH:
-            self.best_call = min(self.best_call * (1.0 + BEST_DRIFT * span), self.call_mean)
+            self.best_call = min(self.best_call * (1.0 + BEST_DRIFT * span), self.usual_call)
             if not in_hand:
                 self.call_mean += (self.best_call - self.call_mean) * min(1.0, span / CALL_MEMORY)
         come = sum(min(1.0, time / self.call_mean) for time in in_hand) if self.call_mean else len(in_hand)
