The call time is that of the last second, leaning on four calls

Cause: crediting calls in hand hid a sudden stop at many calls a second, which the time in hand over the calls ended shows at once.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -169,6 +169,7 @@
         self.hints, self.hinted = Ring(1.0), Ring(1.0)
         self.unread = 0.0
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
+        self.call_exposure, self.calls_done = Ring(BEAT), Ring(BEAT)
         self.call_limit, self.call_floor = float(self.cores), min(1.0, max(0.01, CALL_FLOOR * self.calls_share))
         self.call_mean = self.usual_call = self.call_time = 0.0
         self.best_call, self.calls_seen = math.inf, 0
@@ -264,6 +265,7 @@
             self.call_limit = max(self.call_floor, self.call_limit * CALL_SHRINK)
             return
         self.calls_seen += 1
+        self.calls_done.add(self.now, 1.0)
         self.call_mean += (elapsed - self.call_mean) / min(self.calls_seen, CALLS_ENOUGH)
         self.usual_call += (elapsed - self.usual_call) / min(self.calls_seen, CALLS_USUAL)
 
@@ -295,6 +297,7 @@
         if span > 0.0:
             if now >= self.full_since:
                 self.full_time.add(now, span)
+            self.call_exposure.add(now, span * len(self.at[Stage.CALLING]))
             self.calls_below.add(now, span * (len(self.at[Stage.CALLING]) + len(self.lingering)))
             self.lingering = [until for until in self.lingering if until > now]
             while self.key_ends and self.key_ends[0][0] <= now:
@@ -321,13 +324,12 @@
 
     def _judge_calls(self, span: float) -> None:
         """Many instances share the dependency: our part of the calls it bears may be under one at a time."""
-        in_hand = [self.now - op.since for op in self.at[Stage.CALLING].values()]
         if self.calls_seen >= CALLS_ENOUGH:
             self.best_call = min(self.best_call * (1.0 + BEST_DRIFT * span), self.usual_call)
-            if not in_hand:
+            if not self.at[Stage.CALLING]:
                 self.call_mean += (self.best_call - self.call_mean) * min(1.0, span / CALL_MEMORY)
-        come = sum(min(1.0, time / self.call_mean) for time in in_hand) if self.call_mean else len(in_hand)
-        self.call_time = (CALLS_ENOUGH * self.call_mean + sum(in_hand)) / (CALLS_ENOUGH + come)
+        spent = CALLS_ENOUGH * self.call_mean + self.call_exposure.total(self.now)
+        self.call_time = spent / (CALLS_ENOUGH + self.calls_done.total(self.now))
         used = self.calls_below.total(self.now) / self.calls_window
         self.call_limit = (max(self.call_floor, self.call_limit * CALL_SHRINK) if self._below_crowded() else
                            min(self.call_limit * CALL_GROW, CALL_ROOM * (1.0 + used)))
