Ops that must call stay held while as many run or wait as the calls can serve

Cause: while the dependency was slow, sign-offs ran, waited for a call that never came free, failed at their due time and came again: five times the reads. Now such ops are passed over at the pick, as those of a tenant over its cap are, and nacked unrun if their time runs out. Harm: a call time believed too long leaves calls unused until it is forgotten.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -424,10 +424,19 @@
         return calls if op.stage in AT_CALL else self.pace * op.work + calls
 
     def _call_wait(self) -> float:
-        line = sum(op.row.must_call and not op.answered
-                   for stage in (Stage.RUNNING, Stage.STALLED) for op in self.at[stage].values())
+        line = self._calling_soon(Stage.RUNNING, Stage.STALLED)
         return self.call_time * (1.0 + line / self.call_limit) + max(0.0, self._call_pause())
 
+    def _calling_soon(self, *stages: Stage) -> int:
+        return sum(op.row.must_call and not op.answered for stage in stages for op in self.at[stage].values())
+
+    def _calls_taken(self) -> bool:
+        """As many run or wait as the calls in hand can serve: one more would have run for nothing."""
+        if not self.call_time:
+            return False
+        places = self.call_limit * (1.0 + self.pace * self._mean_work() / self.call_time)
+        return self._calling_soon(*IN_HAND) >= max(1.0, places)
+
     def _call_pause(self) -> float:
         """Until the next call where less than one at a time is our part: calls spread in time."""
         return self.last_call + self.last_call_time * (1.0 / self.call_limit - 1.0) - self.now
@@ -613,9 +622,11 @@
         if len(self.at[Stage.RUNNING]) >= self.limit or in_hand >= self._crowd_ceiling():
             return None
         waiting = [*self.at[Stage.HELD].values(), *self.at[Stage.PAUSED].values()]
-        free = [op for op in waiting if self.tenant_running.get(op.tenant, 0) < self._cap(op)]
+        if self._calls_taken():
+            waiting = [op for op in waiting if not op.row.must_call]
         if not waiting:
             return None
+        free = [op for op in waiting if self.tenant_running.get(op.tenant, 0) < self._cap(op)]
         op = min(free or waiting, key=self._priority)
         more_kb = op.held_kb * (self.run_factor - 1.0) if op.stage is Stage.HELD else 0.0
         if self.kb + more_kb > self.memory_kb and in_hand:
