While calls are crowded none is made for an op past its target latency

Cause: ops that could earn late worth at most kept calls from others that could still be in time. They fail at once, and their time-outs end at the target latency. What may skip its call does so once past it, instead of waiting for its due time. Harm: late worth is given up while the dependency is slow.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -585,12 +585,14 @@
             if op.answered:
                 continue
             degradable = op.row.degraded_worth > 0.0
-            left = (op.aim if degradable else op.due - self.margin) - self.now
+            crowded = self._below_crowded()
+            left = (op.aim if degradable or crowded else op.due - self.margin) - self.now
             patience = min(left, self._call_room())
             fits = self._call_free() and patience >= min(left, 2.0 * self.call_time)
-            if op.call_ending is not None and not (op.row.retryable or op.call_ending in PROVES_UNRUN):
+            spoilt = op.call_ending is not None and not (op.row.retryable or op.call_ending in PROVES_UNRUN)
+            if spoilt or not degradable and crowded and left <= 0.0:
                 return self._turn_away(op)
-            if degradable and (op.call_ending is not None or self._below_crowded() or not fits):
+            if degradable and (op.call_ending is not None or crowded or not fits or left <= 0.0):
                 self._move(op, Stage.RUNNING)
                 return Decision(Verb.SKIP_CALL, op.ref)
             if patience > 0.0 and fits:
