A later try counts as having waited all that its patience lacks of the op timeout

Cause: the longest wait seen was kept for each caller; with hundreds of callers an instance sees most of them once, and nearly every later try passed for a first one. Told by the patience of later tries on the wire: it is what is left of the op timeout. Harm: a later try right after a nack, given a short time-out of its own, passes for older than it is.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -158,7 +158,6 @@
         self.key_ends: list[tuple[float, int]] = []
         self.lingering: list[float] = []
         self.tenant_running: dict[int, int] = {}
-        self.longest_wait: dict[int, float] = {}
         self.kb = 0.0
         self.limit = self.cores
         self.full_since = math.inf
@@ -196,7 +195,9 @@
         op = Op(ref, row, tenant if self.shares else caller, caller, work or self._mean_work(), held_kb)
         op.arrived, op.since, op.further_try, op.hinted = now - age, now, further_try, work > 0.0
         op.due = now + wait if wait > 0.0 else max(now, op.arrived + row.op_timeout)
-        op.aim = min(op.due, op.arrived + row.target - self._already_waited(op, wait))
+        # A later try's client has waited before, at most as long as its patience lacks of the op timeout.
+        before = row.op_timeout - wait - age if further_try and wait > 0.0 else 0.0
+        op.aim = min(op.due, op.arrived + row.target - max(0.0, before))
         op.leader = self.ops.get(repeat_of) if repeat_of else None
         if repeat_of and (op.leader is None or op.leader.ran):
             op.ran = True    # some try has run: from here on it may not be nacked
@@ -218,13 +219,6 @@
         over = 1.0 - self.quotas[op.tenant] / rate if rate else 0.0
         return OVER_SHARE * max(0.0, over)
 
-    def _already_waited(self, op: Op, wait: float) -> float:
-        """A later try's client has waited before: how long, its remaining wait tells once cut short."""
-        longest = self.longest_wait[op.caller] = max(self.longest_wait.get(op.caller, 0.0), wait)
-        if not op.further_try or wait <= 0.0 or wait > longest - 0.001 and longest < op.row.op_timeout - 0.1:
-            return 0.0
-        return max(0.0, op.row.op_timeout - wait - (self.now - op.arrived))
-
     def run_ended(self, now: float, ref: int, ending: int) -> None:
         self._pass_time(now)
         op = self.ops.get(ref)
