Idle connections are closed while an instance holds many and nacks little

Above a tenth nacked the table is left to fill: a caller without a connection costs nothing, a nack over a new one a fifth of an op. Also guards against many short-lived callers of any cause. Harm: where a new connection is dear and callers come back after more than 2 s.

--- a/mulleinhatch/benchlink/__main__.py
+++ b/mulleinhatch/benchlink/__main__.py
@@ -31,6 +31,7 @@
     Verb.ANSWER_FROM: lambda d: b"\x49" + U64.pack(d.ref),
     Verb.HEALTH: lambda d: b"\x4a" + U8.pack(d.flag) + b"\x01",
     Verb.ADVISE: lambda d: b"\x4b" + struct.pack(">f", d.level),
+    Verb.TRIM: lambda d: b"\x4c" + F64.pack(d.seconds * 1000.0),
     Verb.WAKE: lambda d: b"\x4d" + F64.pack(d.seconds * 1000.0) + U64.pack(d.ref),
 }
 
--- a/mulleinhatch/benchlink/start.py
+++ b/mulleinhatch/benchlink/start.py
@@ -29,6 +29,7 @@
     "family_info.memory_kb": ("memory_kb", float),
     "family_info.run_factor": ("run_factor", float),
     "family_info.key_kb": ("key_kb", float),
+    "family_info.idle": ("longest_idle", seconds),
     "family_info.callers": ("callers", whole),
     "family_info.gauges": ("gauges", lambda text: text.split(",")),
     "family_info.calls_out": ("calls_share", float),
--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -9,6 +9,7 @@
 
 import heapq
 import math
+from collections import Counter
 from collections.abc import Sequence
 from enum import Enum
 
@@ -32,6 +33,8 @@
 LONG_SHOT = 0.4         # of the mean run, when chances are that an op of unknown cost is shorter
 OVER_SHARE = 20.0       # points that an op goes back when all its tenant's traffic is beyond its quota
 ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
+MANY_LINKS, IDLE_KEPT = 16, 2.0    # connections a core from which idle ones may be closed, after so many seconds
+FEW_NACKS = 0.1         # of what is read: above it a full table turns callers away at less cost than nacks
 STOP_MARGIN = 0.15      # before the process is stopped: nothing is owed after that
 CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
 CALL_CROWDED = 3.0      # call time over the best seen from which the dependency counts as crowded
@@ -89,8 +92,8 @@
 
     def __init__(self, op_type: OpType, base: float) -> None:
         self.base = base
-        self.op_timeout = op_type.get("op_timeout", math.inf)
-        self.target = min(op_type.get("target_latency", math.inf), self.op_timeout)
+        self.op_timeout = op_type.get("op_timeout") or math.inf
+        self.target = min(op_type.get("target_latency") or math.inf, self.op_timeout)
         self.late_worth = op_type.get("late_worth", 0.0)
         self.keyed = op_type.get("effect") is Effect.KEYED
         self.retryable = op_type.get("effect", Effect.NON_RETRYABLE) is Effect.RETRYABLE
@@ -145,7 +148,7 @@
         self.stop_mode, self.advice = get("stop_mode"), get("advice")
         self.max_hold_off = get("max_hold_off", 0.0) if get("hold_off_allowed", False) else 0.0
         self.calls_share = get("calls_share", 0.0) if get("shared_dependency", False) else math.inf
-        self.calls_window, self.linger = get("calls_window", 1.0), get("call_linger", 0.0)
+        self.calls_window, self.linger = get("calls_window") or 1.0, get("call_linger", 0.0)
         self.margin = ANSWER_MARGIN + 2 * get("tick", 0.0)
         self.chance = seed % 2 ** 64
         self.started = self.now = now
@@ -157,16 +160,13 @@
         self.keys: dict[int, float] = {}
         self.key_ends: list[tuple[float, int]] = []
         self.lingering: list[float] = []
-        self.tenant_running: dict[int, int] = {}
-        self.kb = 0.0
-        self.limit = self.cores
-        self.full_since = math.inf
+        self.tenant_running: Counter[int] = Counter()
+        self.kb = self.unread = 0.0
+        self.limit, self.full_since, self.pace = self.cores, math.inf, 0.0
         self.mu: float | None = None
-        self.pace = 0.0
         self.spent, self.done, self.full_time, self.done_full = Ring(), Ring(), Ring(), Ring()
-        self.runs, self.errors, self.reads, self.retries = Ring(), Ring(), Ring(), Ring()
+        self.runs, self.errors, self.reads, self.retries, self.nacks = Ring(), Ring(), Ring(), Ring(), Ring()
         self.hints, self.hinted = Ring(1.0), Ring(1.0)
-        self.unread = 0.0
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
         self.call_exposure, self.calls_done = Ring(BEAT), Ring(BEAT)
         self.call_limit, self.call_floor = float(self.cores), min(1.0, max(0.01, CALL_FLOOR * self.calls_share))
@@ -175,6 +175,7 @@
         self.last_call, self.last_call_time = now, 0.0
         self.shut, self.told_shut = 0.5 * (1.0 - self.cold_speed), 0.0
         self.told_healthy = True
+        self.longest_idle = self.idle_kept = self.told_idle = get("longest_idle", 0.0)
         self.sick_until, self.sick_for = now, SICK_FIRST
         self.retire_at: float | None = None
         self.stop_at = math.inf
@@ -216,8 +217,7 @@
         if not op.further_try:
             self.tenant_reads[op.tenant].add(self.now, 1.0)
         rate = self.tenant_reads[op.tenant].total(self.now) / (BUCKET * BUCKETS)
-        over = 1.0 - self.quotas[op.tenant] / rate if rate else 0.0
-        return OVER_SHARE * max(0.0, over)
+        return OVER_SHARE * max(0.0, 1.0 - self.quotas[op.tenant] / rate) if rate else 0.0
 
     def run_ended(self, now: float, ref: int, ending: int) -> None:
         self._pass_time(now)
@@ -280,6 +280,9 @@
         gauges = dict(zip(self.gauges, readings))
         if token == self.alarms:
             self.armed = math.inf
+        room = self.nacks.total(now) <= FEW_NACKS * self.reads.total(now)
+        many = gauges.get("links", 0.0) > MANY_LINKS * self.cores
+        self.idle_kept = min(IDLE_KEPT, self.longest_idle) if many and room else self.longest_idle
         busy = gauges.get("core_use", 1.0)
         if now >= self.full_since + GAUGE_SPAN and busy < 0.85 and self.limit < self._crowd_ceiling():
             self.limit += 1
@@ -303,16 +306,15 @@
 
     def _judge(self) -> None:
         """Pace, mu and pressure, about once a beat."""
-        since, self.judged_at = self.now - self.judged_at, self.now
-        span = min(since, 1.0)
+        span, self.judged_at = self.now - self.judged_at, self.now
         self.pace = self._pace()
         full_time = self.full_time.total(self.now)
         done_full = self.done_full.total(self.now)
         if full_time >= FULL_ENOUGH * (1 if done_full else 4):
             self.mu = max(done_full, 0.001) / full_time
         self._take_pulse()
-        self._judge_calls(since)
-        self.unread *= 1.0 - span / UNREAD_MEMORY if span < UNREAD_MEMORY else 0.0
+        self._judge_calls(span)
+        self.unread *= max(0.0, 1.0 - span / UNREAD_MEMORY)
         wait = (self.unread + self._held_wait()) / self.shortest_target
         self.shut = min(1.0, max(0.0, self.shut + ADVICE_GAIN * span * (wait - CALM_WAIT)))
 
@@ -366,13 +368,10 @@
         del self.at[op.stage][op.ref]
         change = (stage in IN_HAND) - (op.stage in IN_HAND)
         self.kb += change * op.held_kb * (self.run_factor - 1.0)
-        self._count_tenant(op, change)
+        self.tenant_running[op.tenant] += change
         self.at[stage][op.ref] = op
         op.stage, op.since = stage, self.now
 
-    def _count_tenant(self, op: Op, change: int) -> None:
-        self.tenant_running[op.tenant] = self.tenant_running.get(op.tenant, 0) + change
-
     def _close(self, op: Op) -> None:
         """Its memory is back; repeats that waited for it as it was held stand on their own again."""
         del self.ops[op.ref], self.at[op.stage][op.ref]
@@ -380,7 +379,7 @@
         in_hand = op.stage in IN_HAND
         self.kb -= op.held_kb * (self.run_factor if in_hand else 1.0)
         if in_hand:
-            self._count_tenant(op, -1)
+            self.tenant_running[op.tenant] -= 1
         if op.kept and not op.ran:
             self.to_forget.append(op.ref)
         if not op.ran:
@@ -538,6 +537,7 @@
             return Decision(Verb.FAIL, op.ref)
         self._close(op)
         crowded = self.retries.total(self.now) > CROWDED_RETRIES * self.reads.total(self.now)
+        self.nacks.add(self.now, 1.0)
         return Decision(Verb.NACK, op.ref, self._hold_off(), flag=crowded)
 
     def _hold_off(self) -> float:
@@ -622,7 +622,7 @@
             waiting = [op for op in waiting if not op.row.must_call]
         if not waiting:
             return None
-        free = [op for op in waiting if self.tenant_running.get(op.tenant, 0) < self._cap(op)]
+        free = [op for op in waiting if self.tenant_running[op.tenant] < self._cap(op)]
         op = min(free or waiting, key=self._priority)
         more_kb = op.held_kb * (self.run_factor - 1.0) if op.stage is Stage.HELD else 0.0
         if self.kb + more_kb > self.memory_kb and in_hand:
@@ -632,6 +632,9 @@
         return Decision(Verb.RUN, op.ref)
 
     def _advise(self) -> Decision | None:
+        if self.idle_kept != self.told_idle:
+            self.told_idle = self.idle_kept
+            return Decision(Verb.TRIM, seconds=self.idle_kept)
         healthy = self.retire_at is None and self.now >= self.sick_until
         if healthy is not self.told_healthy:
             self.told_healthy = healthy
--- a/mulleinhatch/interface.py
+++ b/mulleinhatch/interface.py
@@ -75,6 +75,7 @@
     stop_mode: StopMode
     advice: Advice
     callers: int
+    longest_idle: float        # the longest that a connection may be kept without use
     instances: int
     gauges: list[str]          # names of the gauges that come with a wake-up, in their order
     tick: float
@@ -98,6 +99,7 @@
     ANSWER_FROM = "answer from"  # ref
     HEALTH = "health"            # flag: good; answered from store
     ADVISE = "advise"            # level
+    TRIM = "trim"                # seconds that an idle connection is kept
     WAKE = "wake"                # seconds
 
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -34,7 +34,8 @@
 
 
 def spoken(decision: Decision) -> str:
-    told = {Verb.HEALTH: " good" if decision.flag else " bad", Verb.ADVISE: ""}
+    told = {Verb.HEALTH: " good" if decision.flag else " bad", Verb.ADVISE: "",
+            Verb.TRIM: f" {decision.seconds:.0f}"}
     if decision.verb is Verb.NACK and decision.flag:
         return f"nack {decision.ref} for good"
     return decision.verb.value + told.get(decision.verb, f" {decision.ref}")
