--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -26,21 +26,20 @@
 CROWD_SHARE = 0.6       # of the crowd survived: ops return from calls together, and reading runs beside
 MEMORY_SHARE = 0.9      # of the memory: what is read while a batch is under way comes on top
 UNREAD_WEIGHT, UNREAD_MEMORY = 0.1, 2.0  # of one op in the mean time unread; how long that outlives it
-SICK_RUN = 1.2          # of the shortest target latency that a mean run may take before health goes bad
-SICK_ERRORS = 0.5       # of recent runs that may fail before health goes bad
+SICK_RUN, SICK_ERRORS = 1.2, 0.5     # of the shortest target latency by a mean run; of recent runs that fail
 SICK_FIRST, SICK_LONGEST = 4.0, 32.0     # seconds of bad health, doubled before each spell
 HINTED_SPREAD, UNKNOWN_SPREAD = 0.5, 1.0     # of its expected run that the bound leaves an op besides
 LONG_SHOT = 0.4         # of the mean run, when chances are that an op of unknown cost is shorter
 OVER_SHARE = 20.0       # points that an op goes back when all its tenant's traffic is beyond its quota
 ANSWER_MARGIN = 0.03    # before a due time: a timer may come late
-MANY_LINKS, IDLE_KEPT = 16, 2.0    # connections a core from which idle ones may be closed, after so many seconds
+MANY_LINKS, IDLE_KEPT = 16, 2.0    # connections a core from which idle ones may be closed, after seconds
 FEW_NACKS = 0.1         # of what is read: above it a full table turns callers away at less cost than nacks
 STOP_MARGIN = 0.15      # before the process is stopped: nothing is owed after that
 CROWDED_RETRIES = 0.25  # share of marked retries among reads from which the whole fleet counts as full
 CALL_CROWDED = 3.0      # call time over the best seen from which the dependency counts as crowded
 CALL_SHRINK, CALL_GROW = 0.9, 1.1    # of the calls in hand, a beat
 CALL_FLOOR = 0.4        # of our share of what the dependency survives, when even calls far apart are slow
-CALLS_ENOUGH, CALLS_USUAL = 4, 16    # calls that the call time leans on now, and the usual one: the least of few is luck
+CALLS_ENOUGH, CALLS_USUAL = 4, 16    # calls a call time leans on, now and usually: the least of few is luck
 CALL_MEMORY = 2.5       # seconds without a call in which a slow one is forgotten: else none would ask again
 CALL_ROOM = 3.0         # calls in hand over one more than their mean: unused room fills when calls slow
 BEST_DRIFT = 0.01       # a second: a best call time that is never met again is forgotten
@@ -112,10 +111,6 @@
 class Op:
     """An op that was read and has not ended."""
 
-    __slots__ = ("ref", "row", "tenant", "caller", "arrived", "due", "aim", "work", "held_kb", "further_try",
-                 "hinted", "stage", "ran", "answered", "since", "spent", "leader", "kept", "call_ending",
-                 "call_until", "unwanted", "over")
-
     def __init__(self, ref: int, row: Row, tenant: int, caller: int, work: float, held_kb: float) -> None:
         self.ref, self.row, self.tenant, self.caller = ref, row, tenant, caller
         self.work, self.held_kb = work, held_kb
@@ -139,10 +134,8 @@
                        for tenant in get("tenants", [])]
         self.tenant_reads = [Ring() for _ in self.quotas]
         self.callers, self.gauges = max(1, get("callers", 1)), get("gauges", [])
-        self.caller_share = TENANT_ROOM / self.callers
         self.crowd, self.cold_for = get("crowd_per_core", 2.0), get("cold_for", 0.0)
         self.cold_speed = get("cold_speed", 1.0) if get("fresh_start", False) else 1.0
-        self.drain_grace = get("drain_grace", 0.0)
         self.memory_kb = MEMORY_SHARE * get("memory_kb", math.inf)
         self.run_factor, self.key_kb = get("run_factor", 1.0), get("key_kb", 0.0)
         self.stop_mode, self.advice = get("stop_mode"), get("advice")
@@ -162,23 +155,19 @@
         self.lingering: list[float] = []
         self.tenant_running: Counter[int] = Counter()
         self.kb = self.unread = 0.0
-        self.limit, self.full_since, self.pace = self.cores, math.inf, 0.0
-        self.mu: float | None = None
+        self.limit, self.full_since, self.pace, self.mu = self.cores, math.inf, 0.0, 0.0
         self.spent, self.done, self.full_time, self.done_full = Ring(), Ring(), Ring(), Ring()
         self.runs, self.errors, self.reads, self.retries, self.nacks = Ring(), Ring(), Ring(), Ring(), Ring()
         self.hints, self.hinted = Ring(1.0), Ring(1.0)
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
         self.call_exposure, self.calls_done = Ring(BEAT), Ring(BEAT)
-        self.call_limit, self.call_floor = float(self.cores), min(1.0, max(0.01, CALL_FLOOR * self.calls_share))
+        self.call_limit = float(self.cores)
         self.call_mean = self.usual_call = self.call_time = 0.0
-        self.best_call, self.calls_seen = math.inf, 0
-        self.last_call, self.last_call_time = now, 0.0
+        self.best_call, self.calls_seen, self.last_call, self.last_call_time = math.inf, 0, now, 0.0
         self.shut, self.told_shut = 0.5 * (1.0 - self.cold_speed), 0.0
-        self.told_healthy = True
         self.longest_idle = self.idle_kept = self.told_idle = get("longest_idle", 0.0)
-        self.sick_until, self.sick_for = now, SICK_FIRST
-        self.retire_at: float | None = None
-        self.stop_at = math.inf
+        self.told_healthy, self.sick_until, self.sick_for = True, now, SICK_FIRST
+        self.retire_at, self.stop_at, self.drain_grace = math.inf, math.inf, get("drain_grace", 0.0)
         self.sweep_at = self.judged_at = now
         self.armed, self.alarms = math.inf, 0
         self.steps = (self._forget, self._place, self._give_up, self._stop_unwanted, self._serve_call,
@@ -227,16 +216,14 @@
         if ending == Ending.STOPPED and not op.answered and not op.unwanted:
             self._move(op, Stage.PAUSED)
             return
-        was_running = op.stage is Stage.RUNNING
-        spent = self._spent(op)
+        was_running, spent = op.stage is Stage.RUNNING, self._spent(op)
         self._close(op)
         if was_running and ending in (Ending.OK, Ending.ERROR):
             self.spent.add(now, spent)
             self.errors.add(now, float(ending == Ending.ERROR))
             self.done.add(now, op.work)
             self.runs.add(now, 1.0)
-            if now >= self.full_since:
-                self.done_full.add(now, op.work)
+            self.done_full.add(now, op.work if now >= self.full_since else 0.0)
 
     def call_wanted(self, now: float, ref: int) -> None:
         self._pass_time(now)
@@ -256,8 +243,7 @@
     def _time_call(self, ending: int, elapsed: float) -> None:
         self.last_call, self.last_call_time = self.now, elapsed
         if ending in PROVES_UNRUN:
-            self.call_limit = max(self.call_floor, self.call_limit * CALL_SHRINK)
-            return
+            return self._fewer_calls()
         self.calls_seen += 1
         self.calls_done.add(self.now, 1.0)
         self.call_mean += (elapsed - self.call_mean) / min(self.calls_seen, CALLS_ENOUGH)
@@ -270,8 +256,7 @@
 
     def leave_notice(self, now: float, grace: float) -> None:
         self._pass_time(now)
-        self.retire_at, self.stop_at = now, now + grace
-        self.sweep_at = now
+        self.retire_at, self.stop_at, self.sweep_at = now, now + grace, now
         for op in self.ops.values():
             op.due = min(op.due, self.stop_at - STOP_MARGIN)
 
@@ -292,8 +277,7 @@
     def _pass_time(self, now: float) -> None:
         span, self.now = max(0.0, now - self.now), max(now, self.now)
         if span > 0.0:
-            if now >= self.full_since:
-                self.full_time.add(now, span)
+            self.full_time.add(now, span if now >= self.full_since else 0.0)
             self.call_exposure.add(now, span * len(self.at[Stage.CALLING]))
             self.calls_below.add(now, span * (len(self.at[Stage.CALLING]) + len(self.lingering)))
             self.lingering = [until for until in self.lingering if until > now]
@@ -305,11 +289,9 @@
                 self._judge()
 
     def _judge(self) -> None:
-        """Pace, mu and pressure, about once a beat."""
         span, self.judged_at = self.now - self.judged_at, self.now
         self.pace = self._pace()
-        full_time = self.full_time.total(self.now)
-        done_full = self.done_full.total(self.now)
+        full_time, done_full = self.full_time.total(self.now), self.done_full.total(self.now)
         if full_time >= FULL_ENOUGH * (1 if done_full else 4):
             self.mu = max(done_full, 0.001) / full_time
         self._take_pulse()
@@ -327,12 +309,18 @@
         spent = CALLS_ENOUGH * self.call_mean + self.call_exposure.total(self.now)
         self.call_time = spent / (CALLS_ENOUGH + self.calls_done.total(self.now))
         used = self.calls_below.total(self.now) / self.calls_window
-        self.call_limit = (max(self.call_floor, self.call_limit * CALL_SHRINK) if self._below_crowded() else
-                           min(self.call_limit * CALL_GROW, CALL_ROOM * (1.0 + used)))
+        if self._below_crowded():
+            self._fewer_calls()
+        else:
+            self.call_limit = min(self.call_limit * CALL_GROW, CALL_ROOM * (1.0 + used))
+
+    def _fewer_calls(self) -> None:
+        floor = min(1.0, max(0.01, CALL_FLOOR * self.calls_share))
+        self.call_limit = max(floor, self.call_limit * CALL_SHRINK)
 
     def _pace(self) -> float:
-        """Slot time for each unit of work. What still runs counts as far as it should have come, all its work
-        at most: else one long op on few cores looks like a slow machine, and a stuck machine like a sound one."""
+        """Slot time for each unit of work. What runs counts as far as it should have come, at most all its
+        work: else a long op on few cores looks like a slow machine, and a stuck machine like a sound one."""
         running = [(self._spent(op), op.work) for op in self.at[Stage.RUNNING].values()]
         spent = self.spent.total(self.now) + sum(time for time, _ in running)
         if spent <= BUCKET * self.cores:
@@ -363,8 +351,7 @@
     def _move(self, op: Op, stage: Stage) -> None:
         if op.stage is stage:
             return
-        if op.stage is Stage.RUNNING:
-            op.spent += self.now - op.since
+        op.spent = self._spent(op)
         del self.at[op.stage][op.ref]
         change = (stage in IN_HAND) - (op.stage in IN_HAND)
         self.kb += change * op.held_kb * (self.run_factor - 1.0)
@@ -425,9 +412,8 @@
 
     def _calls_taken(self) -> bool:
         """As many run or wait as the calls in hand can serve: one more would have run for nothing."""
-        if not self.call_time:
-            return False
-        places = self.call_limit * (1.0 + self.pace * self._mean_work() / self.call_time)
+        run = self.pace * self._mean_work()
+        places = self.call_limit * (1.0 + run / self.call_time) if self.call_time else math.inf
         return self._calling_soon(*IN_HAND) >= max(1.0, places)
 
     def _call_pause(self) -> float:
@@ -444,9 +430,8 @@
         return min(last, op.due - self.margin) - self.now - run
 
     def _is_shot(self, op: Op) -> bool:
-        if op.hinted:
-            return False
-        return sum(other.row.base <= op.row.base for other in self.at[Stage.RUNNING].values()) < self.limit
+        running = self.at[Stage.RUNNING].values()
+        return not op.hinted and sum(other.row.base <= op.row.base for other in running) < self.limit
 
     def _warmth(self) -> float:
         """The share of its speed that it has by now at the slowest warming."""
@@ -457,7 +442,7 @@
         return CROWD_SHARE * self.cores * (1.0 + (self.crowd - 1.0) * self._warmth())
 
     def _cap(self, op: Op) -> int:
-        share = self.shares[op.tenant] if op.tenant < len(self.shares) else self.caller_share
+        share = self.shares[op.tenant] if op.tenant < len(self.shares) else TENANT_ROOM / self.callers
         return max(1, math.floor(self.limit * share))
 
     def _held_wait(self) -> float:
@@ -486,7 +471,7 @@
         """What becomes of an op on reading: a repeat, nacked, or held."""
         while self.unplaced:
             op = next(iter(self.unplaced.values()))
-            if self.retire_at is not None:
+            if self.now >= self.retire_at:
                 op.due = min(op.due, self.stop_at - STOP_MARGIN)
                 if op.arrived > self.retire_at + self.drain_grace - self.margin:
                     return self._turn_away(op)
@@ -522,7 +507,7 @@
         late_pays = op.row.late_worth > 0.0 and not (op.row.must_call and self._below_crowded())
         if self._wait_allowed(op, op.due if late_pays else op.aim) < 0.0:
             return True
-        if self.mu is None:
+        if not self.mu:
             return False
         spread = (HINTED_SPREAD if op.hinted else UNKNOWN_SPREAD) * self.pace * op.work
         wait = max(0.0, self._wait_allowed(op, op.aim) - spread)
@@ -541,7 +526,7 @@
         return Decision(Verb.NACK, op.ref, self._hold_off(), flag=crowded)
 
     def _hold_off(self) -> float:
-        if self.retire_at is not None:
+        if self.now >= self.retire_at:
             return self.max_hold_off
         wait = self.unread + self._held_wait() - CALM_WAIT * self.shortest_target
         return min(self.max_hold_off, max(0.05, wait))
@@ -575,14 +560,14 @@
         return None
 
     def _serve_call(self) -> Decision | None:
-        for op in sorted(self.at[Stage.STALLED].values(), key=self._priority):
-            if op.answered:
-                continue
+        calling, spread = len(self.at[Stage.CALLING]), self.call_limit >= 1.0 or self._call_pause() <= 0.0
+        waiting = [op for op in self.at[Stage.STALLED].values() if not op.answered]
+        for op in sorted(waiting, key=self._priority):
             degradable = op.row.degraded_worth > 0.0
             crowded = self._below_crowded()
             left = (op.aim if degradable or crowded else op.due - self.margin) - self.now
             patience = min(left, self._call_room())
-            fits = self._call_free() and patience >= min(left, 2.0 * self.call_time)
+            fits = calling < self.call_limit and spread and patience >= min(left, 2.0 * self.call_time)
             spoilt = op.call_ending is not None and not (op.row.retryable or op.call_ending in PROVES_UNRUN)
             if spoilt or not degradable and crowded and left <= 0.0:
                 return self._turn_away(op)
@@ -595,12 +580,8 @@
                 return Decision(Verb.CALL, op.ref, patience)
         return None
 
-    def _call_free(self) -> bool:
-        calling = len(self.at[Stage.CALLING])
-        return calling < self.call_limit and (self.call_limit >= 1.0 or self._call_pause() <= 0.0)
-
     def _call_room(self) -> float:
-        """The time-out with which the mean below stays within our share even if every call lasts to its own."""
+        """The time-out that keeps the mean below within our share even if every call lasts to its own."""
         ahead = sum(op.call_until - self.now + self.linger for op in self.at[Stage.CALLING].values())
         ahead += sum(until - self.now for until in self.lingering) + self.linger
         return 0.9 * self.calls_share * self.calls_window - self.calls_below.total(self.now) - ahead
@@ -635,7 +616,7 @@
         if self.idle_kept != self.told_idle:
             self.told_idle = self.idle_kept
             return Decision(Verb.TRIM, seconds=self.idle_kept)
-        healthy = self.retire_at is None and self.now >= self.sick_until
+        healthy = self.now < self.retire_at and self.now >= self.sick_until
         if healthy is not self.told_healthy:
             self.told_healthy = healthy
             return Decision(Verb.HEALTH, flag=healthy)
