Health does not go bad for slowness while retries are common

Cause: in an incident every machine ran three to four times slower for nine seconds; a hundred of 243 called themselves unhealthy and left their traffic to the rest, whose cores then did nothing but read ops whose callers had gone. Told from single slow machines by the retries among the reads, 20% before, 28% and 38% two and three seconds into it: others fail, too. Harm: one slow machine in a fleet that is overloaded anyway stays on the list. Runs that fail still turn health bad.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -161,8 +161,7 @@
         self.hints, self.hinted = Ring(1.0), Ring(1.0)
         self.calls_below = Ring(self.calls_window / BUCKETS, BUCKETS + 1)
         self.call_exposure, self.calls_done = Ring(BEAT), Ring(BEAT)
-        self.call_limit = float(self.cores)
-        self.call_mean = self.usual_call = self.call_time = 0.0
+        self.call_limit, self.call_mean, self.usual_call, self.call_time = float(self.cores), 0.0, 0.0, 0.0
         self.best_call, self.calls_seen, self.last_call, self.last_call_time = math.inf, 0, now, 0.0
         self.shut, self.told_shut = 0.5 * (1.0 - self.cold_speed), 0.0
         self.longest_idle = self.idle_kept = self.told_idle = get("longest_idle", 0.0)
@@ -334,8 +333,9 @@
 
     def _take_pulse(self) -> None:
         """Slow or stuck, whatever the cause but cold, or failing what it runs, which is quick and draws
-        callers: they should go elsewhere. It asks for trade again, later each time. Harm if all are so."""
-        slow = self.pace * self._mean_work() * self._warmth() > SICK_RUN * self.shortest_target
+        callers: they should go elsewhere, unless the others are full. It asks again, later each time."""
+        run = self.pace * self._mean_work() * self._warmth()
+        slow = run > SICK_RUN * self.shortest_target and not self._fleet_full()
         if slow or self.errors.total(self.now) > max(self.cores, SICK_ERRORS * self.runs.total(self.now)):
             if self.now >= self.sick_until:
                 self.sick_for = min(SICK_LONGEST, 2.0 * self.sick_for)
@@ -516,14 +516,15 @@
 
     def _turn_away(self, op: Op) -> Decision:
         """The final answer to what is given up: a nack only if no try of it ever ran."""
-        leader_ran = op.leader is not None and op.leader.ran
-        if op.ran or leader_ran:
+        if op.ran or op.leader is not None and op.leader.ran:
             self._let_go(op)
             return Decision(Verb.FAIL, op.ref)
         self._close(op)
-        crowded = self.retries.total(self.now) > CROWDED_RETRIES * self.reads.total(self.now)
         self.nacks.add(self.now, 1.0)
-        return Decision(Verb.NACK, op.ref, self._hold_off(), flag=crowded)
+        return Decision(Verb.NACK, op.ref, self._hold_off(), flag=self._fleet_full())
+
+    def _fleet_full(self) -> bool:
+        return self.retries.total(self.now) > CROWDED_RETRIES * self.reads.total(self.now)
 
     def _hold_off(self) -> float:
         if self.now >= self.retire_at:
