Reread: what a loop over stalled ops asks anew is asked once; dead state and a needless branch gone

The room, the crowd and the spacing of calls don't change while stalled ops are gone through, and were worked out for each, or with none stalled; nothing read an op's caller any more; before a leave notice both times are infinite, so that no branch is needed.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -111,9 +111,8 @@
 class Op:
     """An op that was read and has not ended."""
 
-    def __init__(self, ref: int, row: Row, tenant: int, caller: int, work: float, held_kb: float) -> None:
-        self.ref, self.row, self.tenant, self.caller = ref, row, tenant, caller
-        self.work, self.held_kb = work, held_kb
+    def __init__(self, ref: int, row: Row, tenant: int, work: float, held_kb: float) -> None:
+        self.ref, self.row, self.tenant, self.work, self.held_kb = ref, row, tenant, work, held_kb
         self.over = 0.0
         self.arrived = self.due = self.aim = self.since = self.spent = self.call_until = 0.0
         self.stage = Stage.HELD
@@ -181,7 +180,7 @@
         if work > 0.0:
             self.hints.add(now, 1.0)
             self.hinted.add(now, work)
-        op = Op(ref, row, tenant if self.shares else caller, caller, work or self._mean_work(), held_kb)
+        op = Op(ref, row, tenant if self.shares else caller, work or self._mean_work(), held_kb)
         op.arrived, op.since, op.further_try, op.hinted = now - age, now, further_try, work > 0.0
         op.due = now + wait if wait > 0.0 else max(now, op.arrived + row.op_timeout)
         # A later try's client has waited before, at most as long as its patience lacks of the op timeout.
@@ -365,8 +364,7 @@
         self.unplaced.pop(op.ref, None)
         in_hand = op.stage in IN_HAND
         self.kb -= op.held_kb * (self.run_factor if in_hand else 1.0)
-        if in_hand:
-            self.tenant_running[op.tenant] -= 1
+        self.tenant_running[op.tenant] -= in_hand
         if op.kept and not op.ran:
             self.to_forget.append(op.ref)
         if not op.ran:
@@ -471,10 +469,9 @@
         """What becomes of an op on reading: a repeat, nacked, or held."""
         while self.unplaced:
             op = next(iter(self.unplaced.values()))
-            if self.now >= self.retire_at:
-                op.due = min(op.due, self.stop_at - STOP_MARGIN)
-                if op.arrived > self.retire_at + self.drain_grace - self.margin:
-                    return self._turn_away(op)
+            op.due = min(op.due, self.stop_at - STOP_MARGIN)
+            if op.arrived > self.retire_at + self.drain_grace - self.margin:
+                return self._turn_away(op)
             del self.unplaced[op.ref]
             if op.ran:
                 self._move(op, Stage.REPEATING)
@@ -561,14 +558,17 @@
         return None
 
     def _serve_call(self) -> Decision | None:
-        calling, spread = len(self.at[Stage.CALLING]), self.call_limit >= 1.0 or self._call_pause() <= 0.0
         waiting = [op for op in self.at[Stage.STALLED].values() if not op.answered]
+        if not waiting:
+            return None
+        crowded, room = self._below_crowded(), self._call_room()
+        spread = self.call_limit >= 1.0 or self._call_pause() <= 0.0
+        free = len(self.at[Stage.CALLING]) < self.call_limit and spread
         for op in sorted(waiting, key=self._priority):
             degradable = op.row.degraded_worth > 0.0
-            crowded = self._below_crowded()
             left = (op.aim if degradable or crowded else op.due - self.margin) - self.now
-            patience = min(left, self._call_room())
-            fits = calling < self.call_limit and spread and patience >= min(left, 2.0 * self.call_time)
+            patience = min(left, room)
+            fits = free and patience >= min(left, 2.0 * self.call_time)
             spoilt = op.call_ending is not None and not (op.row.retryable or op.call_ending in PROVES_UNRUN)
             if spoilt or not degradable and crowded and left <= 0.0:
                 return self._turn_away(op)
@@ -600,7 +600,7 @@
         if len(self.at[Stage.RUNNING]) >= self.limit or in_hand >= self._crowd_ceiling():
             return None
         waiting = [*self.at[Stage.HELD].values(), *self.at[Stage.PAUSED].values()]
-        if self._calls_taken():
+        if waiting and self._calls_taken():
             waiting = [op for op in waiting if not op.row.must_call]
         if not waiting:
             return None
