Half-closed and reset callers, broken notices, an early notice to leave: none costs an op its answer

Lines at fault: the reducer's link-opened handler asked for gauges before the interpreter was up; it now asks at the banner. IOStream closes on the end of the peer's side even while an answer is owed; streams are parked meanwhile.

--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -18,7 +18,7 @@
 from mulleinhatch.transport.link import Link
 
 LOG = logging.getLogger(__name__)
-DESCRIPTORS_KEPT = 64       # of the limit, for all that is no client connection
+DESCRIPTORS_KEPT = 32       # of the limit, for all that is no client connection
 REPORT_EVERY = reports.LISTED_FOR / 6
 TRIM_EVERY = 0.25
 
@@ -45,8 +45,14 @@
 
     def take(self, happening: Happening, *told: Any) -> None:
         """The one way in: what happened goes to the reducer, and its errands are run."""
-        for errand, *fields in self.reducer.reduce(time.time(), happening, *told):
-            self.errands[errand](*fields)
+        try:
+            for errand, *fields in self.reducer.reduce(time.time(), happening, *told):
+                self.errands[errand](*fields)
+        except Exception:    # one op gone wrong must not take those of all other callers with it
+            self.count("errors_inside")
+            LOG.exception("could not take %s", happening.value)
+            if __debug__:
+                raise
 
     # In.
 
@@ -74,7 +80,13 @@
         self.take(Happening.CALLER_LOST, place)
 
     def notice(self, line: bytes) -> None:
-        told = link.notice(line)
+        try:
+            self._noticed(link.notice(line))
+        except (KeyError, TypeError, ValueError) as error:
+            self.count("notices_broken")
+            LOG.warning("broken notice", extra={"fields": {"error": repr(error)}})
+
+    def _noticed(self, told: dict) -> None:
         what, status = told.get("t"), told.get("status")
         if what == "VALUE":
             self.take(Happening.RUN_ENDED, told["no"], told["rid"], link.ENDINGS.get(status, Ending.ERROR),
@@ -164,6 +176,7 @@
             await asyncio.sleep(seconds)
 
     def _sweep(self) -> None:
+        self.connections.drop_reset()
         if self.idle_kept < float("inf"):
             self.connections.close_idle(self.idle_kept)
 
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -1,7 +1,7 @@
 """Heads of HTTP/1.1, parsed in the buffer that the socket filled, and the answers as pieces to gather."""
 from __future__ import annotations
 
-HEAD_AND_BODY = 16384       # bytes; a larger request is no request of ours
+HEAD_AND_BODY = 8192       # bytes; a larger request is no request of ours
 HEAD_END, LINE_END = b"\r\n\r\n", b"\r\n"
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 429: b"Too Many Requests",
            500: b"Internal Server Error", 501: b"Not Implemented", 503: b"Service Unavailable"}
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -16,6 +16,9 @@
 from mulleinhatch.routing.tables import Keys, Owed
 
 
+RESTART_SEEN = 1.0      # seconds by which an interpreter is younger than before: it is another one
+
+
 class Happening(Enum):
     INTERPRETER_UP = "interpreter up"    # is cold, seconds since
     LINK_OPENED = "link opened"
@@ -59,6 +62,8 @@
         self.last_notice = self.marks = 0
         self.unconfirmed: dict[str, int] = {}    # runs asked for, by the gauge mark that would show them taken
         self.resync = 0
+        self.up_since = 0.0
+        self.stop_at: float | None = None
         self.counts: Counter[str] = Counter()
         self.errands: list[tuple] = []
         self.handlers = {happening: getattr(self, "_" + happening.name.lower()) for happening in Happening}
@@ -75,15 +80,21 @@
     # What happens.
 
     def _interpreter_up(self, now: float, cold: bool, since: float) -> None:
+        """The gauges that are asked for here come after all notices that were missed: only then is it known
+        which of the runs asked for last never arrived. Asked before the interpreter is up, they never come."""
         if self.hatch is None:
             self.hatch = Hatch({**self.deployment, "fresh_start": cold}, self.seed, now - since)
+            if self.stop_at is not None:
+                self.hatch.leave_notice(now, self.stop_at - now)
+        elif now - since > self.up_since + RESTART_SEEN:
+            for owed in [owed for owed in self.owed.values() if owed.running]:
+                self._end_run(now, owed.ref, Ending.ERROR, b"")    # it went with the interpreter that ran it
+        self.up_since = now - since
+        self._ask_gauges()
+        self.resync = self.marks
 
     def _link_opened(self, now: float) -> None:
-        """The gauges that are asked for here come after all notices that were missed: only then is it known
-        which of the runs asked for last never arrived."""
         self.errands.append((Errand.GREET, self.last_notice))
-        self._ask_gauges()
-        self.resync = self.marks
 
     def _op_read(self, now: float, place: int, ref: str, op_type: str, tenant: str, age: float, wait: float,
                  caller: int, work: float, kb: float, again: bool, key: str, body: bytes) -> None:
@@ -166,7 +177,7 @@
         self._drop_if_done(owed)
 
     def _leave(self, now: float, grace: float) -> None:
-        self.healthy = False
+        self.healthy, self.stop_at = False, now + grace
         self.errands.append((Errand.LISTING, False))
         if self.hatch:
             self.hatch.leave_notice(now, grace)
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -78,12 +78,16 @@
                     continue
                 connection.owing = True
                 connection.settled.clear()
+                stream.park()
                 self.on_message(connection.number, *message)
                 await connection.settled.wait()
         except ValueError as error:
             self.on_broken(connection.number, error)
         except StreamClosedError:
             pass
+        except Exception:
+            self.count("errors_inside")
+            LOG.exception("connection given up")
         finally:
             self._drop(connection)
 
@@ -121,6 +125,13 @@
             pass
         connection.stream.close()
 
+    def drop_reset(self) -> None:
+        """Parked streams hear nothing of a reset: nobody waits there any more, and the op need not be run."""
+        for connection in list(self.open.values()):
+            if connection.owing and not connection.stream.closed() and connection.stream.was_reset():
+                connection.settled.set()
+                self._drop(connection)
+
     def close_idle(self, longest: float) -> None:
         """Closes what carried nothing for that long; what holds the start of a request is left."""
         before = self.clock() - longest
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -1,18 +1,37 @@
-"""Tornado's IOStream with gathered writes."""
+"""Tornado's IOStream with gathered writes, and deaf to its peer while an answer is under way."""
 from __future__ import annotations
 
 import socket
+import struct
 from collections.abc import Sequence
 
 from tornado.iostream import IOStream, StreamClosedError
 
 
+RESET = 7               # the state of a TCP socket whose peer reset it, first byte of TCP_INFO
+
+
 class GatheringStream(IOStream):
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock)
         if sock.family != socket.AF_UNIX:
             self.set_nodelay(True)
 
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """A peer may end its side right behind its request: IOStream would close before the answer is out."""
+        count = super().read_from_fd(buf)
+        return None if count == 0 and self._read_buffer_size else count
+
+    def park(self) -> None:
+        """Until the next read the loop does not watch the socket: an end of the peer's side, which IOStream
+        takes for a lost connection, must not cost it the answer that it waits for."""
+        if self._state is not None:
+            self.io_loop.remove_handler(self.fileno())
+            self._state = None
+
+    def was_reset(self) -> bool:
+        return struct.unpack("B", self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1))[0] == RESET
+
     def write_gathered(self, pieces: Sequence[bytes]) -> None:
         """The pieces leave in one system call without being joined; IOStream's own buffer takes only what the
         socket has no room for, and all of it while older bytes wait there."""
