Scenarios on sockets with stand-ins; a run that a lost link swallowed is asked for again

Line at fault: the reducer's gauges handler took the first gauges of a new link as proof for runs asked for on the old one. What a key in the settings is wrong is named.

--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -34,6 +34,7 @@
         self.link = Link(*placement.interpreter, on_open=lambda: self.take(Happening.LINK_OPENED),
                          on_line=self.notice, count=self.count)
         self.directory = Datagrams(*placement.directory) if placement.directory else None
+        self.port = 0
         self.listed_open, self.interpreter_up, self.leaving = True, False, False
         self.idle_kept = float("inf")
         self.closing: set[int] = set()      # places whose caller asked that the connection be closed
@@ -157,8 +158,8 @@
 
     async def serve(self) -> None:
         loop = asyncio.get_running_loop()
-        port = self.connections.listen(*self.placement.listen)
-        LOG.info("listening", extra={"fields": {"name": self.placement.name, "port": port}})
+        self.port = self.connections.listen(*self.placement.listen)
+        LOG.info("listening", extra={"fields": {"name": self.placement.name, "port": self.port}})
         loop.add_signal_handler(signal.SIGTERM, self.leave)
         loop.add_signal_handler(signal.SIGINT, self.leave)
         loop.add_signal_handler(signal.SIGUSR1, lambda: LOG.info("counters", extra={"fields": self.counted()}))
--- a/mulleinhatch/program/placement.py
+++ b/mulleinhatch/program/placement.py
@@ -65,11 +65,10 @@
 def facts(settings: Any) -> Deployment:
     if not isinstance(settings, dict):
         raise Misplaced("settings: an object is wanted")
-    pairs = pairs_of_tree(settings)
     try:
-        return deployment(pairs)
-    except (ValueError, AttributeError) as error:
-        raise Misplaced(f"settings: {error}") from None
+        return deployment(pairs_of_tree(settings))
+    except ValueError as error:
+        raise Misplaced(f"settings.{error}") from None
 
 
 def placement(environ: Mapping[str, str], path: str | None = None) -> Placement:
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Sequence
 from enum import Enum
@@ -61,7 +62,7 @@
         self.readings: Sequence[float] = ()
         self.last_notice = self.marks = 0
         self.unconfirmed: dict[str, int] = {}    # runs asked for, by the gauge mark that would show them taken
-        self.resync = 0
+        self.resync: float = 0
         self.up_since = 0.0
         self.stop_at: float | None = None
         self.counts: Counter[str] = Counter()
@@ -95,6 +96,7 @@
 
     def _link_opened(self, now: float) -> None:
         self.errands.append((Errand.GREET, self.last_notice))
+        self.resync = math.inf
 
     def _op_read(self, now: float, place: int, ref: str, op_type: str, tenant: str, age: float, wait: float,
                  caller: int, work: float, kb: float, again: bool, key: str, body: bytes) -> None:
@@ -150,13 +152,18 @@
                 self._answer_from(now, self.owed[follower], ref)
 
     def _gauges(self, now: float, mark: int, readings: Sequence[float]) -> None:
+        """A run that was asked for before gauges that have come is with the interpreter, unless a link was lost
+        between: behind the mark set then, it never arrived."""
         self.readings = readings
-        self.unconfirmed = {ref: asked for ref, asked in self.unconfirmed.items() if asked >= mark}
-        if self.resync and mark >= self.resync:
-            self.resync = 0
-            for ref in [ref for ref, asked in self.unconfirmed.items() if ref in self.owed]:
+        before = [ref for ref, asked in self.unconfirmed.items() if asked < mark]
+        if mark < self.resync:
+            return
+        for ref in before:
+            del self.unconfirmed[ref]
+            if self.resync:
                 self.counts["runs_asked_again"] += 1
                 self._ask_run(self.owed[ref])
+        self.resync = 0
 
     def _alarm(self, now: float, token: int) -> None:
         if self.hatch:
--- a/mulleinhatch/start.py
+++ b/mulleinhatch/start.py
@@ -68,7 +68,7 @@
     >>> told({"tick": "2.0", "novel": "1"}, {"tick": ("tick", seconds), "servers": ("instances", whole)})
     {'tick': 0.002}
     """
-    values = {name: read(pairs[prefix + path])
+    values = {name: value(read, pairs[prefix + path], prefix + path)
               for path, (name, read) in reading.items() if prefix + path in pairs}
     return {name: value for name, value in values.items() if value is not None}
 
@@ -95,13 +95,20 @@
     return str(value).lower() if isinstance(value, bool) else "" if value is None else str(value)
 
 
+def value(read: Callable[[str], Any], text: str, path: str) -> Any:
+    try:
+        return read(text)
+    except ValueError:
+        raise ValueError(f"{path}: {text!r} can't be read") from None
+
+
 def deployment(pairs: dict[str, str]) -> Deployment:
     facts = told(pairs, DEPLOYMENT)
     for name, path, reading in (("op_types", "classes", OP_TYPE), ("tenants", "tenants", TENANT)):
-        count = whole(pairs.get(f"{path}.count", "0"))
+        count = value(whole, pairs.get(f"{path}.count", "0"), f"{path}.count")
         facts[name] = [told(pairs, reading, f"{path}.{place}.") for place in range(count)]
     for path, (name, read) in OP_TYPE_LISTS.items():
         for op_type, text in zip(facts["op_types"], pairs.get(path, "").split(",")):
             if text:
-                op_type[name] = read(text)
+                op_type[name] = value(read, text, path)
     return Deployment(**facts)
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,236 @@
+"""Stand-ins for what a service instance talks to, and the player of the socket scenarios.
+
+A line is somebody, then what is done or must be seen: `a` to `z` are callers, one connection each. `told` lines
+change what the instance is told at start. Whoever hears waits for it, briefly.
+"""
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+import time
+from base64 import b64decode, b64encode
+from pathlib import Path
+
+from mulleinhatch.program.instance import Instance
+from mulleinhatch.program.placement import placed
+
+SOON = 3.0
+
+
+def told_at_start() -> dict:
+    op_type = {"aim": 1000.0, "deadline": 2000.0, "late_worth": 0.0, "memory_span": 5000.0}
+    return {"name": "n1", "listen": "127.0.0.1:0", "vm": "", "lookup": "", "seed": "8c1f30d27a5be964",
+            "stop_ms": 1000, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": {"classes": [{"name": "read", "effect": "safe", "worth": 1.0, **op_type},
+                                     {"name": "sign", "effect": "unsafe", "worth": 5.0, **op_type},
+                                     {"name": "keyed", "effect": "keyed", "worth": 5.0, **op_type}],
+                         "family_info": {"cores": 1, "gauges": ["core_use", "on_cores"], "memory_kb": 1e6,
+                                         "say": "floor", "callers": 2}, "tick": 2.0,
+                         "limits": {"retry_after": True, "max_retry_after": 1000.0},
+                         "rules": {"drain_grace": 300.0, "tip_multiple": 8.0}}}
+
+
+class Interpreter:
+    """Keeps its notices, hands them out again after a CONNECT, and answers every TOP unless it is deaf."""
+
+    def __init__(self) -> None:
+        self.heard: asyncio.Queue[dict] = asyncio.Queue()
+        self.notices: list[dict] = []
+        self.up: dict | None = None
+        self.writer: asyncio.StreamWriter | None = None
+        self.read_no, self.deaf = 0, False
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writer = writer
+        while line := await reader.readline():
+            told = json.loads(line)
+            if told["t"] == "TOP":
+                self.deaf or self.say({"t": "TOPS", "mark": told["mark"], "v": [0.5, 1.0]})
+                continue
+            self.heard.put_nowait(told)
+            if told["t"] == "CONNECT":
+                self.read_no = told["no"]
+                self.greet()
+        writer.close()
+
+    def greet(self) -> None:
+        if self.up and self.writer:
+            for message in (self.up, *self.notices[self.read_no:]):
+                self.say(message)
+
+    def say(self, message: dict) -> None:
+        if self.writer:
+            self.writer.write(json.dumps(message).encode() + b"\n")
+
+    def ended(self, ref: str, status: str, text: str) -> None:
+        self.notices.append({"t": "VALUE", "no": len(self.notices) + 1, "rid": ref, "status": status,
+                             "time_ms": 5.0, "b64": b64encode(text.encode()).decode()})
+        self.say(self.notices[-1])
+
+    def drop(self) -> None:
+        self.writer.close()
+        self.writer = None
+
+
+class Directory(asyncio.DatagramProtocol):
+    def __init__(self) -> None:
+        self.heard: asyncio.Queue[str] = asyncio.Queue()
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        self.heard.put_nowait(data.decode())
+
+
+class Caller:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def answer(self) -> tuple[int, dict[str, str], str]:
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        fields = dict(line.split(": ", 1) for line in head[1:] if line)
+        body = await self.reader.readexactly(int(fields["Content-Length"]))
+        return int(head[0].split()[1]), fields, body.decode()
+
+    def reset(self) -> None:
+        self.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                                        struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+
+class SocketPlay:
+    def __init__(self) -> None:
+        self.told = told_at_start()
+        self.interpreter, self.directory = Interpreter(), Directory()
+        self.callers: dict[str, Caller] = {}
+        self.instance: Instance | None = None
+
+    async def play(self, path: Path) -> None:
+        try:
+            for number, text in enumerate(path.read_text().splitlines(), 1):
+                if text.strip() and not text.startswith("#"):
+                    try:
+                        await asyncio.wait_for(self.line(*text.split()), SOON)
+                    except (AssertionError, asyncio.TimeoutError, OSError, EOFError) as error:
+                        raise AssertionError(f"{path.name}:{number}: {text}\n{error!r}") from error
+        finally:
+            if self.instance:
+                self.instance.stopped.set()
+                await asyncio.wait_for(self.serving, SOON)
+
+    async def line(self, who: str, *words: str) -> None:
+        if who == "told":
+            self.tell(*words)
+            return
+        if self.instance is None:
+            await self.start()
+        if who == "wait":
+            await asyncio.sleep(float(words[0]))
+        elif who in ("interpreter", "directory", "instance"):
+            await getattr(self, f"{who}_{words[0]}")(*words[1:])
+        else:
+            await getattr(self, f"caller_{words[0]}")(who, *words[1:])
+
+    def tell(self, path: str, text: str) -> None:
+        place, (*way, last) = self.told, path.split(".")
+        for key in way:
+            place = place[key]
+        place[last] = json.loads(text)
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        server = await asyncio.start_server(self.interpreter.serve, "127.0.0.1", 0)
+        datagrams, _ = await loop.create_datagram_endpoint(lambda: self.directory, ("127.0.0.1", 0))
+        self.told["vm"] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.told["lookup"] = "127.0.0.1:%d" % datagrams.get_extra_info("sockname")[1]
+        self.instance = Instance(placed(self.told))
+        self.serving = asyncio.ensure_future(self.instance.serve())
+        await asyncio.sleep(0.01)
+
+    # The interpreter and the directory.
+
+    async def interpreter_up(self, status: str = "old", ms: str = "3600000") -> None:
+        self.interpreter.up = {"t": "BANNER", "status": status, "time_ms": float(ms)}
+        if not self.interpreter.heard.empty():
+            self.interpreter.greet()
+
+    async def interpreter_hears(self, what: str, ref: str = "", body: str = "") -> None:
+        told = await self.interpreter.heard.get()
+        assert told["t"] == what and (not ref or str(told.get("rid", told.get("no"))) == ref), told
+        assert not body or b64decode(told["b64"]).decode() == body, told
+
+    async def interpreter_heard(self, nothing: str) -> None:
+        assert self.interpreter.heard.empty(), self.interpreter.heard.get_nowait()
+
+    async def interpreter_ends(self, ref: str, status: str, text: str = "") -> None:
+        self.interpreter.ended(ref, status, text)
+
+    async def interpreter_says(self, *words: str) -> None:
+        self.interpreter.writer.write(" ".join(words).encode() + b"\n")
+
+    async def interpreter_drops(self) -> None:
+        self.interpreter.drop()
+
+    async def interpreter_deaf(self, deaf: str) -> None:
+        self.interpreter.deaf = deaf == "yes"
+
+    async def directory_hears(self, *words: str) -> None:
+        while await self.directory.heard.get() != " ".join(words):
+            pass
+
+    # The instance.
+
+    async def instance_leaves(self) -> None:
+        self.instance.leave()
+
+    async def instance_ends(self) -> None:
+        await asyncio.shield(self.serving)
+
+    async def instance_counts(self, name: str, count: str) -> None:
+        while self.instance.counted().get(name, 0) != int(count):
+            await asyncio.sleep(0.01)
+
+    # Callers.
+
+    async def caller_opens(self, who: str) -> None:
+        self.callers[who] = Caller(*await asyncio.open_connection("127.0.0.1", self.instance.port))
+
+    async def caller_sends(self, who: str, ref: str, op_type: str, *more: str) -> None:
+        """An op with the body `in-REF`; `more` are further fields, or others in place of the usual ones."""
+        fields = {"X-Request-Id": ref, "X-Request-Start": f"{time.time() * 1000:.0f}", "X-Caller": "1",
+                  "X-Timeout-Ms": "1500", "X-Cost-Ms": "20", "X-Memory-Kb": "10",
+                  **dict(word.split("=", 1) for word in more)}
+        body = f"in-{ref}".encode()
+        head = "".join(f"{name}: {text}\r\n" for name, text in fields.items())
+        await self.write(who, f"POST /svc/{op_type} HTTP/1.1\r\nHost: origin.svc\r\n{head}"
+                              f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+    async def caller_checks(self, who: str) -> None:
+        await self.write(who, b"GET /status/live HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
+
+    async def caller_writes(self, who: str, *words: str) -> None:
+        await self.write(who, " ".join(words).encode().decode("unicode_escape").encode())
+
+    async def write(self, who: str, data: bytes) -> None:
+        if who not in self.callers:
+            await self.caller_opens(who)
+        self.callers[who].writer.write(data)
+        await self.callers[who].writer.drain()
+
+    async def caller_hears(self, who: str, status: str, body: str = "", *more: str) -> None:
+        got, fields, text = await self.callers[who].answer()
+        assert got == int(status) and (body in ("", "-") or text == body), (got, fields, text)
+        for name, _, wanted in (word.partition("=") for word in more):
+            assert name in fields and wanted in ("", fields[name]), fields
+
+    async def caller_half_closes(self, who: str) -> None:
+        self.callers[who].writer.write_eof()
+
+    async def caller_resets(self, who: str) -> None:
+        self.callers[who].reset()
+
+    async def caller_is_closed(self, who: str) -> None:
+        try:
+            assert await self.callers[who].reader.read() == b""
+        except ConnectionResetError:
+            pass
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,10 +1,11 @@
-"""Plays every scenario in `scenarios/`, and one hand-written batch through the adapter.
+"""Plays every scenario in `scenarios/`, those of the program on sockets too, and one batch through the adapter.
 
 A scenario is a deployment, then lines of time and happening; `>` lists every decision that follows, in order,
 `~` some of them; wake-ups are left out. `all nack 3` and the like count what came so far.
 """
 from __future__ import annotations
 
+import asyncio
 import json
 import struct
 import subprocess
@@ -16,6 +17,7 @@
 
 from mulleinhatch.decide import Hatch
 from mulleinhatch.interface import Advice, Decision, Effect, StopMode, Verb
+from standins import SocketPlay, told_at_start
 
 ROOT = Path(__file__).parent
 KINDS = {kind.value: kind for family in (Effect, Advice, StopMode) for kind in family}
@@ -135,3 +137,23 @@
 def test_bad_wire_ends_with_one_line(wire: bytes, complaint: bytes) -> None:
     done = adapter(wire)
     assert done.returncode != 0 and done.stderr.count(b"\n") == 1 and complaint in done.stderr
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "scenarios" / "sockets").glob("*.txt")), ids=lambda path: path.stem)
+def test_on_sockets(path: Path) -> None:
+    asyncio.run(SocketPlay().play(path))
+
+
+@pytest.mark.parametrize("path, value, complaint", [
+    ("vm", "nowhere", "vm:"), ("stop_ms", "soon", "stop_ms:"), ("limits.sockets", 3, "limits.sockets:"),
+    ("settings.classes", ["read"], "settings.classes:"), ("settings.tick", "x", "settings.tick:")])
+def test_the_faulty_key_is_named(tmp_path: Path, path: str, value: object, complaint: str) -> None:
+    told = {**told_at_start(), "vm": "127.0.0.1:1", "lookup": "127.0.0.1:2"}
+    place, (*way, last) = told, path.split(".")
+    for key in way:
+        place = place[key]
+    place[last] = value
+    (tmp_path / "told.json").write_text(json.dumps(told))
+    done = subprocess.run([sys.executable, "-m", "mulleinhatch", "check", "--config", tmp_path / "told.json"],
+                          capture_output=True, text=True, cwd=ROOT.parent, timeout=60)
+    assert done.returncode == 2 and complaint in done.stderr and done.stderr.count("\n") == 1, done.stderr
