--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -17,11 +17,6 @@
         if sock.family != socket.AF_UNIX:
             self.set_nodelay(True)
 
-    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """A peer may end its side right behind its request: IOStream would close before the answer is out."""
-        count = super().read_from_fd(buf)
-        return None if count == 0 and self._read_buffer_size else count
-
     def park(self) -> None:
         """Until the next read the loop does not watch the socket: an end of the peer's side, which IOStream
         takes for a lost connection, must not cost it the answer that it waits for."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -154,6 +154,9 @@
         if not self.interpreter.heard.empty():
             self.interpreter.greet()
 
+    async def interpreter_greets(self) -> None:
+        self.interpreter.greet()
+
     async def interpreter_hears(self, what: str, ref: str = "", body: str = "") -> None:
         told = await self.interpreter.heard.get()
         assert told["t"] == what and (not ref or str(told.get("rid", told.get("no"))) == ref), told
@@ -168,6 +171,9 @@
     async def interpreter_says(self, *words: str) -> None:
         self.interpreter.writer.write(" ".join(words).encode() + b"\n")
 
+    async def interpreter_down(self) -> None:
+        self.interpreter.up = None
+
     async def interpreter_drops(self) -> None:
         self.interpreter.drop()
 
@@ -196,14 +202,15 @@
         self.callers[who] = Caller(*await asyncio.open_connection("127.0.0.1", self.instance.port))
 
     async def caller_sends(self, who: str, ref: str, op_type: str, *more: str) -> None:
-        """An op with the body `in-REF`; `more` are further fields, or others in place of the usual ones."""
+        """An op with the body `in-REF`; `more` are further fields, or others in place of the usual ones, and
+        perhaps `and-ends`: the end of the caller's side in the same moment."""
         fields = {"X-Request-Id": ref, "X-Request-Start": f"{time.time() * 1000:.0f}", "X-Caller": "1",
                   "X-Timeout-Ms": "1500", "X-Cost-Ms": "20", "X-Memory-Kb": "10",
-                  **dict(word.split("=", 1) for word in more)}
+                  **dict(word.split("=", 1) for word in more if "=" in word)}
         body = f"in-{ref}".encode()
         head = "".join(f"{name}: {text}\r\n" for name, text in fields.items())
         await self.write(who, f"POST /svc/{op_type} HTTP/1.1\r\nHost: origin.svc\r\n{head}"
-                              f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+                              f"Content-Length: {len(body)}\r\n\r\n".encode() + body, "and-ends" in more)
 
     async def caller_checks(self, who: str) -> None:
         await self.write(who, b"GET /status/live HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
@@ -211,10 +218,12 @@
     async def caller_writes(self, who: str, *words: str) -> None:
         await self.write(who, " ".join(words).encode().decode("unicode_escape").encode())
 
-    async def write(self, who: str, data: bytes) -> None:
+    async def write(self, who: str, data: bytes, last: bool = False) -> None:
         if who not in self.callers:
             await self.caller_opens(who)
         self.callers[who].writer.write(data)
+        if last:
+            self.callers[who].writer.write_eof()
         await self.callers[who].writer.drain()
 
     async def caller_hears(self, who: str, status: str, body: str = "", *more: str) -> None:
