--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -3,6 +3,7 @@
 Usage:
   mulleinhatch serve [--config FILE] [--log LEVEL]
   mulleinhatch check [--config FILE]
+  mulleinhatch counters HOST:PORT
   mulleinhatch version
   mulleinhatch (-h | --help)
 
@@ -12,13 +13,14 @@
   -h --help      This text.
 
 serve keeps to the foreground until SIGTERM and the end of its grace; SIGUSR1 logs the counters.
-check reads what serve would be told and names the faulty key.
+check reads what serve would be told and names the faulty key. counters asks a running instance for its own.
 """
 from __future__ import annotations
 
 import asyncio
 import os
 import sys
+import urllib.request
 from importlib import metadata
 
 from docopt import docopt
@@ -26,7 +28,8 @@
 from mulleinhatch import __version__
 from mulleinhatch.program.instance import Instance
 from mulleinhatch.program.logs import start_logging
-from mulleinhatch.program.placement import Misplaced, placement
+from mulleinhatch.program.placement import Misplaced, Placement, placement
+from mulleinhatch.protocol.http import COUNTERS_PATH
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -34,6 +37,8 @@
     if told["version"]:
         print(f"mulleinhatch {__version__}, tornado {metadata.version('tornado')}")
         return 0
+    if told["counters"]:
+        return show_counters(told["HOST:PORT"])
     try:
         place = placement(os.environ, told["--config"])
     except Misplaced as error:
@@ -47,7 +52,17 @@
     return 0
 
 
-async def run(place) -> None:
+def show_counters(address: str) -> int:
+    try:
+        with urllib.request.urlopen(f"http://{address}{COUNTERS_PATH.decode()}", timeout=5) as answer:
+            sys.stdout.write(answer.read().decode())
+    except (OSError, ValueError) as error:
+        print(f"mulleinhatch: {address}: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+async def run(place: Placement) -> None:
     await Instance(place).serve()
 
 
--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 from enum import Enum
 
-from mulleinhatch.interface import Advice, Decision, Deployment, Effect, Ending, OpType, StopMode, Verb
+from mulleinhatch.interface import Advice, Decision, Deployment, Effect, Ending, OpType, Ref, StopMode, Verb
 
 BASE_SPAN = 20.0        # bases run evenly from 0 to this; lower starts sooner
 TENANT_ROOM = 2.0       # a tenant's running share over its fraction of the service: traffic is never even
@@ -111,7 +111,7 @@
 class Op:
     """An op that was read and has not ended."""
 
-    def __init__(self, ref: int, row: Row, tenant: int, work: float, held_kb: float) -> None:
+    def __init__(self, ref: Ref, row: Row, tenant: int, work: float, held_kb: float) -> None:
         self.ref, self.row, self.tenant, self.work, self.held_kb = ref, row, tenant, work, held_kb
         self.over = 0.0
         self.arrived = self.due = self.aim = self.since = self.spent = self.call_until = 0.0
@@ -144,13 +144,13 @@
         self.margin = ANSWER_MARGIN + 2 * get("tick", 0.0)
         self.chance = seed % 2 ** 64
         self.started = self.now = now
-        self.ops: dict[int, Op] = {}
-        self.at: dict[Stage, dict[int, Op]] = {stage: {} for stage in Stage}
-        self.unplaced: dict[int, Op] = {}
-        self.to_forget: list[int] = []
+        self.ops: dict[Ref, Op] = {}
+        self.at: dict[Stage, dict[Ref, Op]] = {stage: {} for stage in Stage}
+        self.unplaced: dict[Ref, Op] = {}
+        self.to_forget: list[Ref] = []
         self.given_up: list[Op] = []
-        self.keys: dict[int, float] = {}
-        self.key_ends: list[tuple[float, int]] = []
+        self.keys: dict[Ref, float] = {}
+        self.key_ends: list[tuple[float, Ref]] = []
         self.lingering: list[float] = []
         self.tenant_running: Counter[int] = Counter()
         self.kb = self.unread = 0.0
@@ -173,8 +173,8 @@
 
     # Bookkeeping: what the host reports.
 
-    def op_read(self, now: float, ref: int, op_type: int, age: float, wait: float, tenant: int,
-                repeat_of: int, caller: int, work: float, held_kb: float, further_try: bool) -> None:
+    def op_read(self, now: float, ref: Ref, op_type: int, age: float, wait: float, tenant: int,
+                repeat_of: Ref, caller: int, work: float, held_kb: float, further_try: bool) -> None:
         self._pass_time(now)
         row = self.rows[op_type]
         if work > 0.0:
@@ -206,7 +206,7 @@
         rate = self.tenant_reads[op.tenant].total(self.now) / (BUCKET * BUCKETS)
         return OVER_SHARE * max(0.0, 1.0 - self.quotas[op.tenant] / rate) if rate else 0.0
 
-    def run_ended(self, now: float, ref: int, ending: int) -> None:
+    def run_ended(self, now: float, ref: Ref, ending: int) -> None:
         self._pass_time(now)
         op = self.ops.get(ref)
         if op is None:
@@ -223,13 +223,13 @@
             self.runs.add(now, 1.0)
             self.done_full.add(now, op.work if now >= self.full_since else 0.0)
 
-    def call_wanted(self, now: float, ref: int) -> None:
+    def call_wanted(self, now: float, ref: Ref) -> None:
         self._pass_time(now)
         if op := self.ops.get(ref):
             op.call_ending = None
             self._move(op, Stage.STALLED)
 
-    def call_ended(self, now: float, ref: int, ending: int) -> None:
+    def call_ended(self, now: float, ref: Ref, ending: int) -> None:
         self._pass_time(now)
         if ending in (Ending.TIMEOUT, Ending.INTERRUPTED):
             self.lingering.append(now + self.linger)
@@ -247,7 +247,7 @@
         self.call_mean += (elapsed - self.call_mean) / min(self.calls_seen, CALLS_ENOUGH)
         self.usual_call += (elapsed - self.usual_call) / min(self.calls_seen, CALLS_USUAL)
 
-    def op_abandoned(self, now: float, ref: int) -> None:
+    def op_abandoned(self, now: float, ref: Ref) -> None:
         self._pass_time(now)
         if op := self.ops.get(ref):
             self._let_go(op)
@@ -381,7 +381,7 @@
         else:
             self._close(op)
 
-    def _drop_key(self, ref: int) -> None:
+    def _drop_key(self, ref: Ref) -> None:
         if self.keys.pop(ref, None) is not None:
             self.kb -= self.key_kb
 
--- a/mulleinhatch/interface.py
+++ b/mulleinhatch/interface.py
@@ -10,6 +10,9 @@
 from typing import NamedTuple, TypedDict
 
 
+Ref = int | str     # an op's id, as the host's wire gives it
+
+
 class Effect(Enum):
     RETRYABLE = "retryable"
     KEYED = "keyed"
@@ -105,7 +108,7 @@
 
 class Decision(NamedTuple):
     verb: Verb
-    ref: int = 0
+    ref: Ref = 0
     seconds: float = 0.0
     flag: bool = False
     level: float = 0.0
--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -29,8 +29,8 @@
         self.counts: Counter[str] = Counter()
         self.reducer = Reducer(placement.deployment, placement.op_types, placement.tenants, placement.seed)
         most = max(1, placement.descriptors - min(DESCRIPTORS_KEPT, placement.descriptors // 2))
-        self.connections = Connections(most, http.RequestReader, time.time, self.request, self.broken, self.lost,
-                                       self.count)
+        self.connections = Connections(most, http.RequestReader, time.time, on_message=self.request,
+                                       on_broken=self.broken, on_lost=self.lost, count=self.count)
         self.link = Link(*placement.interpreter, on_open=lambda: self.take(Happening.LINK_OPENED),
                          on_line=self.notice, count=self.count)
         self.directory = Datagrams(*placement.directory) if placement.directory else None
@@ -57,7 +57,8 @@
 
     # In.
 
-    def request(self, place: int, method: bytes, path: bytes, fields: dict[bytes, bytes], body: bytes) -> None:
+    def request(self, place: int, method: bytes, path: bytes, fields: dict[bytes, bytes],
+                body: bytes) -> None:
         if fields.get(b"connection", b"").lower() == b"close":
             self.closing.add(place)
         if path.startswith(http.OP_PATH) and method == b"POST":
@@ -162,13 +163,14 @@
         LOG.info("listening", extra={"fields": {"name": self.placement.name, "port": self.port}})
         loop.add_signal_handler(signal.SIGTERM, self.leave)
         loop.add_signal_handler(signal.SIGINT, self.leave)
-        loop.add_signal_handler(signal.SIGUSR1, lambda: LOG.info("counters", extra={"fields": self.counted()}))
+        loop.add_signal_handler(signal.SIGUSR1, self.log_counters, "counters")
         tasks = [asyncio.ensure_future(work) for work in
-                 (self.link.keep(), self._every(REPORT_EVERY, self._report), self._every(TRIM_EVERY, self._sweep))]
+                 (self.link.keep(), self._every(REPORT_EVERY, self._report),
+                  self._every(TRIM_EVERY, self._sweep))]
         await self.stopped.wait()
         for task in tasks:
             task.cancel()
-        LOG.info("stopped", extra={"fields": self.counted()})
+        self.log_counters("stopped")
 
     @staticmethod
     async def _every(seconds: float, work: Any) -> None:
@@ -182,14 +184,17 @@
             self.connections.close_idle(self.idle_kept)
 
     def leave(self) -> None:
-        """The notice to leave. It goes on listening to the end: what reaches a closed backlog would be lost."""
+        """The notice to leave. It listens to the end: what lies in the backlog of a closed socket is lost."""
         if self.leaving:
             return
         self.leaving = True
-        LOG.info("leaving", extra={"fields": self.counted()})
+        self.log_counters("leaving")
         self.take(Happening.LEAVE, self.placement.stop_after)
         asyncio.get_running_loop().call_later(self.placement.stop_after, self.stopped.set)
 
+    def log_counters(self, event: str) -> None:
+        LOG.info(event, extra={"fields": self.counted()})
+
     def counted(self) -> dict[str, int]:
         return {**self.counts, **self.reducer.counts, "connections_open": len(self.connections.open),
                 "ops_owed": len(self.reducer.owed),
--- a/mulleinhatch/program/placement.py
+++ b/mulleinhatch/program/placement.py
@@ -1,4 +1,4 @@
-"""Where an instance is placed: everything it is told at start, read, checked and given defaults here alone."""
+"""Where an instance is placed: all it is told at start is read, checked and given defaults here alone."""
 from __future__ import annotations
 
 import json
@@ -97,7 +97,8 @@
     settings, limits = told["settings"], told.get("limits", {})
     deployment_facts = facts(settings)
     return Placement(
-        name=str(told["name"]), listen=address("listen", told["listen"]), interpreter=address("vm", told["vm"]),
+        name=str(told["name"]), listen=address("listen", told["listen"]),
+        interpreter=address("vm", told["vm"]),
         directory=address("lookup", told["lookup"]) if "lookup" in told else None,
         seed=seed("seed", told["seed"]), stop_after=number("stop_ms", told.get("stop_ms", 3000), 0) / 1000.0,
         descriptors=int(number("limits.sockets", limits.get("sockets", 1024), 16)),
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -98,7 +98,7 @@
 
 
 def op_told(path: bytes, fields: dict[bytes, bytes], now: float) -> tuple:
-    """What the reducer is told of an op: id, op type, tenant, age, wait, caller, work, kb, further try, key."""
+    """What the reducer is told of an op: id, op type, tenant, age, wait, caller, work, kb, again, key."""
     arrived = number(fields, b"x-request-start", now * 1000.0) / 1000.0
     patience = number(fields, b"x-timeout-ms") / 1000.0
     key = fields.get(b"idempotency-key") or fields.get(b"x-object", b"")
@@ -113,8 +113,8 @@
            not_elsewhere: bool = False, close: bool = False) -> list[bytes]:
     """Status line, fields and body as pieces for one gathered write.
 
-    >>> b"".join(answer(429, level=0.5, hold_off=0.25, not_elsewhere=True)).split(LINE_END)[:4]
-    [b'HTTP/1.1 429 Too Many Requests', b'Content-Length: 0', b'X-Load-Signal: 0.5000', b'Retry-After-Ms: 250']
+    >>> b"".join(answer(429, level=0.5, hold_off=0.25, not_elsewhere=True)).split(LINE_END)[1:5]
+    [b'Content-Length: 0', b'X-Load-Signal: 0.5000', b'Retry-After-Ms: 250', b'X-Dont-Retry: 1']
     """
     pieces = [b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS[status], len(body))]
     if level is not None:
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -1,8 +1,8 @@
 """The one place where state changes: a happening goes in, what is to be done comes out.
 
-`reduce` tells the happening to the module, pulls its decisions until there is none, and gives the errands that
-carry them out, in order. It reads no clock and touches no socket; places are the numbers of the connections
-that wait for an answer.
+`reduce` tells the happening to the module, pulls its decisions until there is none, and gives the errands
+that carry them out, in order. It reads no clock and touches no socket; places are the numbers of the
+connections that wait for an answer.
 """
 from __future__ import annotations
 
@@ -61,7 +61,7 @@
         self.healthy, self.level = True, None
         self.readings: Sequence[float] = ()
         self.last_notice = self.marks = 0
-        self.unconfirmed: dict[str, int] = {}    # runs asked for, by the gauge mark that would show them taken
+        self.unconfirmed: dict[str, int] = {}    # runs asked for, each after so many gauge marks
         self.resync: float = 0
         self.up_since = 0.0
         self.stop_at: float | None = None
@@ -82,7 +82,7 @@
 
     def _interpreter_up(self, now: float, cold: bool, since: float) -> None:
         """The gauges that are asked for here come after all notices that were missed: only then is it known
-        which of the runs asked for last never arrived. Asked before the interpreter is up, they never come."""
+        which runs asked for last never arrived. Asked before the interpreter is up, they never come."""
         if self.hatch is None:
             self.hatch = Hatch({**self.deployment, "fresh_start": cold}, self.seed, now - since)
             if self.stop_at is not None:
@@ -152,8 +152,8 @@
                 self._answer_from(now, self.owed[follower], ref)
 
     def _gauges(self, now: float, mark: int, readings: Sequence[float]) -> None:
-        """A run that was asked for before gauges that have come is with the interpreter, unless a link was lost
-        between: behind the mark set then, it never arrived."""
+        """A run that was asked for before gauges that have come is with the interpreter, unless a link was
+        lost between: behind the mark set then, it never arrived."""
         self.readings = readings
         before = [ref for ref, asked in self.unconfirmed.items() if asked < mark]
         if mark < self.resync:
--- a/mulleinhatch/start.py
+++ b/mulleinhatch/start.py
@@ -1,4 +1,4 @@
-"""What an instance is told at its start, told in the words of `interface.Deployment`. What is not there stays out."""
+"""What an instance is told at its start, in the words of `interface.Deployment`. What is not there stays out."""
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -87,7 +87,8 @@
         tree = {"count": len(tree), **{str(place): item for place, item in enumerate(tree)}}
     if isinstance(tree, dict):
         dot = path + "." if path else ""
-        return {name: text for key, item in tree.items() for name, text in pairs_of_tree(item, dot + key).items()}
+        return {name: text for key, item in tree.items()
+                for name, text in pairs_of_tree(item, dot + key).items()}
     return {path: ",".join(map(word, tree)) if isinstance(tree, list) else word(tree)}
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,7 +1,7 @@
 """Stand-ins for what a service instance talks to, and the player of the socket scenarios.
 
-A line is somebody, then what is done or must be seen: `a` to `z` are callers, one connection each. `told` lines
-change what the instance is told at start. Whoever hears waits for it, briefly.
+A line is somebody, then what is done or must be seen: `a` to `z` are callers, one connection each. `told`
+lines change what the instance is told at start. Whoever hears waits for it, briefly.
 """
 from __future__ import annotations
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,4 +1,4 @@
-"""Plays every scenario in `scenarios/`, those of the program on sockets too, and one batch through the adapter.
+"""Plays every scenario in `scenarios/`, those on sockets too, and one batch through the adapter.
 
 A scenario is a deployment, then lines of time and happening; `>` lists every decision that follows, in order,
 `~` some of them; wake-ups are left out. `all nack 3` and the like count what came so far.
@@ -139,7 +139,7 @@
     assert done.returncode != 0 and done.stderr.count(b"\n") == 1 and complaint in done.stderr
 
 
-@pytest.mark.parametrize("path", sorted((ROOT / "scenarios" / "sockets").glob("*.txt")), ids=lambda path: path.stem)
+@pytest.mark.parametrize("path", sorted(ROOT.glob("scenarios/sockets/*.txt")), ids=lambda path: path.stem)
 def test_on_sockets(path: Path) -> None:
     asyncio.run(SocketPlay().play(path))
 
