--- a/mulleinhatch/routing/tables.py
+++ b/mulleinhatch/routing/tables.py
@@ -30,7 +30,7 @@
         self.ends: list[tuple[float, str]] = []
 
     def keep(self, op_type: str, key: str, ref: str, until: float) -> None:
-        """An entry moves to the newer op that repeats it; a result stays with its op to the end of its time."""
+        """An entry moves to the newer op that repeats it; a result stays with its op to its end."""
         if key:
             self.entries[op_type, key] = ref
             self.kept[ref] = until, (op_type, key)
--- a/mulleinhatch/start.py
+++ b/mulleinhatch/start.py
@@ -1,4 +1,4 @@
-"""What an instance is told at its start, in the words of `interface.Deployment`. What is not there stays out."""
+"""What an instance is told at start, in the words of `interface.Deployment`. What is not there stays out."""
 from __future__ import annotations
 
 from collections.abc import Callable
