--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -18,7 +18,9 @@
 from mulleinhatch.transport.link import Link
 
 LOG = logging.getLogger(__name__)
-DESCRIPTORS_KEPT = 32       # of the limit, for all that is no client connection
+DESCRIPTORS_KEPT = 16       # of the limit, for all that is no client connection
+LISTEN_TRIES, LISTEN_RETRY = 50, 0.1    # a predecessor killed a moment ago may still hold the address
+OUTLIVE_STOP = 0.5          # seconds: whoever stops us does it at the time told; to end first would lose ops
 REPORT_EVERY = reports.LISTED_FOR / 6
 TRIM_EVERY = 0.25
 
@@ -159,7 +161,7 @@
 
     async def serve(self) -> None:
         loop = asyncio.get_running_loop()
-        self.port = self.connections.listen(*self.placement.listen)
+        self.port = await self._listen()
         LOG.info("listening", extra={"fields": {"name": self.placement.name, "port": self.port}})
         loop.add_signal_handler(signal.SIGTERM, self.leave)
         loop.add_signal_handler(signal.SIGINT, self.leave)
@@ -172,6 +174,15 @@
             task.cancel()
         self.log_counters("stopped")
 
+    async def _listen(self) -> int:
+        for _ in range(LISTEN_TRIES - 1):
+            try:
+                return self.connections.listen(*self.placement.listen)
+            except OSError as error:
+                LOG.warning("can't listen yet", extra={"fields": {"error": error}})
+                await asyncio.sleep(LISTEN_RETRY)
+        return self.connections.listen(*self.placement.listen)
+
     @staticmethod
     async def _every(seconds: float, work: Any) -> None:
         while True:
@@ -190,7 +201,7 @@
         self.leaving = True
         self.log_counters("leaving")
         self.take(Happening.LEAVE, self.placement.stop_after)
-        asyncio.get_running_loop().call_later(self.placement.stop_after, self.stopped.set)
+        asyncio.get_running_loop().call_later(self.placement.stop_after + OUTLIVE_STOP, self.stopped.set)
 
     def log_counters(self, event: str) -> None:
         LOG.info(event, extra={"fields": self.counted()})
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -10,6 +10,7 @@
 from tornado import netutil
 from tornado.iostream import StreamClosedError
 
+from mulleinhatch.holds import must_hold
 from mulleinhatch.transport.stream import GatheringStream
 
 LOG = logging.getLogger(__name__)
@@ -101,6 +102,7 @@
         connection = self.open.get(number)
         if connection is None:
             return False
+        must_hold(connection.owing or last, "an answer is written where one is owed")
         connection.owing, connection.quiet_since = False, self.clock()
         try:
             connection.stream.write_gathered(pieces)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -100,7 +100,7 @@
 
 class SocketPlay:
     def __init__(self) -> None:
-        self.told = told_at_start()
+        self.told_first = told_at_start()
         self.interpreter, self.directory = Interpreter(), Directory()
         self.callers: dict[str, Caller] = {}
         self.instance: Instance | None = None
@@ -119,8 +119,8 @@
                 await asyncio.wait_for(self.serving, SOON)
 
     async def line(self, who: str, *words: str) -> None:
-        if who == "told":
-            self.tell(*words)
+        if who in ("told", "held"):
+            getattr(self, who)(*words)
             return
         if self.instance is None:
             await self.start()
@@ -131,8 +131,14 @@
         else:
             await getattr(self, f"caller_{words[0]}")(who, *words[1:])
 
-    def tell(self, path: str, text: str) -> None:
-        place, (*way, last) = self.told, path.split(".")
+    def held(self, seconds: str) -> None:
+        """Somebody else holds the address for so long."""
+        holder = socket.create_server(("127.0.0.1", 0))
+        self.told_first["listen"] = "127.0.0.1:%d" % holder.getsockname()[1]
+        asyncio.get_running_loop().call_later(float(seconds), holder.close)
+
+    def told(self, path: str, text: str) -> None:
+        place, (*way, last) = self.told_first, path.split(".")
         for key in way:
             place = place[key]
         place[last] = json.loads(text)
@@ -141,9 +147,9 @@
         loop = asyncio.get_running_loop()
         server = await asyncio.start_server(self.interpreter.serve, "127.0.0.1", 0)
         datagrams, _ = await loop.create_datagram_endpoint(lambda: self.directory, ("127.0.0.1", 0))
-        self.told["vm"] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
-        self.told["lookup"] = "127.0.0.1:%d" % datagrams.get_extra_info("sockname")[1]
-        self.instance = Instance(placed(self.told))
+        self.told_first["vm"] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.told_first["lookup"] = "127.0.0.1:%d" % datagrams.get_extra_info("sockname")[1]
+        self.instance = Instance(placed(self.told_first))
         self.serving = asyncio.ensure_future(self.instance.serve())
         await asyncio.sleep(0.01)
 
