--- a/tests/standins.py
+++ b/tests/standins.py
@@ -195,6 +195,9 @@
     async def instance_leaves(self) -> None:
         self.instance.leave()
 
+    async def instance_lives(self) -> None:
+        assert not self.serving.done()
+
     async def instance_ends(self) -> None:
         await asyncio.shield(self.serving)
 
