--- /dev/null
+++ b/mulleinhatch/program/front.py
@@ -0,0 +1,73 @@
+"""The callers' side over HTTP: requests become happenings, errands become answers. Another protocol is another
+front with the same errands."""
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+from mulleinhatch.protocol import http
+from mulleinhatch.routing.reducer import Happening
+from mulleinhatch.transport.connections import Connections
+
+LOG = logging.getLogger(__name__)
+
+
+class HttpFront:
+    def __init__(self, most: int, take: Callable[..., None], count: Callable[[str], None],
+                 counters: Callable[[], str]) -> None:
+        self.take, self.count, self.counters = take, count, counters
+        self.connections = Connections(most, http.RequestReader, time.time, on_message=self.request,
+                                       on_broken=self.broken, on_lost=self.lost, count=count)
+        self.closing: set[int] = set()      # places whose caller asked that the connection be closed
+        self.leaving = False
+
+    def request(self, place: int, method: bytes, path: bytes, fields: dict[bytes, bytes],
+                body: bytes) -> None:
+        if fields.get(b"connection", b"").lower() == b"close":
+            self.closing.add(place)
+        if path.startswith(http.OP_PATH) and method == b"POST":
+            self.take(Happening.OP_READ, place, *http.op_told(path, fields, time.time()), body)
+        elif path == http.HEALTH_PATH:
+            self.take(Happening.CHECKED, place)
+        elif path == http.COUNTERS_PATH:
+            self._write(place, 200, self.counters().encode())
+        else:
+            self.count("requests_unknown")
+            self._write(place, 404)
+
+    def broken(self, place: int, error: ValueError) -> None:
+        self.count("requests_broken")
+        LOG.info("broken request", extra={"fields": {"place": place, "error": error}})
+        self.connections.answer(place, http.answer(400, close=True), last=True)
+
+    def lost(self, place: int) -> None:
+        self.closing.discard(place)
+        self.take(Happening.CALLER_LOST, place)
+
+    def ack(self, place: int, result: bytes, level: float | None) -> None:
+        self._write(place, 200, result, level=level)
+
+    def nack(self, place: int, hold_off: float, not_elsewhere: bool, level: float | None) -> None:
+        self._write(place, 503 if self.leaving else 429, level=level, hold_off=hold_off,
+                    not_elsewhere=not_elsewhere)
+
+    def fail(self, place: int, level: float | None) -> None:
+        self._write(place, 500, level=level)
+
+    def unknown(self, place: int) -> None:
+        self._write(place, 404)
+
+    def health(self, place: int, good: bool, level: float | None) -> None:
+        self._write(place, 200 if good else 503, level=level)
+
+    def abandon(self, place: int) -> None:
+        self.closing.discard(place)
+        self.connections.abandon(place)
+
+    def _write(self, place: int, status: int, body: bytes = b"", **fields: Any) -> None:
+        last = place in self.closing
+        self.closing.discard(place)
+        pieces = http.answer(status, body, close=last or self.leaving, **fields)
+        self.count(f"answers_{status}" if self.connections.answer(place, pieces, last) else "answers_unsent")
--- /dev/null
+++ b/mulleinhatch/program/interpreter.py
@@ -0,0 +1,51 @@
+"""The interpreter's side: notices of the link become happenings, errands become commands."""
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from mulleinhatch.interface import Ending
+from mulleinhatch.protocol import link
+from mulleinhatch.routing.reducer import Happening
+from mulleinhatch.transport.link import Link
+
+LOG = logging.getLogger(__name__)
+
+
+class Interpreter:
+    def __init__(self, host: str, port: int, take: Callable[..., None], count: Callable[[str], None]) -> None:
+        self.take, self.count = take, count
+        self.link = Link(host, port, on_open=lambda: take(Happening.LINK_OPENED), on_line=self.line, count=count)
+
+    def line(self, line: bytes) -> None:
+        try:
+            self._notice(link.notice(line))
+        except (KeyError, TypeError, ValueError) as error:
+            self.count("notices_broken")
+            LOG.warning("broken notice", extra={"fields": {"error": repr(error)}})
+
+    def _notice(self, told: dict) -> None:
+        what, status = told.get("t"), told.get("status")
+        if what == "VALUE":
+            self.take(Happening.RUN_ENDED, int(told["no"]), told["rid"],
+                      link.ENDINGS.get(status, Ending.ERROR), link.result(told))
+        elif what == "TOPS":
+            self.take(Happening.GAUGES, int(told["mark"]), list(told["v"]))
+        elif what == "BANNER":
+            LOG.info("interpreter up", extra={"fields": {"status": status, "ms": told["time_ms"]}})
+            self.take(Happening.INTERPRETER_UP, status == "new", told["time_ms"] / 1000.0)
+        elif what == "ERROR":
+            LOG.warning("interpreter error", extra={"fields": {"command": status, "ref": told.get("rid")}})
+            if status == "APPLY":
+                self.take(Happening.RUN_UNKNOWN, told["rid"])
+        else:
+            self.count("notices_other")
+
+    def greet(self, last_notice: int) -> None:
+        self.link.send(link.connect(last_notice))
+
+    def run(self, ref: str, op_type: str, body: bytes) -> None:
+        self.link.send(link.apply(ref, op_type, body))
+
+    def gauges(self, mark: int) -> None:
+        self.link.send(link.top(mark))
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -37,6 +37,9 @@
     def filled(self, count: int) -> None:
         self.end += count
 
+    def started(self) -> bool:
+        return self.end > 0
+
     def message(self) -> tuple[bytes, bytes, dict[bytes, bytes], bytes] | None:
         """Method, path, fields by lower-case name, body; None until the rest has come."""
         head_end = self.buffer.find(HEAD_END, max(0, self.searched - len(HEAD_END)), self.end)
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -39,7 +39,9 @@
     FAIL = "fail"                # place, level
     UNKNOWN = "unknown"          # place: an op type that the deployment has not
     HEALTH = "health"            # place, good, level: the answer to a check
+    ABANDON = "abandon"          # place: its answer goes elsewhere
     LISTING = "listing"          # open: what the directory is to be told
+    LEAVE = "leave"              # seconds until the stop
     GREET = "greet"              # number of the last notice
     RUN = "run"                  # ref, op type, body
     GAUGES = "gauges"            # mark
@@ -71,10 +73,11 @@
         self.verbs = {verb: getattr(self, "_do_" + verb.name.lower(), self._do_other) for verb in Verb}
 
     def reduce(self, now: float, happening: Happening, *told: object) -> list[tuple]:
+        """The errands stay in `errands` until the next happening, for a host that meets an error here."""
         self.errands = []
         self.handlers[happening](now, *told)
         while self.hatch and (decision := self.hatch.next_decision(now)):
-            self.counts[decision.verb.value] += 1
+            self.counts["decided_" + decision.verb.value.replace(" ", "_")] += 1
             self.verbs[decision.verb](now, decision)
         return self.errands
 
@@ -91,6 +94,7 @@
             for owed in [owed for owed in self.owed.values() if owed.running]:
                 self._end_run(now, owed.ref, Ending.ERROR, b"")    # it went with the interpreter that ran it
         self.up_since = now - since
+        self.errands.append((Errand.LISTING, self.healthy))
         self._ask_gauges()
         self.resync = self.marks
 
@@ -122,6 +126,7 @@
             self.errands.append((Errand.FAIL, place, self.level))
         else:
             self.places.pop(owed.place, None)
+            self.errands.append((Errand.ABANDON, owed.place))
             owed.place, self.places[place] = place, ref
 
     def _run_ended(self, now: float, number: int, ref: str, ending: Ending, result: bytes) -> None:
@@ -185,7 +190,8 @@
 
     def _leave(self, now: float, grace: float) -> None:
         self.healthy, self.stop_at = False, now + grace
-        self.errands.append((Errand.LISTING, False))
+        self.errands += [(Errand.LISTING, False)] if self.hatch else []
+        self.errands.append((Errand.LEAVE, grace))
         if self.hatch:
             self.hatch.leave_notice(now, grace)
 
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -24,6 +24,7 @@
     def room(self) -> memoryview: ...
     def filled(self, count: int) -> None: ...
     def message(self) -> tuple | None: ...
+    def started(self) -> bool: ...
 
 
 class Connection:
@@ -32,6 +33,9 @@
         self.owing = False       # a message was taken that has no answer yet
         self.settled = asyncio.Event()
 
+    def is_idle(self) -> bool:
+        return not self.owing and not self.reader.started()
+
 
 class Connections:
     def __init__(self, most: int, reader: Callable[[], Reader], clock: Callable[[], float],
@@ -51,16 +55,10 @@
         return sockets[0].getsockname()[1]
 
     def _accept(self, sock: socket.socket, _: Any) -> None:
-        """At the bound of descriptors the connection longest without use makes room: one that is refused
-        might carry a request already."""
-        if len(self.open) >= self.most:
-            idle = [conn for conn in self.open.values() if not conn.owing]
-            if not idle:
-                self.count("connections_refused")
-                sock.close()
-                return
-            self.count("connections_evicted")
-            min(idle, key=lambda conn: conn.quiet_since).stream.close()
+        if len(self.open) >= self.most and not self._make_room():
+            self.count("connections_refused")
+            sock.close()
+            return
         self.accepted += 1
         self.count("connections_accepted")
         connection = Connection(self.accepted, GatheringStream(sock), self.reader(), self.clock())
@@ -69,6 +67,17 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _make_room(self) -> bool:
+        """At the bound of descriptors the connection longest without use makes room, one with the start of a
+        request only if there is no other: the new one might carry a whole request already."""
+        free = [conn for conn in self.open.values() if not conn.owing]
+        if not free:
+            return False
+        self.count("connections_evicted")
+        spare = min(free, key=lambda conn: (not conn.is_idle(), conn.quiet_since))
+        self._drop(spare)
+        return True
+
     async def _converse(self, connection: Connection) -> None:
         stream, reader = connection.stream, connection.reader
         try:
@@ -114,6 +123,13 @@
             self._close_written(connection)
         return True
 
+    def abandon(self, number: int) -> None:
+        """Closes a connection whose answer goes elsewhere."""
+        if connection := self.open.get(number):
+            connection.owing = False
+            connection.settled.set()
+            self._drop(connection)
+
     def _close_written(self, connection: Connection) -> None:
         task = asyncio.ensure_future(self._flush_and_close(connection))
         self.tasks.add(task)
@@ -138,6 +154,6 @@
         """Closes what carried nothing for that long; what holds the start of a request is left."""
         before = self.clock() - longest
         for connection in list(self.open.values()):
-            if not connection.owing and connection.quiet_since < before:
+            if connection.is_idle() and connection.quiet_since < before:
                 self.count("connections_trimmed")
                 connection.stream.close()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -40,14 +40,14 @@
         self.notices: list[dict] = []
         self.up: dict | None = None
         self.writer: asyncio.StreamWriter | None = None
-        self.read_no, self.deaf = 0, False
+        self.read_no, self.deaf, self.gauges = 0, False, [0.5, 1.0]
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writer = writer
         while line := await reader.readline():
             told = json.loads(line)
             if told["t"] == "TOP":
-                self.deaf or self.say({"t": "TOPS", "mark": told["mark"], "v": [0.5, 1.0]})
+                self.deaf or self.say({"t": "TOPS", "mark": told["mark"], "v": self.gauges})
                 continue
             self.heard.put_nowait(told)
             if told["t"] == "CONNECT":
@@ -117,6 +117,7 @@
             if self.instance:
                 self.instance.stopped.set()
                 await asyncio.wait_for(self.serving, SOON)
+        assert not self.instance.counts["errors_inside"], "an error inside, see the log"
 
     async def line(self, who: str, *words: str) -> None:
         if who in ("told", "held"):
@@ -186,6 +187,9 @@
     async def interpreter_deaf(self, deaf: str) -> None:
         self.interpreter.deaf = deaf == "yes"
 
+    async def interpreter_gauges(self, *readings: str) -> None:
+        self.interpreter.gauges = [float(reading) for reading in readings]
+
     async def directory_hears(self, *words: str) -> None:
         while await self.directory.heard.get() != " ".join(words):
             pass
