--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -1,5 +1,7 @@
-"""The callers' side over HTTP: requests become happenings, errands become answers. Another protocol is another
-front with the same errands."""
+"""The callers' side over HTTP: requests become happenings, errands become answers.
+
+Another protocol is another front with the same errands.
+"""
 from __future__ import annotations
 
 import logging
--- a/mulleinhatch/program/interpreter.py
+++ b/mulleinhatch/program/interpreter.py
@@ -15,7 +15,8 @@
 class Interpreter:
     def __init__(self, host: str, port: int, take: Callable[..., None], count: Callable[[str], None]) -> None:
         self.take, self.count = take, count
-        self.link = Link(host, port, on_open=lambda: take(Happening.LINK_OPENED), on_line=self.line, count=count)
+        self.link = Link(host, port, on_open=lambda: take(Happening.LINK_OPENED), on_line=self.line,
+                         count=count)
 
     def line(self, line: bytes) -> None:
         try:
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -190,7 +190,6 @@
 
     def _leave(self, now: float, grace: float) -> None:
         self.healthy, self.stop_at = False, now + grace
-        self.errands += [(Errand.LISTING, False)] if self.hatch else []
         self.errands.append((Errand.LEAVE, grace))
         if self.hatch:
             self.hatch.leave_notice(now, grace)
