--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -29,8 +29,14 @@
                 body: bytes) -> None:
         if fields.get(b"connection", b"").lower() == b"close":
             self.closing.add(place)
-        if path.startswith(http.OP_PATH) and method == b"POST":
-            self.take(Happening.OP_READ, place, *http.op_told(path, fields, time.time()), body)
+        path = path.partition(b"?")[0]
+        if path.startswith(http.OP_PATH):
+            ref, *told = http.op_told(path, fields, time.time())
+            if ref:
+                self.take(Happening.OP_READ, place, ref, *told, body)
+            else:
+                self.count("requests_without_id")
+                self._write(place, 400)
         elif path == http.HEALTH_PATH:
             self.take(Happening.CHECKED, place)
         elif path == http.COUNTERS_PATH:
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -1,7 +1,7 @@
 """Heads of HTTP/1.1, parsed in the buffer that the socket filled, and the answers as pieces to gather."""
 from __future__ import annotations
 
-HEAD_AND_BODY = 8192       # bytes; a larger request is no request of ours
+ROOM, MOST_ROOM = 4096, 65536   # bytes for a request; the room grows for one that is larger
 HEAD_END, LINE_END = b"\r\n\r\n", b"\r\n"
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 429: b"Too Many Requests",
            500: b"Internal Server Error", 501: b"Not Implemented", 503: b"Service Unavailable"}
@@ -24,14 +24,24 @@
     (b'POST', b'/svc/a', {b'x-rank': b'0.5', b'content-length': b'2'}, b'hi')
     >>> feed(b" /x HTTP/1.0\\r\\n\\r\\n"); reader.message()
     (b'GET', b'/x', {b'connection': b'close'}, b'')
+    >>> feed(b"\\r\\nPUT /y HTTP/1.1\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n3\\r\\nabc\\r\\n2;x\\r\\nd")
+    >>> reader.message(); feed(b"e\\r\\n0\\r\\n\\r\\n"); reader.message()[3], reader.started()
+    (b'abcde', False)
     """
 
     def __init__(self) -> None:
-        self.buffer = bytearray(HEAD_AND_BODY)
-        self.view = memoryview(self.buffer)
         self.end = self.searched = 0
+        self._make_room(ROOM)
+
+    def _make_room(self, size: int) -> None:
+        old = self.view[:self.end] if self.end else b""
+        self.buffer = bytearray(size)
+        self.view = memoryview(self.buffer)
+        self.view[:self.end] = old
 
     def room(self) -> memoryview:
+        if self.end == len(self.buffer):
+            self._make_room(2 * self.end)
         return self.view[self.end:]
 
     def filled(self, count: int) -> None:
@@ -42,6 +52,8 @@
 
     def message(self) -> tuple[bytes, bytes, dict[bytes, bytes], bytes] | None:
         """Method, path, fields by lower-case name, body; None until the rest has come."""
+        while self.end >= len(LINE_END) and self.view[:len(LINE_END)] == LINE_END:
+            self._shift(len(LINE_END))    # some senders end the request before with one line too many
         head_end = self.buffer.find(HEAD_END, max(0, self.searched - len(HEAD_END)), self.end)
         self.searched = self.end
         if head_end < 0:
@@ -53,24 +65,45 @@
         fields = self._fields(line_end + len(LINE_END), head_end)
         if words[2] == b"HTTP/1.0":
             fields.setdefault(b"connection", b"close")
-        if b"transfer-encoding" in fields:
-            raise BadRequest("transfer coding")
-        length = fields.get(b"content-length", b"0")
-        if not length.isdigit():
-            raise BadRequest("content length")
         body_start = head_end + len(HEAD_END)
-        body_end = body_start + int(length)
-        if body_end > self.end:
+        chunked = b"transfer-encoding" in fields
+        found = self._chunks(body_start) if chunked else self._plain(body_start, fields)
+        if found is None:
             self.searched = head_end
-            return self._not_yet(body_end)
-        body = bytes(self.view[body_start:body_end])
+            return self._not_yet()
+        body, body_end = found
         self._shift(body_end)
         return words[0], words[1], fields, body
 
-    def _not_yet(self, needed: int = 0) -> None:
-        if max(needed, self.end + 1) > HEAD_AND_BODY:
+    def _not_yet(self) -> None:
+        if self.end >= MOST_ROOM:
             raise BadRequest("request too long")
 
+    def _plain(self, start: int, fields: dict[bytes, bytes]) -> tuple[bytes, int] | None:
+        """The body, and where it ends."""
+        length = fields.get(b"content-length", b"0")
+        if not length.isdigit() or int(length) > MOST_ROOM:
+            raise BadRequest("content length")
+        end = start + int(length)
+        return (bytes(self.view[start:end]), end) if end <= self.end else None
+
+    def _chunks(self, start: int) -> tuple[bytes, int] | None:
+        pieces: list[bytes] = []
+        while (line_end := self.buffer.find(LINE_END, start, self.end)) >= 0:
+            try:
+                size = int(bytes(self.view[start:line_end]).partition(b";")[0], 16)
+            except ValueError:
+                raise BadRequest("chunk size") from None
+            if not 0 <= size <= MOST_ROOM:
+                raise BadRequest("chunk size")
+            start = line_end + len(LINE_END)
+            if size == 0:
+                end = self.buffer.find(HEAD_END, line_end, self.end)
+                return None if end < 0 else (b"".join(pieces), end + len(HEAD_END))
+            pieces.append(bytes(self.view[start:start + size]))
+            start += size + len(LINE_END)
+        return None
+
     def _fields(self, start: int, end: int) -> dict[bytes, bytes]:
         fields: dict[bytes, bytes] = {}
         while start < end:
@@ -89,6 +122,8 @@
         if rest:
             self.buffer[:rest] = self.buffer[taken:self.end]
         self.end, self.searched = rest, 0
+        if len(self.buffer) > ROOM >= rest:
+            self._make_room(ROOM)
 
 
 def number(fields: dict[bytes, bytes], name: bytes, absent: float = 0.0) -> float:
@@ -105,7 +140,7 @@
     arrived = number(fields, b"x-request-start", now * 1000.0) / 1000.0
     patience = number(fields, b"x-timeout-ms") / 1000.0
     key = fields.get(b"idempotency-key") or fields.get(b"x-object", b"")
-    return (fields.get(b"x-request-id", b"").decode("latin-1"), path[len(OP_PATH):].decode("latin-1"),
+    return (fields.get(b"x-request-id", b"").decode("latin-1"), path.rpartition(b"/")[2].decode("latin-1"),
             fields.get(b"x-tenant", b"").decode("latin-1"), max(0.0, now - arrived),
             max(0.001, arrived + patience - now) if patience > 0.0 else 0.0, int(number(fields, b"x-caller")),
             max(0.0, number(fields, b"x-cost-ms")) / 1000.0, max(0.0, number(fields, b"x-memory-kb")),
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -107,7 +107,7 @@
 
     async def play(self, path: Path) -> None:
         try:
-            for number, text in enumerate(path.read_text().splitlines(), 1):
+            for number, text in enumerate(path.read_text().replace("%junk%", 20000 * "x").splitlines(), 1):
                 if text.strip() and not text.startswith("#"):
                     try:
                         await asyncio.wait_for(self.line(*text.split()), SOON)
