Bad requests get one 4xx by cause, a broken link is renewed, timing on the monotonic clock

Ages and waits still come from the headers' Unix times. A start whose address stays taken ends with one line. One real process from start to stop is among the tests, and a request cut at every byte.

--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -37,6 +37,7 @@
     if told["version"]:
         print(f"mulleinhatch {__version__}, tornado {metadata.version('tornado')}")
         return 0
+    start_logging(told["--log"])
     if told["counters"]:
         return show_counters(told["HOST:PORT"])
     try:
@@ -47,8 +48,11 @@
     if told["check"]:
         print(f"{place.name}: {len(place.op_types)} op types, {len(place.tenants)} tenants")
         return 0
-    start_logging(told["--log"])
-    asyncio.run(run(place))
+    try:
+        asyncio.run(run(place))
+    except OSError as error:
+        print(f"mulleinhatch: {':'.join(map(str, place.listen))}: {error}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -20,7 +20,7 @@
     def __init__(self, most: int, take: Callable[..., None], count: Callable[[str], None],
                  counters: Callable[[], str]) -> None:
         self.take, self.count, self.counters = take, count, counters
-        self.connections = Connections(most, http.RequestReader, time.time, on_message=self.request,
+        self.connections = Connections(most, http.RequestReader, time.monotonic, on_message=self.request,
                                        on_broken=self.broken, on_lost=self.lost, count=count)
         self.closing: set[int] = set()      # places whose caller asked that the connection be closed
         self.leaving = False
@@ -29,26 +29,33 @@
                 body: bytes) -> None:
         if fields.get(b"connection", b"").lower() == b"close":
             self.closing.add(place)
-        path = path.partition(b"?")[0]
+        try:
+            self._route(place, method, path.partition(b"?")[0], fields, body)
+        except http.BadRequest as error:
+            self._write(place, self._blame(error))
+
+    def _route(self, place: int, method: bytes, path: bytes, fields: dict[bytes, bytes], body: bytes) -> None:
         if path.startswith(http.OP_PATH):
-            ref, *told = http.op_told(path, fields, time.time())
-            if ref:
-                self.take(Happening.OP_READ, place, ref, *told, body)
-            else:
-                self.count("requests_without_id")
-                self._write(place, 400)
+            if method != b"POST":
+                raise http.BadRequest("method", 405)
+            self.take(Happening.OP_READ, place, *http.op_told(path, fields, time.time()), body)
         elif path == http.HEALTH_PATH:
             self.take(Happening.CHECKED, place)
         elif path == http.COUNTERS_PATH:
             self._write(place, 200, self.counters().encode())
         else:
-            self.count("requests_unknown")
-            self._write(place, 404)
+            raise http.BadRequest("path", 404)
+
+    def _blame(self, error: http.BadRequest) -> int:
+        cause = "bad_" + error.cause.replace(" ", "_")
+        self.count(cause)
+        LOG.debug("bad request", extra={"fields": {"cause": error.cause, "status": error.status}})
+        return error.status
 
-    def broken(self, place: int, error: ValueError) -> None:
-        self.count("requests_broken")
-        LOG.info("broken request", extra={"fields": {"place": place, "error": error}})
-        self.connections.answer(place, http.answer(400, close=True), last=True)
+    def broken(self, place: int, error: http.BadRequest) -> None:
+        """Where the next request would begin is not known: the connection ends with this answer."""
+        self.closing.add(place)
+        self._write(place, self._blame(error))
 
     def lost(self, place: int) -> None:
         self.closing.discard(place)
@@ -64,8 +71,8 @@
     def fail(self, place: int, level: float | None) -> None:
         self._write(place, 500, level=level)
 
-    def unknown(self, place: int) -> None:
-        self._write(place, 404)
+    def unknown(self, place: int, what: str) -> None:
+        self._write(place, self._blame(http.BadRequest(what, 404 if what == "op type" else 400)))
 
     def health(self, place: int, good: bool, level: float | None) -> None:
         self._write(place, 200 if good else 503, level=level)
--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -3,6 +3,8 @@
 
 import asyncio
 import logging
+import math
+import resource
 import signal
 import time
 from collections import Counter
@@ -19,7 +21,7 @@
 
 LOG = logging.getLogger(__name__)
 DESCRIPTORS_KEPT = 16       # of the limit, for all that is no client connection
-LISTEN_TRIES, LISTEN_RETRY = 50, 0.1    # a predecessor killed a moment ago may still hold the address
+LISTEN_TRIES, LISTEN_RETRY = 20, 0.1    # a predecessor killed a moment ago may still hold the address
 OUTLIVE_STOP = 0.5          # seconds: whoever stops us does it at the time told; to end first would lose ops
 REPORT_EVERY = reports.LISTED_FOR / 6
 SWEEP_EVERY = 0.25
@@ -30,7 +32,8 @@
         self.placement = placement
         self.counts: Counter[str] = Counter()
         self.reducer = Reducer(placement.deployment, placement.op_types, placement.tenants, placement.seed)
-        most = max(1, placement.descriptors - min(DESCRIPTORS_KEPT, placement.descriptors // 2))
+        descriptors = min(placement.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        most = max(1, descriptors - min(DESCRIPTORS_KEPT, descriptors // 2))
         self.front = front = HttpFront(most, self.take, self.count, self.counters)
         self.interpreter = interpreter = Interpreter(*placement.interpreter, self.take, self.count)
         self.directory = Datagrams(*placement.directory) if placement.directory else None
@@ -52,7 +55,7 @@
         """The one way in: what happened goes to the reducer, and its errands are run. An op gone wrong must
         not take those of other callers with it, so what was asked for before an error is still done."""
         try:
-            self.reducer.reduce(time.time(), happening, *told)
+            self.reducer.reduce(time.monotonic(), happening, *told)
         except Exception:
             self._error_inside(happening)
         for errand, *fields in self.reducer.errands:
@@ -68,7 +71,13 @@
     # Errands that are neither the front's nor the interpreter's.
 
     def _alarm(self, seconds: float, token: int) -> None:
-        asyncio.get_running_loop().call_later(seconds, self.take, Happening.ALARM, token)
+        due = time.monotonic() + seconds
+        asyncio.get_running_loop().call_later(seconds, self._alarm_goes_off, token, due)
+
+    def _alarm_goes_off(self, token: int, due: float) -> None:
+        late = 1000.0 * (time.monotonic() - due)
+        self.counts["alarm_late_ms_most"] = max(self.counts["alarm_late_ms_most"], math.ceil(late))
+        self.take(Happening.ALARM, token)
 
     def _listing(self, is_open: bool) -> None:
         self.listed_open = is_open
@@ -110,7 +119,7 @@
             try:
                 return self.front.connections.listen(*self.placement.listen)
             except OSError as error:
-                LOG.warning("can't listen yet", extra={"fields": {"error": error}})
+                LOG.info("can't listen yet", extra={"fields": {"error": error}})
                 await asyncio.sleep(LISTEN_RETRY)
         return self.front.connections.listen(*self.placement.listen)
 
--- a/mulleinhatch/program/placement.py
+++ b/mulleinhatch/program/placement.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+import logging
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -9,6 +10,7 @@
 from mulleinhatch.interface import Deployment
 from mulleinhatch.start import deployment, pairs_of_tree
 
+LOG = logging.getLogger(__name__)
 Address = tuple[str, int]
 
 
@@ -81,8 +83,12 @@
         raise Misplaced(f"NODE_CONFIG: {path} can't be read: {error}") from None
     if not isinstance(told, dict):
         raise Misplaced("NODE_CONFIG: an object is wanted")
-    return placed({**told, **{key: environ["NODE_" + key.upper()]
-                              for key in ("name", "listen") if environ.get("NODE_" + key.upper())}})
+    for key in ("name", "listen"):
+        text = environ.get("NODE_" + key.upper())
+        if text and text != told.setdefault(key, text):
+            LOG.warning("NODE_%s goes before the file", key.upper(), extra={"fields": {key: told[key]}})
+            told[key] = text
+    return placed(told)
 
 
 def placed(told: dict[str, Any]) -> Placement:
--- a/mulleinhatch/protocol/link.py
+++ b/mulleinhatch/protocol/link.py
@@ -27,12 +27,11 @@
 
 
 def notice(line: bytes) -> dict:
-    """A notice as it came; one that can't be read is an empty one."""
-    try:
-        told = json.loads(line)
-    except ValueError:
-        return {}
-    return told if isinstance(told, dict) else {}
+    """A notice as it came; ValueError for a line that is none."""
+    told = json.loads(line)
+    if not isinstance(told, dict):
+        raise ValueError("no object")
+    return told
 
 
 def result(told: dict) -> bytes:
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -37,7 +37,7 @@
     ACK = "ack"                  # place, result, level
     NACK = "nack"                # place, seconds to stay away, not elsewhere either, level
     FAIL = "fail"                # place, level
-    UNKNOWN = "unknown"          # place: an op type that the deployment has not
+    UNKNOWN = "unknown"          # place, what: an op type or a tenant that the deployment has not
     HEALTH = "health"            # place, good, level: the answer to a check
     ABANDON = "abandon"          # place: its answer goes elsewhere
     LISTING = "listing"          # open: what the directory is to be told
@@ -106,7 +106,9 @@
                  caller: int, work: float, kb: float, again: bool, key: str, body: bytes) -> None:
         self.counts["ops_read"] += 1
         if op_type not in self.op_types:
-            self.errands.append((Errand.UNKNOWN, place))
+            self.errands.append((Errand.UNKNOWN, place, "op type"))
+        elif self.tenants and tenant not in self.tenants:
+            self.errands.append((Errand.UNKNOWN, place, "tenant"))
         elif ref in self.owed:
             self._sent_again(place, ref)
         elif self.hatch is None:
@@ -116,7 +118,7 @@
             self.owed[ref] = Owed(ref, place, op_type, key, body, repeats)
             self.places[place] = ref
             self.hatch.op_read(now, ref, self.op_types[op_type], age, wait,
-                               self.tenants.get(tenant, len(self.tenants)), repeats, caller, work, kb, again)
+                               self.tenants.get(tenant, 0), repeats, caller, work, kb, again)
 
     def _sent_again(self, place: int, ref: str) -> None:
         """The same try on another connection, as it crossed the close of its first: it moves there."""
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -92,6 +92,7 @@
                 self.on_message(connection.number, *message)
                 await connection.settled.wait()
         except ValueError as error:
+            connection.owing = True
             self.on_broken(connection.number, error)
         except StreamClosedError:
             pass
@@ -111,7 +112,7 @@
         connection = self.open.get(number)
         if connection is None:
             return False
-        must_hold(connection.owing or last, "an answer is written where one is owed")
+        must_hold(connection.owing, "an answer is written where one is owed")
         connection.owing, connection.quiet_since = False, self.clock()
         try:
             connection.stream.write_gathered(pieces)
--- a/mulleinhatch/transport/link.py
+++ b/mulleinhatch/transport/link.py
@@ -11,7 +11,7 @@
 from mulleinhatch.transport.stream import GatheringStream
 
 LOG = logging.getLogger(__name__)
-RETRY = 0.05            # seconds between tries to connect
+FIRST_RETRY, LAST_RETRY = 0.02, 0.5     # seconds between tries to connect, doubled in between
 LONGEST_LINE = 65536
 
 
@@ -20,6 +20,7 @@
                  count: Callable[[str], None]) -> None:
         self.host, self.port, self.on_open, self.on_line, self.count = host, port, on_open, on_line, count
         self.stream: GatheringStream | None = None
+        self.retry = FIRST_RETRY
 
     async def keep(self) -> None:
         while True:
@@ -32,7 +33,8 @@
                     self.stream.close()
                     self.stream = None
                     self.count("link_ended")
-            await asyncio.sleep(RETRY)
+            await asyncio.sleep(self.retry)
+            self.retry = min(LAST_RETRY, 2.0 * self.retry)
 
     async def _once(self) -> None:
         stream = GatheringStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
@@ -46,6 +48,11 @@
         self.on_open()
         while True:
             self.on_line(await stream.read_until(b"\n", max_bytes=LONGEST_LINE))
+            self.retry = FIRST_RETRY
+
+    def renew(self) -> None:
+        if self.stream is not None:
+            self.stream.close()
 
     def send(self, pieces: Sequence[bytes]) -> None:
         """What finds no link is lost; who sends learns of each new one by `on_open`."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -107,7 +107,7 @@
 
     async def play(self, path: Path) -> None:
         try:
-            for number, text in enumerate(path.read_text().replace("%junk%", 20000 * "x").splitlines(), 1):
+            for number, text in enumerate(path.read_text().splitlines(), 1):
                 if text.strip() and not text.startswith("#"):
                     try:
                         await asyncio.wait_for(self.line(*text.split()), SOON)
@@ -229,7 +229,8 @@
         await self.write(who, b"GET /status/live HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
 
     async def caller_writes(self, who: str, *words: str) -> None:
-        await self.write(who, " ".join(words).encode().decode("unicode_escape").encode())
+        text = " ".join(words).replace("%now%", f"{time.time() * 1000:.0f}").replace("%junk%", 9000 * "x")
+        await self.write(who, text.encode().decode("unicode_escape").encode())
 
     async def write(self, who: str, data: bytes, last: bool = False) -> None:
         if who not in self.callers:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,8 +5,10 @@
 """
 from __future__ import annotations
 
+import argparse
 import asyncio
 import json
+import socket
 import struct
 import subprocess
 import sys
@@ -17,7 +19,8 @@
 
 from mulleinhatch.decide import Hatch
 from mulleinhatch.interface import Advice, Decision, Effect, StopMode, Verb
-from standins import SocketPlay, told_at_start
+from mulleinhatch.protocol.http import RequestReader
+from standins import Interpreter, SocketPlay, told_at_start
 
 ROOT = Path(__file__).parent
 KINDS = {kind.value: kind for family in (Effect, Advice, StopMode) for kind in family}
@@ -144,6 +147,62 @@
     asyncio.run(SocketPlay().play(path))
 
 
+def test_a_request_cut_at_every_byte() -> None:
+    text = (b"POST /svc/read HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: 3\r\n\r\n\r\n!"
+            b"GET /x HTTP/1.1\r\n\r\n")
+    for cut in range(len(text) + 1):
+        reader, found = RequestReader(), []
+        for piece in (text[:cut], text[cut:]):
+            reader.room()[:len(piece)] = piece
+            reader.filled(len(piece))
+            while message := reader.message():
+                found.append((message[1], message[3]))
+        assert found == [(b"/svc/read", b"\r\n!"), (b"/x", b"")], cut
+
+
+async def from_start_to_stop(told: dict, path: Path) -> tuple[int, str]:
+    """A real process on loopback: it serves an op, hears SIGTERM, and ends by itself."""
+    interpreter = Interpreter()
+    interpreter.up = {"t": "BANNER", "status": "new", "time_ms": 0.0}
+    server = await asyncio.start_server(interpreter.serve, "127.0.0.1", 0)
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    told = {**told, "vm": "127.0.0.1:%d" % server.sockets[0].getsockname()[1], "lookup": "127.0.0.1:9",
+            "listen": f"127.0.0.1:{port}", "stop_ms": 300}
+    path.write_text(json.dumps(told))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-O", "-m", "mulleinhatch", "serve", "--config", path, cwd=ROOT.parent,
+        stderr=asyncio.subprocess.PIPE)
+    assert (await interpreter.heard.get())["t"] == "CONNECT"
+    play = SocketPlay()
+    play.instance = argparse.Namespace(port=port)
+    await play.caller_sends("a", "r1", "sign")
+    interpreter.ended((await interpreter.heard.get())["rid"], "good", "out")
+    await play.caller_hears("a", "200", "out")
+    process.terminate()
+    log = (await process.communicate())[1].decode()
+    server.close()
+    return process.returncode, log
+
+
+def test_from_start_to_stop(tmp_path: Path) -> None:
+    life = from_start_to_stop(told_at_start(), tmp_path / "told.json")
+    status, log = asyncio.run(asyncio.wait_for(life, 20))
+    assert status == 0 and "Traceback" not in log, log
+    assert "event=stopped" in log and "answers_200=1" in log.splitlines()[-1], log
+
+
+def test_an_address_in_use_ends_with_one_line(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as holder:
+        told = {**told_at_start(), "vm": "127.0.0.1:1", "lookup": "127.0.0.1:2",
+                "listen": "127.0.0.1:%d" % holder.getsockname()[1]}
+        (tmp_path / "told.json").write_text(json.dumps(told))
+        done = subprocess.run(
+            [sys.executable, "-m", "mulleinhatch", "serve", "--log", "error", "--config", tmp_path / "told.json"],
+            capture_output=True, text=True, cwd=ROOT.parent, timeout=60)
+    assert done.returncode == 1 and done.stderr.count("\n") == 1 and "127.0.0.1" in done.stderr, done.stderr
+
+
 @pytest.mark.parametrize("path, value, complaint", [
     ("vm", "nowhere", "vm:"), ("stop_ms", "soon", "stop_ms:"), ("limits.sockets", 3, "limits.sockets:"),
     ("settings.classes", ["read"], "settings.classes:"), ("settings.tick", "x", "settings.tick:")])
