A cut run is an error to the module; another interpreter is told by proof, not by age

Seen on rereading: a banner whose age did not advance would have failed all running ops after a lost link, and a run that ended cut would have been taken for paused and asked for again.

--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -49,8 +49,8 @@
         return self.end > 0
 
     def message(self) -> tuple[bytes, bytes, dict[bytes, bytes], bytes] | None:
-        """Method, path, fields by lower-case name, body; None until the rest has come. A BadRequest leaves the
-        connection without a known place to read on from."""
+        """Method, path, fields by lower-case name, body; None until the rest has come. After a BadRequest
+        it is not known where the next request begins."""
         while self.end >= len(LINE_END) and self.view[:len(LINE_END)] == LINE_END:
             self._shift(len(LINE_END))    # some senders end the request before with one line too many
         head_end = self.buffer.find(HEAD_END, max(0, self.searched - len(HEAD_END)), self.end)
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -17,9 +17,6 @@
 from mulleinhatch.routing.tables import Keys, Owed
 
 
-RESTART_SEEN = 1.0      # seconds by which an interpreter is younger than before: it is another one
-
-
 class Happening(Enum):
     INTERPRETER_UP = "interpreter up"    # is cold, seconds since
     LINK_OPENED = "link opened"
@@ -65,7 +62,7 @@
         self.last_notice = self.marks = 0
         self.unconfirmed: dict[str, int] = {}    # runs asked for, each after so many gauge marks
         self.resync: float = 0
-        self.up_since = 0.0
+        self.heard_at = math.inf    # when the interpreter last said something about runs or gauges
         self.stop_at: float | None = None
         self.counts: Counter[str] = Counter()
         self.errands: list[tuple] = []
@@ -90,10 +87,10 @@
             self.hatch = Hatch({**self.deployment, "fresh_start": cold}, self.seed, now - since)
             if self.stop_at is not None:
                 self.hatch.leave_notice(now, self.stop_at - now)
-        elif now - since > self.up_since + RESTART_SEEN:
+        elif now - since > self.heard_at:
+            self.last_notice = 0    # began after the last word of the one before: it is another interpreter
             for owed in [owed for owed in self.owed.values() if owed.running]:
-                self._end_run(now, owed.ref, Ending.ERROR, b"")    # it went with the interpreter that ran it
-        self.up_since = now - since
+                self._end_run(now, owed.ref, Ending.ERROR, b"")
         self.errands.append((Errand.LISTING, self.healthy))
         self._ask_gauges()
         self.resync = self.marks
@@ -135,7 +132,7 @@
         if number <= self.last_notice:
             self.counts["notices_repeated"] += 1
             return
-        self.last_notice = number
+        self.last_notice, self.heard_at = number, now
         self._end_run(now, ref, ending, result)
 
     def _run_unknown(self, now: float, ref: str) -> None:
@@ -149,6 +146,8 @@
             self.counts["endings_unexpected"] += 1
             return
         owed.running = False
+        if ending is Ending.STOPPED and owed.place is not None:
+            ending = Ending.ERROR    # nobody here stopped it, and the module would take it for paused
         self.counts["run_" + ending.name.lower()] += 1
         self.hatch.run_ended(now, ref, ending)
         if ending is Ending.OK:
@@ -161,7 +160,7 @@
     def _gauges(self, now: float, mark: int, readings: Sequence[float]) -> None:
         """A run that was asked for before gauges that have come is with the interpreter, unless a link was
         lost between: behind the mark set then, it never arrived."""
-        self.readings = readings
+        self.readings, self.heard_at = readings, now
         before = [ref for ref, asked in self.unconfirmed.items() if asked < mark]
         if mark < self.resync:
             return
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -102,7 +102,8 @@
         elif what == "leave":
             hatch.leave_notice(self.now, get("within", 5.0))
         else:
-            hatch.woken(self.now, hatch.alarms, [get(name, 1.0) for name in self.deployment.get("gauges", [])])
+            gauges = self.deployment.get("gauges", [])
+            hatch.woken(self.now, hatch.alarms, [get(name, 1.0) for name in gauges])
 
 
 @pytest.mark.parametrize("path", sorted((ROOT / "scenarios").glob("*.txt")), ids=lambda path: path.stem)
@@ -160,6 +161,12 @@
         assert found == [(b"/svc/read", b"\r\n!"), (b"/x", b"")], cut
 
 
+def command(folder: Path, told: dict, *words: str) -> subprocess.CompletedProcess:
+    (folder / "told.json").write_text(json.dumps(told))
+    return subprocess.run([sys.executable, "-m", "mulleinhatch", *words, "--config", folder / "told.json"],
+                          capture_output=True, text=True, cwd=ROOT.parent, timeout=60)
+
+
 async def from_start_to_stop(told: dict, path: Path) -> tuple[int, str]:
     """A real process on loopback: it serves an op, hears SIGTERM, and ends by itself."""
     interpreter = Interpreter()
@@ -196,10 +203,7 @@
     with socket.create_server(("127.0.0.1", 0)) as holder:
         told = {**told_at_start(), "vm": "127.0.0.1:1", "lookup": "127.0.0.1:2",
                 "listen": "127.0.0.1:%d" % holder.getsockname()[1]}
-        (tmp_path / "told.json").write_text(json.dumps(told))
-        done = subprocess.run(
-            [sys.executable, "-m", "mulleinhatch", "serve", "--log", "error", "--config", tmp_path / "told.json"],
-            capture_output=True, text=True, cwd=ROOT.parent, timeout=60)
+        done = command(tmp_path, told, "serve", "--log", "error")
     assert done.returncode == 1 and done.stderr.count("\n") == 1 and "127.0.0.1" in done.stderr, done.stderr
 
 
@@ -212,7 +216,5 @@
     for key in way:
         place = place[key]
     place[last] = value
-    (tmp_path / "told.json").write_text(json.dumps(told))
-    done = subprocess.run([sys.executable, "-m", "mulleinhatch", "check", "--config", tmp_path / "told.json"],
-                          capture_output=True, text=True, cwd=ROOT.parent, timeout=60)
+    done = command(tmp_path, told, "check")
     assert done.returncode == 2 and complaint in done.stderr and done.stderr.count("\n") == 1, done.stderr
