--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -47,6 +47,17 @@
 
 
 class Reducer:
+    """
+    >>> reducer = Reducer({"op_types": [{}], "cores": 1}, ["read"], [], seed=7)
+    >>> def happens(now, *told): return [(errand.value, *more) for errand, *more in reducer.reduce(now, *told)]
+    >>> happens(0.0, Happening.INTERPRETER_UP, False, 9.0)
+    [('listing', True), ('gauges', 1)]
+    >>> happens(0.0, Happening.OP_READ, 4, "r1", "read", "", 0.0, 2.0, 1, 0.1, 8.0, False, "", b"in")
+    [('run', 'r1', 'read', b'in'), ('gauges', 2), ('alarm', 0.1, 1)]
+    >>> happens(1.2, Happening.RUN_ENDED, 1, "r1", Ending.OK, b"out")
+    [('ack', 4, b'out', None)]
+    """
+
     def __init__(self, deployment: Deployment, op_types: Sequence[str], tenants: Sequence[str],
                  seed: int) -> None:
         self.deployment, self.seed = deployment, seed
