Reread: one coroutine closes after the last answer, the reducer alone knows notices and ends

The flush task beside each connection's coroutine is gone, as is the second count of the last notice; the end of a run and an answer from another's run share one piece. Dead branches out. One guard is new: a connection that was dropped while a request was being handed over is not read on; no scenario can place that moment.

--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -28,7 +28,7 @@
 from mulleinhatch import __version__
 from mulleinhatch.program.instance import Instance
 from mulleinhatch.program.logs import start_logging
-from mulleinhatch.program.placement import Misplaced, Placement, placement
+from mulleinhatch.program.placement import Misplaced, placement
 from mulleinhatch.protocol.http import COUNTERS_PATH
 
 
@@ -49,7 +49,7 @@
         print(f"{place.name}: {len(place.op_types)} op types, {len(place.tenants)} tenants")
         return 0
     try:
-        asyncio.run(run(place))
+        asyncio.run(Instance(place).serve())
     except OSError as error:
         print(f"mulleinhatch: {':'.join(map(str, place.listen))}: {error}", file=sys.stderr)
         return 1
@@ -66,9 +66,5 @@
     return 0
 
 
-async def run(place: Placement) -> None:
-    await Instance(place).serve()
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -39,12 +39,13 @@
         self.directory = Datagrams(*placement.directory) if placement.directory else None
         self.port = 0
         self.listed_open: bool | None = None    # not reported until the interpreter is up
-        self.idle_kept = float("inf")
+        self.idle_kept = math.inf
         self.stopped = asyncio.Event()
         self.errands: dict[Errand, Callable[..., None]] = {
             Errand.ACK: front.ack, Errand.NACK: front.nack, Errand.FAIL: front.fail,
             Errand.UNKNOWN: front.unknown, Errand.HEALTH: front.health, Errand.ABANDON: front.abandon,
-            Errand.GREET: interpreter.greet, Errand.RUN: interpreter.run, Errand.GAUGES: interpreter.gauges,
+            Errand.GREET: interpreter.greet, Errand.RENEW: interpreter.renew, Errand.RUN: interpreter.run,
+            Errand.GAUGES: interpreter.gauges,
             Errand.ALARM: self._alarm, Errand.LISTING: self._listing, Errand.TRIM: self._trim,
             Errand.LEAVE: self._leave}
 
@@ -131,13 +132,10 @@
 
     def _sweep(self) -> None:
         self.front.connections.drop_reset()
-        if self.idle_kept < float("inf"):
-            self.front.connections.close_idle(self.idle_kept)
+        self.front.connections.close_idle(self.idle_kept)
 
     def leave(self) -> None:
-        """The notice to leave; the first one counts."""
-        if not self.front.leaving:
-            self.take(Happening.LEAVE, self.placement.stop_after)
+        self.take(Happening.LEAVE, self.placement.stop_after)
 
     def log_counters(self, event: str) -> None:
         LOG.info(event, extra={"fields": self.counted()})
--- a/mulleinhatch/program/interpreter.py
+++ b/mulleinhatch/program/interpreter.py
@@ -16,7 +16,6 @@
     def __init__(self, host: str, port: int, take: Callable[..., None], count: Callable[[str], None]) -> None:
         self.take, self.count = take, count
         self.complained: set[str] = set()
-        self.last_notice, self.renewed_at = 0, -1
         self.link = Link(host, port, on_open=lambda: take(Happening.LINK_OPENED), on_line=self.line,
                          count=count)
 
@@ -24,32 +23,24 @@
         try:
             told = link.notice(line)
         except ValueError:
-            self._distrust(line)
+            self._complain("lines_broken", {"line": line[:80]})
+            self.take(Happening.LINE_BROKEN)
             return
         try:
             self._notice(told)
         except (KeyError, TypeError, ValueError) as error:
-            self.complain("notices_broken", {"error": repr(error)})
+            self._complain("notices_broken", {"error": repr(error)})
 
-    def complain(self, what: str, fields: dict) -> None:
+    def _complain(self, what: str, fields: dict) -> None:
         """Counted each time and logged once: a fault of the other side must not fill the log."""
         self.count(what)
         if what not in self.complained:
             self.complained.add(what)
             LOG.warning(what.replace("_", " "), extra={"fields": fields})
 
-    def _distrust(self, line: bytes) -> None:
-        """Bytes that are no line of ours: where the next begins is open, so the link is made anew, and what
-        was missed comes again. What comes broken again is passed over, or nothing behind it would be read."""
-        self.complain("lines_broken", {"line": line[:80]})
-        if self.last_notice > self.renewed_at:
-            self.renewed_at = self.last_notice
-            self.link.renew()
-
     def _notice(self, told: dict) -> None:
         what, status = told.get("t"), told.get("status")
         if what == "VALUE":
-            self.last_notice = max(self.last_notice, int(told["no"]))
             self.take(Happening.RUN_ENDED, int(told["no"]), told["rid"],
                       link.ENDINGS.get(status, Ending.ERROR), link.result(told))
         elif what == "TOPS":
@@ -58,16 +49,18 @@
             LOG.info("interpreter up", extra={"fields": {"status": status, "ms": told["time_ms"]}})
             self.take(Happening.INTERPRETER_UP, status == "new", told["time_ms"] / 1000.0)
         elif what == "ERROR":
-            self.complain("interpreter_errors", {"command": status, "ref": told.get("rid")})
+            self._complain("interpreter_errors", {"command": status, "ref": told.get("rid")})
             if status == "APPLY":
                 self.take(Happening.RUN_UNKNOWN, told["rid"])
-        else:
-            if what != "TRACE":
-                self.complain("notices_unknown", {"t": what})
+        elif what != "TRACE":
+            self._complain("notices_unknown", {"t": what})
 
     def greet(self, last_notice: int) -> None:
         self.link.send(link.connect(last_notice))
 
+    def renew(self) -> None:
+        self.link.renew()
+
     def run(self, ref: str, op_type: str, body: bytes) -> None:
         self.link.send(link.apply(ref, op_type, body))
 
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -20,6 +20,7 @@
 class Happening(Enum):
     INTERPRETER_UP = "interpreter up"    # is cold, seconds since
     LINK_OPENED = "link opened"
+    LINE_BROKEN = "line broken"
     OP_READ = "op read"          # place, ref, op type, tenant, age, wait, caller, work, kb, again, key, body
     RUN_ENDED = "run ended"      # number of the notice, ref, ending, result
     RUN_UNKNOWN = "run unknown"  # ref
@@ -40,6 +41,7 @@
     LISTING = "listing"          # open: what the directory is to be told
     LEAVE = "leave"              # seconds until the stop
     GREET = "greet"              # number of the last notice
+    RENEW = "renew"              # the link
     RUN = "run"                  # ref, op type, body
     GAUGES = "gauges"            # mark
     ALARM = "alarm"              # seconds, token
@@ -49,7 +51,8 @@
 class Reducer:
     """
     >>> reducer = Reducer({"op_types": [{}], "cores": 1}, ["read"], [], seed=7)
-    >>> def happens(now, *told): return [(errand.value, *more) for errand, *more in reducer.reduce(now, *told)]
+    >>> def happens(now, *told):
+    ...     return [(errand.value, *more) for errand, *more in reducer.reduce(now, *told)]
     >>> happens(0.0, Happening.INTERPRETER_UP, False, 9.0)
     [('listing', True), ('gauges', 1)]
     >>> happens(0.0, Happening.OP_READ, 4, "r1", "read", "", 0.0, 2.0, 1, 0.1, 8.0, False, "", b"in")
@@ -71,6 +74,7 @@
         self.healthy, self.level = True, None
         self.readings: Sequence[float] = ()
         self.last_notice = self.marks = 0
+        self.renewed_at = -1    # the last notice when the link was made anew for a broken line
         self.unconfirmed: dict[str, int] = {}    # runs asked for, each after so many gauge marks
         self.resync: float = 0
         self.heard_at = math.inf    # when the interpreter last said something about runs or gauges
@@ -99,7 +103,8 @@
             if self.stop_at is not None:
                 self.hatch.leave_notice(now, self.stop_at - now)
         elif now - since > self.heard_at:
-            self.last_notice = 0    # began after the last word of the one before: it is another interpreter
+            # It began after the last word of the one before: it is another interpreter.
+            self.last_notice, self.renewed_at = 0, -1
             for owed in [owed for owed in self.owed.values() if owed.running]:
                 self._end_run(now, owed.ref, Ending.ERROR, b"")
         self.errands.append((Errand.LISTING, self.healthy))
@@ -110,6 +115,13 @@
         self.errands.append((Errand.GREET, self.last_notice))
         self.resync = math.inf
 
+    def _line_broken(self, now: float) -> None:
+        """Where the next line begins is open, so the link is made anew, and what was missed comes again. What
+        comes broken again is passed over, or nothing behind it would be read."""
+        if self.last_notice > self.renewed_at:
+            self.renewed_at = self.last_notice
+            self.errands.append((Errand.RENEW,))
+
     def _op_read(self, now: float, place: int, ref: str, op_type: str, tenant: str, age: float, wait: float,
                  caller: int, work: float, kb: float, again: bool, key: str, body: bytes) -> None:
         self.counts["ops_read"] += 1
@@ -160,10 +172,7 @@
         if ending is Ending.STOPPED and owed.place is not None:
             ending = Ending.ERROR    # nobody here stopped it, and the module would take it for paused
         self.counts["run_" + ending.name.lower()] += 1
-        self.hatch.run_ended(now, ref, ending)
-        if ending is Ending.OK:
-            self.keys.store(ref, result)
-        self._settle(owed, ending, result)
+        self._conclude(now, owed, ending, result)
         for follower in self.followers.pop(ref, ()):
             if follower in self.owed:
                 self._answer_from(now, self.owed[follower], ref)
@@ -201,6 +210,8 @@
         self._drop_if_done(owed)
 
     def _leave(self, now: float, grace: float) -> None:
+        if self.stop_at is not None:
+            return    # the first notice counts
         self.healthy, self.stop_at = False, now + grace
         self.errands.append((Errand.LEAVE, grace))
         if self.hatch:
@@ -272,16 +283,13 @@
         if result is None and leader in self.owed and self.owed[leader].running:
             self.followers.setdefault(leader, []).append(owed.ref)
             return
-        ending = Ending.ERROR if result is None else Ending.OK
+        self._conclude(now, owed, Ending.ERROR if result is None else Ending.OK, result or b"")
+
+    def _conclude(self, now: float, owed: Owed, ending: Ending, result: bytes) -> None:
+        """The end of a run, its own or that of the op it repeats, for the module, the keys and the caller."""
         self.hatch.run_ended(now, owed.ref, ending)
-        if result is not None:
+        if ending is Ending.OK:
             self.keys.store(owed.ref, result)
-        self._settle(owed, ending, result or b"")
-
-    def _settle(self, owed: Owed, ending: Ending, result: bytes) -> None:
-        if owed.place is None:
-            self._drop_if_done(owed)
-        elif ending is Ending.OK:
             self._answer(owed, Errand.ACK, result)
         else:
             self._answer(owed, Errand.FAIL)
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -31,6 +31,7 @@
     def __init__(self, number: int, stream: GatheringStream, reader: Reader, now: float) -> None:
         self.number, self.stream, self.reader, self.quiet_since = number, stream, reader, now
         self.owing = False       # a message was taken that has no answer yet
+        self.last = False        # the answer written is the last one here
         self.settled = asyncio.Event()
 
     def is_idle(self) -> bool:
@@ -79,21 +80,11 @@
         return True
 
     async def _converse(self, connection: Connection) -> None:
-        stream, reader = connection.stream, connection.reader
         try:
-            while True:
-                message = reader.message()
-                if message is None:
-                    reader.filled(await stream.read_into(reader.room(), partial=True))
-                    continue
-                connection.owing = True
-                connection.settled.clear()
-                stream.park()
-                self.on_message(connection.number, *message)
-                await connection.settled.wait()
-        except ValueError as error:
-            connection.owing = True
-            self.on_broken(connection.number, error)
+            # Dropped with a request just read: it crossed the close, and its caller sends it once more.
+            while not connection.last and connection.number in self.open:
+                await self._exchange(connection)
+            await connection.stream.write(b"")    # done when all before it has left
         except StreamClosedError:
             pass
         except Exception:
@@ -102,8 +93,26 @@
         finally:
             self._drop(connection)
 
+    async def _exchange(self, connection: Connection) -> None:
+        stream, reader = connection.stream, connection.reader
+        try:
+            message = reader.message()
+        except ValueError as error:
+            connection.owing = True
+            self.on_broken(connection.number, error)
+            return
+        if message is None:
+            reader.filled(await stream.read_into(reader.room(), partial=True))
+            return
+        connection.owing = True
+        connection.settled.clear()
+        stream.park()
+        self.on_message(connection.number, *message)
+        await connection.settled.wait()
+
     def _drop(self, connection: Connection) -> None:
         connection.stream.close()
+        connection.settled.set()
         if self.open.pop(connection.number, None) and connection.owing:
             self.on_lost(connection.number)
 
@@ -113,42 +122,25 @@
         if connection is None:
             return False
         must_hold(connection.owing, "an answer is written where one is owed")
-        connection.owing, connection.quiet_since = False, self.clock()
+        connection.owing, connection.last, connection.quiet_since = False, last, self.clock()
         try:
             connection.stream.write_gathered(pieces)
         except StreamClosedError:
             return False
         finally:
             connection.settled.set()
-        if last:
-            self._close_written(connection)
         return True
 
     def abandon(self, number: int) -> None:
         """Closes a connection whose answer goes elsewhere."""
         if connection := self.open.get(number):
             connection.owing = False
-            connection.settled.set()
             self._drop(connection)
 
-    def _close_written(self, connection: Connection) -> None:
-        task = asyncio.ensure_future(self._flush_and_close(connection))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    @staticmethod
-    async def _flush_and_close(connection: Connection) -> None:
-        try:
-            await connection.stream.write(b"")
-        except StreamClosedError:
-            pass
-        connection.stream.close()
-
     def drop_reset(self) -> None:
         """Parked streams hear nothing of a reset: nobody waits there any more, and the op need not be run."""
         for connection in list(self.open.values()):
             if connection.owing and not connection.stream.closed() and connection.stream.was_reset():
-                connection.settled.set()
                 self._drop(connection)
 
     def close_idle(self, longest: float) -> None:
@@ -157,4 +149,4 @@
         for connection in list(self.open.values()):
             if connection.is_idle() and connection.quiet_since < before:
                 self.count("connections_trimmed")
-                connection.stream.close()
+                self._drop(connection)
--- a/mulleinhatch/transport/link.py
+++ b/mulleinhatch/transport/link.py
@@ -26,7 +26,7 @@
         while True:
             try:
                 await self._once()
-            except (OSError, StreamClosedError, UnsatisfiableReadError) as error:
+            except (OSError, UnsatisfiableReadError) as error:    # a closed stream is an OSError
                 LOG.debug("link ended", extra={"fields": {"error": error}})
             finally:
                 if self.stream is not None:
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -7,15 +7,13 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-
 RESET = 7               # the state of a TCP socket whose peer reset it, first byte of TCP_INFO
 
 
 class GatheringStream(IOStream):
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock)
-        if sock.family != socket.AF_UNIX:
-            self.set_nodelay(True)
+        self.set_nodelay(True)
 
     def park(self) -> None:
         """Until the next read the loop does not watch the socket: an end of the peer's side, which IOStream
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,7 +21,8 @@
 
 def told_at_start() -> dict:
     op_type = {"aim": 1000.0, "deadline": 2000.0, "late_worth": 0.0, "memory_span": 5000.0}
-    return {"name": "n1", "listen": "127.0.0.1:0", "vm": "", "lookup": "", "seed": "8c1f30d27a5be964",
+    return {"name": "n1", "listen": "127.0.0.1:0", "vm": "127.0.0.1:1", "lookup": "127.0.0.1:2",
+            "seed": "8c1f30d27a5be964",
             "stop_ms": 1000, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "settings": {"classes": [{"name": "read", "effect": "safe", "worth": 1.0, **op_type},
                                      {"name": "sign", "effect": "unsafe", "worth": 5.0, **op_type},
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -174,8 +174,8 @@
     server = await asyncio.start_server(interpreter.serve, "127.0.0.1", 0)
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
-    told = {**told, "vm": "127.0.0.1:%d" % server.sockets[0].getsockname()[1], "lookup": "127.0.0.1:9",
-            "listen": f"127.0.0.1:{port}", "stop_ms": 300}
+    told = {**told, "vm": "127.0.0.1:%d" % server.sockets[0].getsockname()[1], "stop_ms": 300,
+            "listen": f"127.0.0.1:{port}"}
     path.write_text(json.dumps(told))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-O", "-m", "mulleinhatch", "serve", "--config", path, cwd=ROOT.parent,
@@ -201,8 +201,7 @@
 
 def test_an_address_in_use_ends_with_one_line(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as holder:
-        told = {**told_at_start(), "vm": "127.0.0.1:1", "lookup": "127.0.0.1:2",
-                "listen": "127.0.0.1:%d" % holder.getsockname()[1]}
+        told = {**told_at_start(), "listen": "127.0.0.1:%d" % holder.getsockname()[1]}
         done = command(tmp_path, told, "serve", "--log", "error")
     assert done.returncode == 1 and done.stderr.count("\n") == 1 and "127.0.0.1" in done.stderr, done.stderr
 
@@ -211,7 +210,7 @@
     ("vm", "nowhere", "vm:"), ("stop_ms", "soon", "stop_ms:"), ("limits.sockets", 3, "limits.sockets:"),
     ("settings.classes", ["read"], "settings.classes:"), ("settings.tick", "x", "settings.tick:")])
 def test_the_faulty_key_is_named(tmp_path: Path, path: str, value: object, complaint: str) -> None:
-    told = {**told_at_start(), "vm": "127.0.0.1:1", "lookup": "127.0.0.1:2"}
+    told = told_at_start()
     place, (*way, last) = told, path.split(".")
     for key in way:
         place = place[key]
