SIGHUP takes over addresses; slow, silent and bad senders are bounded, nothing unread is closed

Checked: Connections._make_room closed the connection longest without use, and under a flood of silent ones that was a kept connection whose next request lay unread in the socket; nothing ended a silent or trickling peer; an answer to one still sending was wiped out by the reset of the close. Ruled out: the reducer's own ends (no op without an answer there).

Changed: Instance.reload checks the file whole, then moves the link (the old one serves until the new one stands) and the reports. A new connection has 2 s for its first message, a message 2 s to come whole (408). Who makes room: answered, then silent, then idle ones, never one with unread bytes. Behind a last answer the peer is read to its end and thrown away. Bad requests are strict by cause (repeated fields, bare line ends, spaces before the colon, figures out of range, ids), slow their connection down, and an op that the interpreter does not know no longer counts as a failed run.

--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -12,13 +12,15 @@
   --log LEVEL    The least that is logged: debug, info, warning or error [default: info].
   -h --help      This text.
 
-serve keeps to the foreground until SIGTERM and the end of its grace; SIGUSR1 logs the counters.
+serve keeps to the foreground until SIGTERM and the end of its grace; SIGUSR1 logs the counters,
+SIGHUP has the file read again: addresses of the interpreter and the directory, stop_ms and limits are taken over.
 check reads what serve would be told and names the faulty key. counters asks a running instance for its own.
 """
 from __future__ import annotations
 
 import asyncio
 import os
+import signal
 import sys
 import urllib.request
 from importlib import metadata
@@ -37,6 +39,8 @@
     if told["version"]:
         print(f"mulleinhatch {__version__}, tornado {metadata.version('tornado')}")
         return 0
+    if told["serve"]:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until it can be heard: the file is not read yet
     start_logging(told["--log"])
     if told["counters"]:
         return show_counters(told["HOST:PORT"])
@@ -49,7 +53,7 @@
         print(f"{place.name}: {len(place.op_types)} op types, {len(place.tenants)} tenants")
         return 0
     try:
-        asyncio.run(Instance(place).serve())
+        asyncio.run(Instance(place, lambda: placement(os.environ, told["--config"])).serve())
     except OSError as error:
         print(f"mulleinhatch: {':'.join(map(str, place.listen))}: {error}", file=sys.stderr)
         return 1
--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -14,6 +14,7 @@
 from mulleinhatch.transport.connections import Connections
 
 LOG = logging.getLogger(__name__)
+UNFIT = {"tenant": 400, "id in use": 409}    # the status of what is no op for us, 404 for all else
 
 
 class HttpFront:
@@ -21,7 +22,7 @@
                  counters: Callable[[], str]) -> None:
         self.take, self.count, self.counters = take, count, counters
         self.connections = Connections(most, http.RequestReader, time.monotonic, on_message=self.request,
-                                       on_broken=self.broken, on_lost=self.lost, count=count)
+                                       on_broken=self.broken, on_late=self.late, on_lost=self.lost, count=count)
         self.closing: set[int] = set()      # places whose caller asked that the connection be closed
         self.leaving = False
 
@@ -32,7 +33,7 @@
         try:
             self._route(place, method, path.partition(b"?")[0], fields, body)
         except http.BadRequest as error:
-            self._write(place, self._blame(error))
+            self._write(place, self._blame(place, error))
 
     def _route(self, place: int, method: bytes, path: bytes, fields: dict[bytes, bytes], body: bytes) -> None:
         if path.startswith(http.OP_PATH):
@@ -46,16 +47,19 @@
         else:
             raise http.BadRequest("path", 404)
 
-    def _blame(self, error: http.BadRequest) -> int:
-        cause = "bad_" + error.cause.replace(" ", "_")
-        self.count(cause)
+    def _blame(self, place: int, error: http.BadRequest) -> int:
+        self.connections.blame(place)
+        self.count("bad_" + error.cause.replace(" ", "_"))
         LOG.debug("bad request", extra={"fields": {"cause": error.cause, "status": error.status}})
         return error.status
 
     def broken(self, place: int, error: http.BadRequest) -> None:
         """Where the next request would begin is not known: the connection ends with this answer."""
         self.closing.add(place)
-        self._write(place, self._blame(error))
+        self._write(place, self._blame(place, error))
+
+    def late(self, place: int) -> None:
+        self.broken(place, http.BadRequest("slow sender", 408))
 
     def lost(self, place: int) -> None:
         self.closing.discard(place)
@@ -71,8 +75,9 @@
     def fail(self, place: int, level: float | None) -> None:
         self._write(place, 500, level=level)
 
-    def unknown(self, place: int, what: str) -> None:
-        self._write(place, self._blame(http.BadRequest(what, 404 if what == "op type" else 400)))
+    def refuse(self, place: int, what: str) -> None:
+        """A request in good form that this deployment, or what else is open here, has no place for."""
+        self._write(place, self._blame(place, http.BadRequest(what, UNFIT.get(what, 404))))
 
     def health(self, place: int, good: bool, level: float | None) -> None:
         self._write(place, 200 if good else 503, level=level)
--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -14,7 +14,7 @@
 from mulleinhatch.holds import BROKEN
 from mulleinhatch.program.front import HttpFront
 from mulleinhatch.program.interpreter import Interpreter
-from mulleinhatch.program.placement import Placement
+from mulleinhatch.program.placement import Misplaced, Placement
 from mulleinhatch.protocol import reports
 from mulleinhatch.routing.reducer import Errand, Happening, Reducer
 from mulleinhatch.transport.datagrams import Datagrams
@@ -25,25 +25,30 @@
 OUTLIVE_STOP = 0.5          # seconds: whoever stops us does it at the time told; to end first would lose ops
 REPORT_EVERY = reports.LISTED_FOR / 6
 SWEEP_EVERY = 0.25
+TAKEN_OVER = ("interpreter", "directory", "stop_after", "descriptors")     # by a reload, of the placement
+
+
+def connections_held(placement: Placement) -> int:
+    descriptors = min(placement.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    return max(1, descriptors - min(DESCRIPTORS_KEPT, descriptors // 2))
 
 
 class Instance:
-    def __init__(self, placement: Placement) -> None:
-        self.placement = placement
+    def __init__(self, placement: Placement, placed_anew: Callable[[], Placement] | None = None) -> None:
+        self.placement, self.placed_anew = placement, placed_anew or (lambda: placement)
         self.counts: Counter[str] = Counter()
         self.reducer = Reducer(placement.deployment, placement.op_types, placement.tenants, placement.seed)
-        descriptors = min(placement.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        most = max(1, descriptors - min(DESCRIPTORS_KEPT, descriptors // 2))
-        self.front = front = HttpFront(most, self.take, self.count, self.counters)
+        self.front = front = HttpFront(connections_held(placement), self.take, self.count, self.counters)
         self.interpreter = interpreter = Interpreter(*placement.interpreter, self.take, self.count)
-        self.directory = Datagrams(*placement.directory) if placement.directory else None
+        self.datagrams = Datagrams()
         self.port = 0
         self.listed_open: bool | None = None    # not reported until the interpreter is up
-        self.idle_kept = math.inf
+        # Callers close their own before: what outlives that was left by one that asks no more.
+        self.idle_kept = placement.deployment.get("longest_idle") or math.inf
         self.stopped = asyncio.Event()
         self.errands: dict[Errand, Callable[..., None]] = {
             Errand.ACK: front.ack, Errand.NACK: front.nack, Errand.FAIL: front.fail,
-            Errand.UNKNOWN: front.unknown, Errand.HEALTH: front.health, Errand.ABANDON: front.abandon,
+            Errand.REFUSE: front.refuse, Errand.HEALTH: front.health, Errand.ABANDON: front.abandon,
             Errand.GREET: interpreter.greet, Errand.RENEW: interpreter.renew, Errand.RUN: interpreter.run,
             Errand.GAUGES: interpreter.gauges,
             Errand.ALARM: self._alarm, Errand.LISTING: self._listing, Errand.TRIM: self._trim,
@@ -94,19 +99,21 @@
         asyncio.get_running_loop().call_later(seconds + OUTLIVE_STOP, self.stopped.set)
 
     def _report(self) -> None:
-        if self.directory and self.listed_open is not None:
-            sent = self.directory.send(reports.report(self.placement.name, self.listed_open))
+        directory = self.placement.directory
+        if directory and self.listed_open is not None:
+            sent = self.datagrams.send(directory, reports.report(self.placement.name, self.listed_open))
             self.count("reports_sent" if sent else "reports_unsent")
 
     # Its life.
 
     async def serve(self) -> None:
         loop = asyncio.get_running_loop()
-        self.port = await self._listen()
-        LOG.info("listening", extra={"fields": {"name": self.placement.name, "port": self.port}})
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_signal_handler(signal.SIGTERM, self.leave)
         loop.add_signal_handler(signal.SIGINT, self.leave)
         loop.add_signal_handler(signal.SIGUSR1, self.log_counters, "counters")
+        self.port = await self._listen()
+        LOG.info("listening", extra={"fields": {"name": self.placement.name, "port": self.port}})
         tasks = [asyncio.ensure_future(work) for work in
                  (self.interpreter.link.keep(), self._every(REPORT_EVERY, self._report),
                   self._every(SWEEP_EVERY, self._sweep))]
@@ -131,12 +138,28 @@
             await asyncio.sleep(seconds)
 
     def _sweep(self) -> None:
-        self.front.connections.drop_reset()
-        self.front.connections.close_idle(self.idle_kept)
+        self.front.connections.sweep(self.idle_kept)
 
     def leave(self) -> None:
         self.take(Happening.LEAVE, self.placement.stop_after)
 
+    def reload(self) -> None:
+        """The file is checked whole before anything is touched; a faulty one leaves the old in force."""
+        try:
+            new = self.placed_anew()
+        except Misplaced as error:
+            self.count("reloads_refused")
+            LOG.error("reload refused", extra={"fields": {"error": error}})
+            return
+        left = [key for key in new._fields if key not in TAKEN_OVER
+                and getattr(new, key) != getattr(self.placement, key)]
+        self.count("reloads")
+        LOG.info("reloaded", extra={"fields": {"left_until_restart": ",".join(left)}})
+        self.placement = self.placement._replace(**{key: getattr(new, key) for key in TAKEN_OVER})
+        self.front.connections.most = connections_held(new)
+        self.interpreter.link.move(*new.interpreter)
+        self._report()
+
     def log_counters(self, event: str) -> None:
         LOG.info(event, extra={"fields": self.counted()})
 
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -2,13 +2,23 @@
 from __future__ import annotations
 
 import math
+import re
 
 MOST_HEAD, MOST_BODY = 8192, 2048       # bytes of a request
+SMALL_BUFFER = 2048     # until a message needs more: an idle connection must not cost as much as a busy one
 HEAD_END, LINE_END = b"\r\n\r\n", b"\r\n"
+HEAD_LINES = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n)*")
+BARE_END = re.compile(rb"(?<!\r)\n")
+NUMBER = re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?")
+OP_ID = re.compile(rb"[0-9A-Fa-f]{16}")
+LONGEST = 3600.0        # seconds of an age or a wait: what tells of more is no figure of ours
+LEAST_KB, MOST_KB = 1e-9, 2000.0     # memory that an op may book
+CLOCK_SLACK = 1.0       # seconds that an arrival may lie ahead of our clock
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           411: b"Length Required", 413: b"Content Too Large", 429: b"Too Many Requests",
-           431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
+           408: b"Request Timeout", 409: b"Conflict", 411: b"Length Required", 413: b"Content Too Large",
+           429: b"Too Many Requests", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
            503: b"Service Unavailable"}
+ONLY_ONCE = (b"content-length", b"transfer-encoding", b"connection", b"host", b"idempotency-key")
 OP_PATH, HEALTH_PATH, COUNTERS_PATH = b"/svc/", b"/status/live", b"/status/counters"
 
 
@@ -35,11 +45,20 @@
     """
 
     def __init__(self) -> None:
-        self.buffer = bytearray(MOST_HEAD + MOST_BODY)
-        self.view = memoryview(self.buffer)
+        self._hold(SMALL_BUFFER)
         self.end = self.searched = 0
 
+    def _hold(self, size: int) -> None:
+        self.buffer = bytearray(size)
+        self.view = memoryview(self.buffer)
+
     def room(self) -> memoryview:
+        if self.end == len(self.buffer):
+            begun = self.buffer
+            self._hold(MOST_HEAD + MOST_BODY)
+            self.buffer[:self.end] = begun
+        elif not self.end and len(self.buffer) > SMALL_BUFFER:
+            self._hold(SMALL_BUFFER)
         return self.view[self.end:]
 
     def filled(self, count: int) -> None:
@@ -55,15 +74,12 @@
             self._shift(len(LINE_END))    # some senders end the request before with one line too many
         head_end = self.buffer.find(HEAD_END, max(0, self.searched - len(HEAD_END)), self.end)
         if head_end < 0:
-            self.searched = self.end
-            if self.end > MOST_HEAD:
-                raise BadRequest("head too long", 431)
-            return None
+            return self._no_head_yet()
         line_end = self.buffer.find(LINE_END, 0, head_end + len(LINE_END))
         words = bytes(self.view[:line_end]).split(b" ")
-        if len(words) != 3 or not words[2].startswith(b"HTTP/1."):
+        if len(words) != 3 or words[2] not in (b"HTTP/1.1", b"HTTP/1.0") or b"\n" in words[1]:
             raise BadRequest("request line")
-        fields = self._fields(line_end + len(LINE_END), head_end)
+        fields = self._fields(line_end + len(LINE_END), head_end + len(LINE_END))
         if words[2] == b"HTTP/1.0":
             fields.setdefault(b"connection", b"close")
         body_start = head_end + len(HEAD_END)
@@ -75,26 +91,31 @@
         self._shift(body_end)
         return words[0], words[1], fields, body
 
+    def _no_head_yet(self) -> None:
+        if BARE_END.search(self.buffer, max(0, self.searched - 1), self.end):
+            raise BadRequest("line end")    # others take it for an end: who waits for ours would hear nothing
+        if self.end > MOST_HEAD:
+            raise BadRequest("head too long", 431)
+        self.searched = self.end
+
     def _fields(self, start: int, end: int) -> dict[bytes, bytes]:
+        """Of what we read no field may come twice: which one counts would be anybody's guess."""
+        if not HEAD_LINES.fullmatch(self.buffer, start, end):
+            raise BadRequest("header line")
         fields: dict[bytes, bytes] = {}
-        while start < end:
-            line_end = self.buffer.find(LINE_END, start, end)
-            line_end = end if line_end < 0 else line_end
-            colon = self.buffer.find(b":", start, line_end)
-            if colon <= start:
-                raise BadRequest("header line")
-            name = bytes(self.view[start:colon]).lower()
-            text = bytes(self.view[colon + 1:line_end]).strip(b" \t")
-            if name == b"content-length" and fields.setdefault(name, text) != text:
-                raise BadRequest("conflicting lengths")
-            fields[name] = text
-            start = line_end + len(LINE_END)
+        for line in bytes(self.view[start:end]).split(LINE_END)[:-1]:
+            name, _, text = line.partition(b":")
+            name = name.lower()
+            if name in fields and (name.startswith(b"x-") or name in ONLY_ONCE):
+                raise BadRequest("repeated field")
+            fields[name] = text.strip(b" \t")
         return fields
 
     @staticmethod
     def _length(fields: dict[bytes, bytes]) -> int:
         if b"transfer-encoding" in fields:
-            raise BadRequest("transfer coding", 411)
+            # With a length beside it another request may hide in the body: neither is believed.
+            raise BadRequest("transfer coding", 400 if b"content-length" in fields else 411)
         length = fields.get(b"content-length", b"0")
         if not length.isdigit():
             raise BadRequest("content length")
@@ -110,32 +131,41 @@
         self.end, self.searched = rest, 0
 
 
-def number(fields: dict[bytes, bytes], name: bytes, absent: float | None = 0.0) -> float:
-    """A figure of 0 or more; one that must be there has no `absent`."""
-    if name not in fields and absent is not None:
+def number(fields: dict[bytes, bytes], name: bytes, least: float = 0.0, below: float = math.inf,
+           absent: float | None = 0.0, unit: float = 1.0) -> float:
+    """A plain decimal figure in its range; one that must be there has no `absent`.
+
+    >>> number({b"x-rank": b"0.5"}, b"x-rank", below=1.0), number({}, b"x-rank")
+    (0.5, 0.0)
+    >>> number({b"x-rank": b"1e-1"}, b"x-rank")
+    Traceback (most recent call last):
+    mulleinhatch.protocol.http.BadRequest: x-rank
+    """
+    text = fields.get(name)
+    if text is None and absent is not None:
         return absent
-    try:
-        value = float(fields.get(name, b""))
-    except ValueError:
-        value = math.nan
-    if not 0.0 <= value < math.inf:
+    if text is None or not NUMBER.fullmatch(text) or not least <= float(text) * unit < below:
         raise BadRequest(name.decode("latin-1"))
-    return value
+    return float(text) * unit
 
 
 def op_told(path: bytes, fields: dict[bytes, bytes], now: float) -> tuple:
     """What the reducer is told of an op: id, op type, tenant, age, wait, caller, work, kb, again, key."""
-    ref = fields.get(b"x-request-id", b"").decode("latin-1")
-    if not ref:
+    ref = fields.get(b"x-request-id", b"")
+    if not OP_ID.fullmatch(ref):
         raise BadRequest("x-request-id")
-    arrived = number(fields, b"x-request-start", absent=None) / 1000.0
-    patience = number(fields, b"x-timeout-ms") / 1000.0
+    if fields.get(b"x-retry", b"1") != b"1":
+        raise BadRequest("x-retry")
+    arrived = number(fields, b"x-request-start", now - LONGEST, now + CLOCK_SLACK, absent=None, unit=0.001)
+    patience = number(fields, b"x-timeout-ms", below=LONGEST, unit=0.001)
+    number(fields, b"x-rank", below=1.0)    # not read here, but out of range it marks a broken sender
     key = fields.get(b"idempotency-key") or fields.get(b"x-object", b"")
-    return (ref, path.rpartition(b"/")[2].decode("latin-1"),
+    return (ref.decode(), path.rpartition(b"/")[2].decode("latin-1"),
             fields.get(b"x-tenant", b"").decode("latin-1"), max(0.0, now - arrived),
-            max(0.001, arrived + patience - now) if patience > 0.0 else 0.0, int(number(fields, b"x-caller")),
-            number(fields, b"x-cost-ms") / 1000.0, number(fields, b"x-memory-kb", absent=None),
-            fields.get(b"x-retry") == b"1", key.decode("latin-1"))
+            max(0.001, arrived + patience - now) if patience > 0.0 else 0.0,
+            int(number(fields, b"x-caller")), number(fields, b"x-cost-ms", below=LONGEST, unit=0.001),
+            number(fields, b"x-memory-kb", least=LEAST_KB, below=MOST_KB, absent=None), b"x-retry" in fields,
+            key.decode("latin-1"))
 
 
 def answer(status: int, body: bytes = b"", level: float | None = None, hold_off: float = 0.0,
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -35,7 +35,7 @@
     ACK = "ack"                  # place, result, level
     NACK = "nack"                # place, seconds to stay away, not elsewhere either, level
     FAIL = "fail"                # place, level
-    UNKNOWN = "unknown"          # place, what: an op type or a tenant that the deployment has not
+    REFUSE = "refuse"            # place, what makes it no op for us
     HEALTH = "health"            # place, good, level: the answer to a check
     ABANDON = "abandon"          # place: its answer goes elsewhere
     LISTING = "listing"          # open: what the directory is to be told
@@ -126,25 +126,28 @@
                  caller: int, work: float, kb: float, again: bool, key: str, body: bytes) -> None:
         self.counts["ops_read"] += 1
         if op_type not in self.op_types:
-            self.errands.append((Errand.UNKNOWN, place, "op type"))
+            self.errands.append((Errand.REFUSE, place, "op type"))
         elif self.tenants and tenant not in self.tenants:
-            self.errands.append((Errand.UNKNOWN, place, "tenant"))
+            self.errands.append((Errand.REFUSE, place, "tenant"))
         elif ref in self.owed:
-            self._sent_again(place, ref)
+            self._sent_again(place, ref, op_type, tenant, body)
         elif self.hatch is None:
             self.errands.append((Errand.NACK, place, 0.0, False, self.level))
         else:
             repeats = self.keys.standing(op_type, key, now)
-            self.owed[ref] = Owed(ref, place, op_type, key, body, repeats)
+            self.owed[ref] = Owed(ref, place, op_type, tenant, key, body, repeats)
             self.places[place] = ref
             self.hatch.op_read(now, ref, self.op_types[op_type], age, wait,
                                self.tenants.get(tenant, 0), repeats, caller, work, kb, again)
 
-    def _sent_again(self, place: int, ref: str) -> None:
-        """The same try on another connection, as it crossed the close of its first: it moves there."""
+    def _sent_again(self, place: int, ref: str, *same: object) -> None:
+        """The same try on another connection, as it crossed the close of its first: it moves there. Anything
+        else under the id of an open op is a stranger's, who must not get its answer nor end its wait."""
         owed = self.owed[ref]
         self.counts["ops_sent_again"] += 1
-        if owed.place is None:
+        if same != owed.same:
+            self.errands.append((Errand.REFUSE, place, "id in use"))
+        elif owed.place is None:
             self.errands.append((Errand.FAIL, place, self.level))
         else:
             self.places.pop(owed.place, None)
@@ -159,8 +162,14 @@
         self._end_run(now, ref, ending, result)
 
     def _run_unknown(self, now: float, ref: str) -> None:
+        """No op that came to the machine: its sender is refused, and nothing that ran is measured by it."""
         self.counts["runs_unknown"] += 1
-        self._end_run(now, ref, Ending.ERROR, b"")
+        if owed := self.owed.get(ref):
+            if owed.place is not None:
+                self.places.pop(owed.place, None)
+                self.errands.append((Errand.REFUSE, owed.place, "op id"))
+                owed.place = None
+            self._end_run(now, ref, Ending.MOOT, b"")
 
     def _end_run(self, now: float, ref: str, ending: Ending, result: bytes) -> None:
         owed = self.owed.get(ref)
--- a/mulleinhatch/routing/tables.py
+++ b/mulleinhatch/routing/tables.py
@@ -7,13 +7,20 @@
 class Owed:
     """An op between its reading and the last that is expected of it: its answer, and the end of its run."""
 
-    __slots__ = ("ref", "place", "op_type", "key", "body", "repeats", "running")
+    __slots__ = ("ref", "place", "op_type", "tenant", "key", "body", "repeats", "running")
 
-    def __init__(self, ref: str, place: int, op_type: str, key: str, body: bytes, repeats: str) -> None:
-        self.ref, self.op_type, self.key, self.body, self.repeats = ref, op_type, key, body, repeats
+    def __init__(self, ref: str, place: int, op_type: str, tenant: str, key: str, body: bytes,
+                 repeats: str) -> None:
+        self.ref, self.op_type, self.tenant, self.key, self.body = ref, op_type, tenant, key, body
+        self.repeats = repeats
         self.place: int | None = place      # the connection that waits; None once answered or gone
         self.running = False
 
+    @property
+    def same(self) -> tuple[str, str, bytes]:
+        """What another request under its id must be to be the same try."""
+        return self.op_type, self.tenant, self.body
+
 
 class Keys:
     """Which op stands for a key until when, and the result that its repeats are answered from.
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -1,13 +1,19 @@
-"""The listener and its connections, each with one coroutine and one request at a time."""
+"""The listener and its connections, each with one coroutine and one request at a time.
+
+What a peer may cost is bounded here: how long it may keep silent, trickle or leave an answer unread, how much is
+read for it in a turn of the loop, and who makes room when descriptors run out.
+"""
 from __future__ import annotations
 
 import asyncio
 import logging
+import math
 import socket
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
 from tornado import netutil
+from tornado.ioloop import IOLoop
 from tornado.iostream import StreamClosedError
 
 from mulleinhatch.holds import must_hold
@@ -15,7 +21,12 @@
 
 LOG = logging.getLogger(__name__)
 BACKLOG = 1024          # what is not accepted yet may hold a whole request already
-ACCEPT_RETRY = 0.05     # seconds until a listener without descriptors looks again
+ACCEPTS_A_TURN = 16     # a flood of new connections must not keep the loop from those it has
+FIRST_WAIT = 2.0        # seconds in which a new connection is to bring its first message
+MESSAGE_WAIT = 2.0      # seconds in which a message is to come whole, and an answer to be read
+LINGER, LINGER_BYTES = 2.0, 64 << 20    # what is still read of a peer after its last answer, and thrown away
+BLAME_PAUSE, BLAMED_MOST = 0.1, 10      # seconds before more is read, for each bad request of a connection
+WASTE = memoryview(bytearray(65536))    # where all that is thrown away is read into
 
 
 class Reader(Protocol):
@@ -30,20 +41,29 @@
 class Connection:
     def __init__(self, number: int, stream: GatheringStream, reader: Reader, now: float) -> None:
         self.number, self.stream, self.reader, self.quiet_since = number, stream, reader, now
+        self.due = now + FIRST_WAIT     # by then the peer must have done its next step
         self.owing = False       # a message was taken that has no answer yet
         self.last = False        # the answer written is the last one here
+        self.heard = False       # a message was taken from it
+        self.blamed = 0          # bad requests
         self.settled = asyncio.Event()
 
     def is_idle(self) -> bool:
-        return not self.owing and not self.reader.started()
+        return not self.owing and not self.last and not self.reader.started()
+
+    def spare_rank(self) -> tuple[int, float]:
+        """Who makes room first: the answered, those that never said a thing, the idle, those half through."""
+        rank = 0 if self.last else 3 if self.reader.started() else 2 if self.heard else 1
+        return rank, self.quiet_since
 
 
 class Connections:
     def __init__(self, most: int, reader: Callable[[], Reader], clock: Callable[[], float],
                  on_message: Callable[..., None], on_broken: Callable[[int, ValueError], None],
-                 on_lost: Callable[[int], None], count: Callable[[str], None]) -> None:
+                 on_late: Callable[[int], None], on_lost: Callable[[int], None],
+                 count: Callable[[str], None]) -> None:
         self.most, self.reader, self.clock, self.count = most, reader, clock, count
-        self.on_message, self.on_broken, self.on_lost = on_message, on_broken, on_lost
+        self.on_message, self.on_broken, self.on_late, self.on_lost = on_message, on_broken, on_late, on_lost
         self.open: dict[int, Connection] = {}
         self.accepted = 0
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -52,14 +72,23 @@
         """Starts listening; the port that was bound."""
         sockets = netutil.bind_sockets(port, host, backlog=BACKLOG)
         for sock in sockets:
-            netutil.add_accept_handler(sock, self._accept)
+            IOLoop.current().add_handler(sock, self._accept, IOLoop.READ)
         return sockets[0].getsockname()[1]
 
-    def _accept(self, sock: socket.socket, _: Any) -> None:
+    def _accept(self, listener: socket.socket, _: int) -> None:
+        for _ in range(ACCEPTS_A_TURN):
+            try:
+                sock = listener.accept()[0]
+            except OSError:    # none is left, or it went while it waited
+                return
+            self._take(sock)
+
+    def _take(self, sock: socket.socket) -> None:
         if len(self.open) >= self.most and not self._make_room():
             self.count("connections_refused")
             sock.close()
             return
+        sock.setblocking(False)
         self.accepted += 1
         self.count("connections_accepted")
         connection = Connection(self.accepted, GatheringStream(sock), self.reader(), self.clock())
@@ -69,22 +98,22 @@
         task.add_done_callback(self.tasks.discard)
 
     def _make_room(self) -> bool:
-        """At the bound of descriptors the connection longest without use makes room, one with the start of a
-        request only if there is no other: the new one might carry a whole request already."""
-        free = [conn for conn in self.open.values() if not conn.owing]
-        if not free:
-            return False
-        self.count("connections_evicted")
-        spare = min(free, key=lambda conn: (not conn.is_idle(), conn.quiet_since))
-        self._drop(spare)
-        return True
+        """At the bound of descriptors one that is owed nothing makes room, and nothing unread is closed: it may
+        be a whole request. The new one might carry a whole request already."""
+        free = (conn for conn in self.open.values() if not conn.owing)
+        for spare in sorted(free, key=Connection.spare_rank):
+            if spare.last or not spare.stream.has_unread():
+                self.count("connections_evicted")
+                self._drop(spare)
+                return True
+        return False
 
     async def _converse(self, connection: Connection) -> None:
         try:
             # Dropped with a request just read: it crossed the close, and its caller sends it once more.
             while not connection.last and connection.number in self.open:
                 await self._exchange(connection)
-            await connection.stream.write(b"")    # done when all before it has left
+            await self._linger(connection)
         except StreamClosedError:
             pass
         except Exception:
@@ -102,13 +131,37 @@
             self.on_broken(connection.number, error)
             return
         if message is None:
+            was_started = reader.started()
             reader.filled(await stream.read_into(reader.room(), partial=True))
+            if not was_started:
+                connection.due = self.clock() + MESSAGE_WAIT
             return
-        connection.owing = True
+        connection.owing = connection.heard = True
+        connection.due = math.inf
         connection.settled.clear()
         stream.park()
         self.on_message(connection.number, *message)
         await connection.settled.wait()
+        if stream.writing():
+            # Who does not read its answers gets no further ones: they would pile up here.
+            connection.due = self.clock() + MESSAGE_WAIT
+            await stream.write(b"")
+        if connection.blamed:
+            await asyncio.sleep(BLAME_PAUSE * min(connection.blamed, BLAMED_MOST))
+        elif reader.started():
+            await asyncio.sleep(0)    # one that sends ahead takes turns with the others
+        connection.due = self.clock() + MESSAGE_WAIT if reader.started() else math.inf
+
+    async def _linger(self, connection: Connection) -> None:
+        """After the last answer the peer's side is read to its end and thrown away: a close with something
+        unread is a reset, which would wipe out the answer of one that is still sending."""
+        connection.due = self.clock() + LINGER
+        await connection.stream.write(b"")    # done when all before it has left
+        connection.stream.end_writing()
+        left = LINGER_BYTES
+        while left > 0 and connection.number in self.open:
+            left -= await connection.stream.read_into(WASTE, partial=True)
+            await asyncio.sleep(0)
 
     def _drop(self, connection: Connection) -> None:
         connection.stream.close()
@@ -131,22 +184,40 @@
             connection.settled.set()
         return True
 
+    def blame(self, number: int) -> None:
+        """Its request was a bad one: what else it sends is read a little later, so that it can't flood us."""
+        if connection := self.open.get(number):
+            connection.blamed += 1
+
     def abandon(self, number: int) -> None:
         """Closes a connection whose answer goes elsewhere."""
         if connection := self.open.get(number):
             connection.owing = False
             self._drop(connection)
 
-    def drop_reset(self) -> None:
-        """Parked streams hear nothing of a reset: nobody waits there any more, and the op need not be run."""
-        for connection in list(self.open.values()):
-            if connection.owing and not connection.stream.closed() and connection.stream.was_reset():
-                self._drop(connection)
-
-    def close_idle(self, longest: float) -> None:
-        """Closes what carried nothing for that long; what holds the start of a request is left."""
-        before = self.clock() - longest
+    def sweep(self, longest_idle: float) -> None:
+        """Ends what peers let wait too long, and finds callers that went: parked streams hear of no reset."""
+        now = self.clock()
         for connection in list(self.open.values()):
-            if connection.is_idle() and connection.quiet_since < before:
-                self.count("connections_trimmed")
-                self._drop(connection)
+            if connection.owing:
+                if not connection.stream.closed() and connection.stream.was_reset():
+                    self._drop(connection)
+            elif connection.due < now:
+                self._end_late(connection)
+            elif connection.is_idle() and connection.quiet_since < now - longest_idle:
+                self._end_idle(connection, "connections_trimmed")
+
+    def _end_late(self, connection: Connection) -> None:
+        if connection.last or connection.stream.writing():
+            self._drop(connection)
+        elif not connection.reader.started():
+            self._end_idle(connection, "connections_silent")
+        elif not connection.stream.has_unread():    # else it is we who are late
+            connection.owing, connection.due = True, self.clock() + LINGER
+            self.on_late(connection.number)
+            connection.stream.end_writing()
+
+    def _end_idle(self, connection: Connection, cause: str) -> None:
+        if not connection.stream.has_unread():
+            self.count(cause)
+            self._drop(connection)
--- a/mulleinhatch/transport/link.py
+++ b/mulleinhatch/transport/link.py
@@ -12,43 +12,68 @@
 
 LOG = logging.getLogger(__name__)
 FIRST_RETRY, LAST_RETRY = 0.02, 0.5     # seconds between tries to connect, doubled in between
+CONNECT_WAIT = 1.0      # seconds for one try: an address that is gone may not answer at all
 LONGEST_LINE = 65536
 
 
 class Link:
     def __init__(self, host: str, port: int, on_open: Callable[[], None], on_line: Callable[[bytes], None],
                  count: Callable[[str], None]) -> None:
-        self.host, self.port, self.on_open, self.on_line, self.count = host, port, on_open, on_line, count
+        self.address, self.on_open, self.on_line, self.count = (host, port), on_open, on_line, count
         self.stream: GatheringStream | None = None
+        self.successor: asyncio.Task[GatheringStream] | None = None
         self.retry = FIRST_RETRY
 
     async def keep(self) -> None:
+        try:
+            while True:
+                try:
+                    await self._once(await (self.successor or self._connected()))
+                except (OSError, UnsatisfiableReadError) as error:    # a closed stream is an OSError
+                    LOG.debug("link ended", extra={"fields": {"error": error}})
+        finally:
+            if self.successor:
+                self.successor.cancel()
+
+    async def _connected(self) -> GatheringStream:
+        """A new stream to the address that is in force when it stands."""
         while True:
+            address, stream = self.address, GatheringStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
             try:
-                await self._once()
-            except (OSError, UnsatisfiableReadError) as error:    # a closed stream is an OSError
-                LOG.debug("link ended", extra={"fields": {"error": error}})
-            finally:
-                if self.stream is not None:
-                    self.stream.close()
-                    self.stream = None
-                    self.count("link_ended")
+                await asyncio.wait_for(stream.connect(address), CONNECT_WAIT)
+                if address == self.address:
+                    return stream
+            except (OSError, asyncio.TimeoutError) as error:
+                LOG.debug("no link yet", extra={"fields": {"error": error}})
+            except BaseException:
+                stream.close()
+                raise
+            stream.close()
             await asyncio.sleep(self.retry)
             self.retry = min(LAST_RETRY, 2.0 * self.retry)
 
-    async def _once(self) -> None:
-        stream = GatheringStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    async def _once(self, stream: GatheringStream) -> None:
+        self.stream, self.successor = stream, None
+        self.count("link_opened")
         try:
-            await stream.connect((self.host, self.port))
-        except BaseException:
+            self.on_open()
+            while True:
+                self.on_line(await stream.read_until(b"\n", max_bytes=LONGEST_LINE))
+                self.retry = FIRST_RETRY
+        finally:
             stream.close()
-            raise
-        self.stream = stream
-        self.count("link_opened")
-        self.on_open()
-        while True:
-            self.on_line(await stream.read_until(b"\n", max_bytes=LONGEST_LINE))
-            self.retry = FIRST_RETRY
+            self.stream = None
+            self.count("link_ended")
+            if not self.successor:
+                await asyncio.sleep(self.retry)
+                self.retry = min(LAST_RETRY, 2.0 * self.retry)
+
+    def move(self, host: str, port: int) -> None:
+        """To another address: the old link serves until the new one stands."""
+        self.address, self.retry = (host, port), FIRST_RETRY
+        if self.stream is not None and self.successor is None:
+            self.successor = asyncio.ensure_future(self._connected())
+            self.successor.add_done_callback(lambda done: done.cancelled() or self.renew())
 
     def renew(self) -> None:
         if self.stream is not None:
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -1,6 +1,7 @@
 """Tornado's IOStream with gathered writes, and deaf to its peer while an answer is under way."""
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 from collections.abc import Sequence
@@ -25,6 +26,19 @@
     def was_reset(self) -> bool:
         return struct.unpack("B", self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1))[0] == RESET
 
+    def has_unread(self) -> bool:
+        """Bytes that came and were not read yet: a close would lose them, and be a reset."""
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+    def end_writing(self) -> None:
+        """The peer sees an end behind the last answer, while what it still sends can be read."""
+        if not self.closed():
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_WR)
+
     def write_gathered(self, pieces: Sequence[bytes]) -> None:
         """The pieces leave in one system call without being joined; IOStream's own buffer takes only what the
         socket has no room for, and all of it while older bytes wait there."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import re
 import socket
 import struct
 import time
@@ -19,6 +20,14 @@
 SOON = 3.0
 
 
+def op_id(ref: str) -> str:
+    """
+    >>> op_id("r12"), op_id("0")
+    ('0000000000000012', '0')
+    """
+    return ref[1:].rjust(16, "0") if ref.startswith("r") else ref
+
+
 def told_at_start() -> dict:
     op_type = {"aim": 1000.0, "deadline": 2000.0, "late_worth": 0.0, "memory_span": 5000.0}
     return {"name": "n1", "listen": "127.0.0.1:0", "vm": "127.0.0.1:1", "lookup": "127.0.0.1:2",
@@ -102,7 +111,7 @@
 class SocketPlay:
     def __init__(self) -> None:
         self.told_first = told_at_start()
-        self.interpreter, self.directory = Interpreter(), Directory()
+        self.interpreter = Interpreter()
         self.callers: dict[str, Caller] = {}
         self.instance: Instance | None = None
 
@@ -146,17 +155,29 @@
         place[last] = json.loads(text)
 
     async def start(self) -> None:
-        loop = asyncio.get_running_loop()
-        server = await asyncio.start_server(self.interpreter.serve, "127.0.0.1", 0)
-        datagrams, _ = await loop.create_datagram_endpoint(lambda: self.directory, ("127.0.0.1", 0))
-        self.told_first["vm"] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
-        self.told_first["lookup"] = "127.0.0.1:%d" % datagrams.get_extra_info("sockname")[1]
-        self.instance = Instance(placed(self.told_first))
+        await self.interpreter_moves()
+        await self.directory_moves()
+        self.instance = Instance(placed(self.told_first), lambda: placed(self.told_first))
         self.serving = asyncio.ensure_future(self.instance.serve())
         await asyncio.sleep(0.01)
 
     # The interpreter and the directory.
 
+    async def interpreter_moves(self) -> None:
+        """To another address, as the next one who reads the file is told."""
+        server = await asyncio.start_server(self.interpreter.serve, "127.0.0.1", 0)
+        self.told_first["vm"] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    async def interpreter_vanishes(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as unused:
+            self.told_first["vm"] = "127.0.0.1:%d" % unused.getsockname()[1]
+
+    async def directory_moves(self) -> None:
+        self.directory = Directory()
+        datagrams, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self.directory, ("127.0.0.1", 0))
+        self.told_first["lookup"] = "127.0.0.1:%d" % datagrams.get_extra_info("sockname")[1]
+
     async def interpreter_up(self, status: str = "old", ms: str = "3600000") -> None:
         self.interpreter.up = {"t": "BANNER", "status": status, "time_ms": float(ms)}
         if not self.interpreter.heard.empty():
@@ -167,17 +188,18 @@
 
     async def interpreter_hears(self, what: str, ref: str = "", body: str = "") -> None:
         told = await self.interpreter.heard.get()
-        assert told["t"] == what and (not ref or str(told.get("rid", told.get("no"))) == ref), told
+        assert told["t"] == what and (not ref or str(told.get("rid", told.get("no"))) == op_id(ref)), told
         assert not body or b64decode(told["b64"]).decode() == body, told
 
     async def interpreter_heard(self, nothing: str) -> None:
         assert self.interpreter.heard.empty(), self.interpreter.heard.get_nowait()
 
     async def interpreter_ends(self, ref: str, status: str, text: str = "") -> None:
-        self.interpreter.ended(ref, status, text)
+        self.interpreter.ended(op_id(ref), status, text)
 
     async def interpreter_says(self, *words: str) -> None:
-        self.interpreter.writer.write(" ".join(words).encode() + b"\n")
+        text = re.sub('"(r[0-9]+)"', lambda ref: f'"{op_id(ref[1])}"', " ".join(words))
+        self.interpreter.writer.write(text.encode() + b"\n")
 
     async def interpreter_down(self) -> None:
         self.interpreter.up = None
@@ -200,6 +222,9 @@
     async def instance_leaves(self) -> None:
         self.instance.leave()
 
+    async def instance_reloads(self) -> None:
+        self.instance.reload()
+
     async def instance_lives(self) -> None:
         assert not self.serving.done()
 
@@ -218,7 +243,7 @@
     async def caller_sends(self, who: str, ref: str, op_type: str, *more: str) -> None:
         """An op with the body `in-REF`; `more` are further fields, or others in place of the usual ones, and
         perhaps `and-ends`: the end of the caller's side in the same moment."""
-        fields = {"X-Request-Id": ref, "X-Request-Start": f"{time.time() * 1000:.0f}", "X-Caller": "1",
+        fields = {"X-Request-Id": op_id(ref), "X-Request-Start": f"{time.time() * 1000:.0f}", "X-Caller": "1",
                   "X-Timeout-Ms": "1500", "X-Cost-Ms": "20", "X-Memory-Kb": "10",
                   **dict(word.split("=", 1) for word in more if "=" in word)}
         body = f"in-{ref}".encode()
@@ -226,11 +251,20 @@
         await self.write(who, f"POST /svc/{op_type} HTTP/1.1\r\nHost: origin.svc\r\n{head}"
                               f"Content-Length: {len(body)}\r\n\r\n".encode() + body, "and-ends" in more)
 
+    async def caller_floods(self, who: str, count: str) -> None:
+        """A body far too long, all of it sent before the answer is read."""
+        head = f"POST /svc/read HTTP/1.1\r\nContent-Length: {int(count) + 1}\r\n\r\n"
+        await self.write(who, head.encode() + bytes(int(count)))
+
+    async def caller_drips(self, who: str) -> None:
+        await self.write(who, b"x")
+
     async def caller_checks(self, who: str) -> None:
         await self.write(who, b"GET /status/live HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
 
     async def caller_writes(self, who: str, *words: str) -> None:
         text = " ".join(words).replace("%now%", f"{time.time() * 1000:.0f}").replace("%junk%", 9000 * "x")
+        text = re.sub("(?i)(?<=x-request-id:)(r[0-9]+)", lambda ref: op_id(ref[1]), text)
         await self.write(who, text.encode().decode("unicode_escape").encode())
 
     async def write(self, who: str, data: bytes, last: bool = False) -> None:
