Who makes room at the bound of descriptors is known at once, and regular callers stay

Lines at fault: Connections._make_room sorted all thousand connections for each new one; a backlog of 1,024 let ops wait unread in their time. Changed: spare connections stand on a shelf a rank (answered, silent, asked once or badly, used again), longest quiet first; the backlog is 256. Order of leaving is the scenario crowd.

--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -20,7 +20,7 @@
 from mulleinhatch.transport.stream import GatheringStream
 
 LOG = logging.getLogger(__name__)
-BACKLOG = 1024          # what is not accepted yet may hold a whole request already
+BACKLOG = 256           # what is not accepted yet may hold a whole request already, and its time runs
 ACCEPTS_A_TURN = 16     # a flood of new connections must not keep the loop from those it has
 FIRST_WAIT = 2.0        # seconds in which a new connection is to bring its first message
 MESSAGE_WAIT = 2.0      # seconds in which a message is to come whole, and an answer to be read
@@ -45,16 +45,27 @@
         self.owing = False       # a message was taken that has no answer yet
         self.last = False        # the answer written is the last one here
         self.heard = False       # a message was taken from it
+        self.again = False       # more than one
         self.blamed = 0          # bad requests
         self.settled = asyncio.Event()
+        self.shelf: dict[int, Connection] = {}
 
     def is_idle(self) -> bool:
         return not self.owing and not self.last and not self.reader.started()
 
-    def spare_rank(self) -> tuple[int, float]:
-        """Who makes room first: the answered, those that never said a thing, the idle, those half through."""
-        rank = 0 if self.last else 3 if self.reader.started() else 2 if self.heard else 1
-        return rank, self.quiet_since
+    def spare_rank(self) -> int:
+        """Who makes room first: the answered, those that never said a whole thing, those that asked once or
+        asked badly; what is used again and again is the callers' own."""
+        if self.owing:
+            return OWED
+        return 0 if self.last else 1 if not self.heard else 2 if self.blamed or not self.again else 3
+
+    def is_spare(self) -> bool:
+        """Whether nothing of a caller's is lost by closing it. What came to a new one was never run."""
+        return self.last or not (self.heard and self.reader.started() or self.stream.has_unread())
+
+
+OWED = 4    # the rank of those that make no room
 
 
 class Connections:
@@ -65,6 +76,8 @@
         self.most, self.reader, self.clock, self.count = most, reader, clock, count
         self.on_message, self.on_broken, self.on_late, self.on_lost = on_message, on_broken, on_late, on_lost
         self.open: dict[int, Connection] = {}
+        # By rank, those longest without use first: at the bound each new connection asks who makes room.
+        self.shelves: list[dict[int, Connection]] = [{} for _ in range(OWED + 1)]
         self.accepted = 0
         self.tasks: set[asyncio.Task[Any]] = set()
 
@@ -93,6 +106,7 @@
         self.count("connections_accepted")
         connection = Connection(self.accepted, GatheringStream(sock), self.reader(), self.clock())
         self.open[connection.number] = connection
+        self._shelve(connection)
         task = asyncio.ensure_future(self._converse(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -100,14 +114,20 @@
     def _make_room(self) -> bool:
         """At the bound of descriptors one that is owed nothing makes room, and nothing unread is closed: it may
         be a whole request. The new one might carry a whole request already."""
-        free = (conn for conn in self.open.values() if not conn.owing)
-        for spare in sorted(free, key=Connection.spare_rank):
-            if spare.last or not spare.stream.has_unread():
-                self.count("connections_evicted")
-                self._drop(spare)
-                return True
+        for shelf in self.shelves[:OWED]:
+            for spare in shelf.values():
+                if spare.is_spare():
+                    self.count("connections_evicted")
+                    self._drop(spare)
+                    return True
         return False
 
+    def _shelve(self, connection: Connection) -> None:
+        """On each change of what it does: the newest of its rank."""
+        connection.shelf.pop(connection.number, None)
+        connection.shelf = self.shelves[connection.spare_rank()]
+        connection.shelf[connection.number] = connection
+
     async def _converse(self, connection: Connection) -> None:
         try:
             # Dropped with a request just read: it crossed the close, and its caller sends it once more.
@@ -128,6 +148,7 @@
             message = reader.message()
         except ValueError as error:
             connection.owing = True
+            self._shelve(connection)
             self.on_broken(connection.number, error)
             return
         if message is None:
@@ -136,8 +157,9 @@
             if not was_started:
                 connection.due = self.clock() + MESSAGE_WAIT
             return
-        connection.owing = connection.heard = True
+        connection.owing, connection.heard, connection.again = True, True, connection.heard
         connection.due = math.inf
+        self._shelve(connection)
         connection.settled.clear()
         stream.park()
         self.on_message(connection.number, *message)
@@ -166,6 +188,7 @@
     def _drop(self, connection: Connection) -> None:
         connection.stream.close()
         connection.settled.set()
+        connection.shelf.pop(connection.number, None)
         if self.open.pop(connection.number, None) and connection.owing:
             self.on_lost(connection.number)
 
@@ -176,6 +199,7 @@
             return False
         must_hold(connection.owing, "an answer is written where one is owed")
         connection.owing, connection.last, connection.quiet_since = False, last, self.clock()
+        self._shelve(connection)
         try:
             connection.stream.write_gathered(pieces)
         except StreamClosedError:
@@ -213,7 +237,7 @@
         elif not connection.reader.started():
             self._end_idle(connection, "connections_silent")
         elif not connection.stream.has_unread():    # else it is we who are late
-            connection.owing, connection.due = True, self.clock() + LINGER
+            connection.owing, connection.due = True, self.clock() + LINGER    # the answer shelves it
             self.on_late(connection.number)
             connection.stream.end_writing()
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -137,7 +137,7 @@
             await self.start()
         if who == "wait":
             await asyncio.sleep(float(words[0]))
-        elif who in ("interpreter", "directory", "instance"):
+        elif who in ("interpreter", "directory", "instance", "crowd"):
             await getattr(self, f"{who}_{words[0]}")(*words[1:])
         else:
             await getattr(self, f"caller_{words[0]}")(who, *words[1:])
@@ -237,6 +237,13 @@
 
     # Callers.
 
+    async def crowd_of(self, count: str, what: str) -> None:
+        for number in range(int(count)):
+            who = f"{what}-{number}"
+            await getattr(self, f"caller_{what}")(who)
+            if what == "checks":
+                await self.caller_hears(who, "200")
+
     async def caller_opens(self, who: str) -> None:
         self.callers[who] = Caller(*await asyncio.open_connection("127.0.0.1", self.instance.port))
 
