A closed stream among the spare ones no longer ends every accept; an op costs less CPU

Changed: a closed stream has nothing unread and may go. Without a descriptor the listener pauses 50 ms, not spins.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -54,6 +54,7 @@
     PAUSED = "paused"
     STALLED = "stalled"        # needs a call
     CALLING = "calling"
+    __hash__ = object.__hash__    # members are single; Enum's own hash is Python code on every step
 
 
 AT_CALL = (Stage.STALLED, Stage.CALLING)
@@ -73,9 +74,10 @@
 
     def _turn(self, now: float) -> None:
         place = int(now / self.width)
-        for stale in range(max(self.place + 1, place - len(self.buckets) + 1), place + 1):
-            self.buckets[stale % len(self.buckets)] = 0.0
-        self.place = max(self.place, place)
+        if place > self.place:
+            for stale in range(max(self.place + 1, place - len(self.buckets) + 1), place + 1):
+                self.buckets[stale % len(self.buckets)] = 0.0
+            self.place = place
 
     def add(self, now: float, amount: float) -> None:
         self._turn(now)
@@ -125,6 +127,7 @@
     def __init__(self, deployment: Deployment, seed: int, now: float) -> None:
         get = deployment.get
         self.rows = rows_of(get("op_types", []))
+        self.some_must_call = any(row.must_call for row in self.rows)
         self.cores = max(1, get("cores", 1))
         self.ageing_rate = max((row.target for row in self.rows), default=BASE_SPAN) / BASE_SPAN
         self.shortest_target = min((row.target for row in self.rows), default=math.inf)
@@ -488,8 +491,7 @@
 
     def _keep(self, op: Op) -> Decision:
         span = max(0.0, op.arrived + op.row.window - self.now) + self.margin
-        op.kept = True
-        self.keys[op.ref] = self.now + span
+        op.kept, self.keys[op.ref] = True, self.now + span
         heapq.heappush(self.key_ends, (self.now + span, op.ref))
         self.kb += self.key_kb
         return Decision(Verb.KEEP, op.ref, span)
@@ -596,13 +598,13 @@
         return None
 
     def _start(self) -> Decision | None:
-        in_hand = sum(len(self.at[stage]) for stage in IN_HAND)
-        if len(self.at[Stage.RUNNING]) >= self.limit or in_hand >= self._crowd_ceiling():
-            return None
         waiting = [*self.at[Stage.HELD].values(), *self.at[Stage.PAUSED].values()]
-        if waiting and self._calls_taken():
+        if not waiting or len(self.at[Stage.RUNNING]) >= self.limit:
+            return None
+        in_hand = sum(len(self.at[stage]) for stage in IN_HAND)
+        if self.some_must_call and self._calls_taken():
             waiting = [op for op in waiting if not op.row.must_call]
-        if not waiting:
+        if not waiting or in_hand >= self._crowd_ceiling():
             return None
         free = [op for op in waiting if self.tenant_running[op.tenant] < self._cap(op)]
         op = min(free or waiting, key=self._priority)
@@ -624,8 +626,7 @@
         shut = self.shut if healthy else 1.0
         if self.advice is None or abs(shut - self.told_shut) < 0.02:
             return None
-        self.told_shut = shut
-        open_part = 1.0 - shut
+        self.told_shut, open_part = shut, 1.0 - shut
         level = {Advice.FLOOR: shut, Advice.WEIGHT: open_part,
                  Advice.ALLOWANCE: open_part * 4 * self.cores / self.callers}[self.advice]
         return Decision(Verb.ADVISE, level=level)
@@ -635,6 +636,5 @@
         at = max(self.sweep_at, self.now + 0.001) if self.ops or self.shut > 0.0 else math.inf
         if at >= self.armed:
             return None
-        self.alarms += 1
-        self.armed = at
+        self.alarms, self.armed = self.alarms + 1, at
         return Decision(Verb.WAKE, self.alarms, self.armed - self.now)
--- a/mulleinhatch/interface.py
+++ b/mulleinhatch/interface.py
@@ -105,6 +105,8 @@
     TRIM = "trim"                # seconds that an idle connection is kept
     WAKE = "wake"                # seconds
 
+    __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, on every decision
+
 
 class Decision(NamedTuple):
     verb: Verb
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -17,6 +17,9 @@
 from mulleinhatch.routing.tables import Keys, Owed
 
 
+RUN_COUNTS = {ending: "run_" + ending.name.lower() for ending in Ending}
+
+
 class Happening(Enum):
     INTERPRETER_UP = "interpreter up"    # is cold, seconds since
     LINK_OPENED = "link opened"
@@ -30,6 +33,8 @@
     CALLER_LOST = "caller lost"  # place
     LEAVE = "leave"              # seconds until the stop
 
+    __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, run several times an op
+
 
 class Errand(Enum):
     ACK = "ack"                  # place, result, level
@@ -47,6 +52,8 @@
     ALARM = "alarm"              # seconds, token
     TRIM = "trim"                # seconds that an idle connection is kept
 
+    __hash__ = object.__hash__
+
 
 class Reducer:
     """
@@ -82,15 +89,17 @@
         self.counts: Counter[str] = Counter()
         self.errands: list[tuple] = []
         self.handlers = {happening: getattr(self, "_" + happening.name.lower()) for happening in Happening}
-        self.verbs = {verb: getattr(self, "_do_" + verb.name.lower(), self._do_other) for verb in Verb}
+        self.verbs = {verb: ("decided_" + verb.name.lower(), getattr(self, "_do_" + verb.name.lower(),
+                                                                     self._do_other)) for verb in Verb}
 
     def reduce(self, now: float, happening: Happening, *told: object) -> list[tuple]:
         """The errands stay in `errands` until the next happening, for a host that meets an error here."""
         self.errands = []
         self.handlers[happening](now, *told)
         while self.hatch and (decision := self.hatch.next_decision(now)):
-            self.counts["decided_" + decision.verb.value.replace(" ", "_")] += 1
-            self.verbs[decision.verb](now, decision)
+            name, act = self.verbs[decision.verb]
+            self.counts[name] += 1
+            act(now, decision)
         return self.errands
 
     # What happens.
@@ -180,7 +189,7 @@
         owed.running = False
         if ending is Ending.STOPPED and owed.place is not None:
             ending = Ending.ERROR    # nobody here stopped it, and the module would take it for paused
-        self.counts["run_" + ending.name.lower()] += 1
+        self.counts[RUN_COUNTS[ending]] += 1
         self._conclude(now, owed, ending, result)
         for follower in self.followers.pop(ref, ()):
             if follower in self.owed:
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import math
 import socket
@@ -21,6 +22,7 @@
 
 LOG = logging.getLogger(__name__)
 BACKLOG = 256           # what is not accepted yet may hold a whole request already, and its time runs
+ACCEPT_RETRY = 0.05     # seconds until a listener without descriptors looks again
 ACCEPTS_A_TURN = 16     # a flood of new connections must not keep the loop from those it has
 FIRST_WAIT = 2.0        # seconds in which a new connection is to bring its first message
 MESSAGE_WAIT = 2.0      # seconds in which a message is to come whole, and an answer to be read
@@ -92,10 +94,18 @@
         for _ in range(ACCEPTS_A_TURN):
             try:
                 sock = listener.accept()[0]
-            except OSError:    # none is left, or it went while it waited
+            except OSError as error:    # none is left, it went while it waited, or no descriptor is free
+                if error.errno in (errno.EMFILE, errno.ENFILE) and not self._make_room():
+                    self._pause_listening(listener)
                 return
             self._take(sock)
 
+    def _pause_listening(self, listener: socket.socket) -> None:
+        """With nothing to accept into, the loop would do nothing but look at the listener."""
+        self.count("accepts_paused")
+        IOLoop.current().remove_handler(listener)
+        IOLoop.current().call_later(ACCEPT_RETRY, IOLoop.current().add_handler, listener, self._accept, IOLoop.READ)
+
     def _take(self, sock: socket.socket) -> None:
         if len(self.open) >= self.most and not self._make_room():
             self.count("connections_refused")
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -4,8 +4,10 @@
 import contextlib
 import socket
 import struct
-from collections.abc import Sequence
+from collections.abc import Awaitable, Sequence
+from typing import Any
 
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
 RESET = 7               # the state of a TCP socket whose peer reset it, first byte of TCP_INFO
@@ -14,20 +16,37 @@
 class GatheringStream(IOStream):
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock)
+        self.parked = False
         self.set_nodelay(True)
 
     def park(self) -> None:
-        """Until the next read the loop does not watch the socket: an end of the peer's side, which IOStream
-        takes for a lost connection, must not cost it the answer that it waits for."""
-        if self._state is not None:
-            self.io_loop.remove_handler(self.fileno())
-            self._state = None
+        """Until the next read nothing is read: an end of the peer's side, which IOStream takes for a lost
+        connection, must not cost it the answer that it waits for."""
+        self.parked = True
+
+    def read_into(self, buf: memoryview, partial: bool = False) -> Awaitable[int]:
+        self.parked = False
+        return super().read_into(buf, partial)
+
+    def _handle_events(self, fd: Any, events: int) -> None:
+        """The loop stops watching a parked stream only when something comes: few peers send ahead, and two
+        system calls for each op would be much of what it costs."""
+        if not self.parked or not events & IOLoop.READ:
+            super()._handle_events(fd, events)
+            return
+        self.io_loop.remove_handler(self.fileno())
+        self._state = None
+        if self.writing():
+            self._add_io_state(IOLoop.WRITE)
 
     def was_reset(self) -> bool:
         return struct.unpack("B", self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1))[0] == RESET
 
     def has_unread(self) -> bool:
-        """Bytes that came and were not read yet: a close would lose them, and be a reset."""
+        """Bytes that came and were not read yet: a close would lose them, and be a reset. One that is closed
+        already, while its coroutine has not run since, has none."""
+        if self.closed():
+            return False
         try:
             return bool(self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,6 +20,7 @@
 from mulleinhatch.decide import Hatch
 from mulleinhatch.interface import Advice, Decision, Effect, StopMode, Verb
 from mulleinhatch.protocol.http import RequestReader
+from mulleinhatch.transport.stream import GatheringStream
 from standins import Interpreter, SocketPlay, told_at_start
 
 ROOT = Path(__file__).parent
@@ -148,6 +149,19 @@
     asyncio.run(SocketPlay().play(path))
 
 
+def test_a_stream_closed_a_moment_ago_has_nothing_unread() -> None:
+    """Its connection stands among the spare ones until its coroutine runs; looking at it ended every accept."""
+    async def look() -> bool:
+        ours, theirs = socket.socketpair()
+        stream = GatheringStream(ours)
+        theirs.send(b"x")
+        before = stream.has_unread()
+        stream.close()
+        theirs.close()
+        return before and not stream.has_unread()
+    assert asyncio.run(look())
+
+
 def test_a_request_cut_at_every_byte() -> None:
     text = (b"POST /svc/read HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: 3\r\n\r\n\r\n!"
             b"GET /x HTTP/1.1\r\n\r\n")
