Bad figures and stale gauges shift nothing; a socket that can't have sent yet is not looked at

Ages now count to the op timeout, hints beyond it are not learned from. Gauges older than a second are given to nobody (stale_gauges). CPU: after an answer IOStream looked at the socket once before waiting, an EAGAIN an op; the link made a buffer of 64 KiB for each read.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -180,7 +180,7 @@
                 repeat_of: Ref, caller: int, work: float, held_kb: float, further_try: bool) -> None:
         self._pass_time(now)
         row = self.rows[op_type]
-        if work > 0.0:
+        if 0.0 < work <= row.op_timeout:    # one bad hint of an hour would make every run look too long
             self.hints.add(now, 1.0)
             self.hinted.add(now, work)
         op = Op(ref, row, tenant if self.shares else caller, work or self._mean_work(), held_kb)
@@ -198,7 +198,7 @@
         self.reads.add(now, 1.0)
         op.over = self._over_share(op)
         self.retries.add(now, float(further_try))
-        self.unread += UNREAD_WEIGHT * (age - self.unread)
+        self.unread += UNREAD_WEIGHT * (min(age, row.op_timeout) - self.unread)    # none is worth more
 
     def _over_share(self, op: Op) -> float:
         """Points by which an op goes back for its tenant's first tries here beyond its part of the quota."""
--- a/mulleinhatch/protocol/link.py
+++ b/mulleinhatch/protocol/link.py
@@ -28,7 +28,7 @@
 
 def notice(line: bytes) -> dict:
     """A notice as it came; ValueError for a line that is none."""
-    told = json.loads(line)
+    told = json.loads(line.decode())
     if not isinstance(told, dict):
         raise ValueError("no object")
     return told
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -17,6 +17,7 @@
 from mulleinhatch.routing.tables import Keys, Owed
 
 
+READINGS_LAST = 1.0     # seconds: gauges that stopped coming tell nothing of the cores now
 RUN_COUNTS = {ending: "run_" + ending.name.lower() for ending in Ending}
 
 
@@ -80,6 +81,7 @@
         self.keys = Keys()
         self.healthy, self.level = True, None
         self.readings: Sequence[float] = ()
+        self.read_at = -math.inf
         self.last_notice = self.marks = 0
         self.renewed_at = -1    # the last notice when the link was made anew for a broken line
         self.unconfirmed: dict[str, int] = {}    # runs asked for, each after so many gauge marks
@@ -198,7 +200,7 @@
     def _gauges(self, now: float, mark: int, readings: Sequence[float]) -> None:
         """A run that was asked for before gauges that have come is with the interpreter, unless a link was
         lost between: behind the mark set then, it never arrived."""
-        self.readings, self.heard_at = readings, now
+        self.readings, self.read_at, self.heard_at = readings, now, now
         before = [ref for ref, asked in self.unconfirmed.items() if asked < mark]
         if mark < self.resync:
             return
@@ -211,7 +213,8 @@
 
     def _alarm(self, now: float, token: int) -> None:
         if self.hatch:
-            self.hatch.woken(now, token, self.readings)
+            fresh = now - self.read_at <= READINGS_LAST
+            self.hatch.woken(now, token, self.readings if fresh else ())
 
     def _checked(self, now: float, place: int) -> None:
         self.counts["checks"] += 1
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -10,24 +10,33 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
+CHUNK = 8192            # read at once where no buffer is given: a fresh one is made, and cleared, for each read
 RESET = 7               # the state of a TCP socket whose peer reset it, first byte of TCP_INFO
 
 
 class GatheringStream(IOStream):
     def __init__(self, sock: socket.socket) -> None:
-        super().__init__(sock)
-        self.parked = False
+        super().__init__(sock, read_chunk_size=CHUNK)
+        self.parked = self.was_parked = False
         self.set_nodelay(True)
 
     def park(self) -> None:
         """Until the next read nothing is read: an end of the peer's side, which IOStream takes for a lost
         connection, must not cost it the answer that it waits for."""
-        self.parked = True
+        self.parked = self.was_parked = True
 
     def read_into(self, buf: memoryview, partial: bool = False) -> Awaitable[int]:
         self.parked = False
         return super().read_into(buf, partial)
 
+    def _try_inline_read(self) -> None:
+        """Tornado looks at the socket before it waits for it. A new one has something to say, but then peers
+        send when they were answered: the look finds nothing, a system call and an error raised for each op."""
+        if self.was_parked and not self.closed() and self._find_read_pos() is None:
+            self._add_io_state(IOLoop.READ)
+        else:
+            super()._try_inline_read()
+
     def _handle_events(self, fd: Any, events: int) -> None:
         """The loop stops watching a parked stream only when something comes: few peers send ahead, and two
         system calls for each op would be much of what it costs."""
