--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -40,7 +40,8 @@
         print(f"mulleinhatch {__version__}, tornado {metadata.version('tornado')}")
         return 0
     if told["serve"]:
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until it can be heard: the file is not read yet
+        for early in (signal.SIGHUP, signal.SIGUSR1):    # their default would end us before we can hear them
+            signal.signal(early, signal.SIG_IGN)
     start_logging(told["--log"])
     if told["counters"]:
         return show_counters(told["HOST:PORT"])
