--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -180,9 +180,9 @@
                 repeat_of: Ref, caller: int, work: float, held_kb: float, further_try: bool) -> None:
         self._pass_time(now)
         row = self.rows[op_type]
-        if 0.0 < work <= row.op_timeout:    # one bad hint of an hour would make every run look too long
+        if work > 0.0:
             self.hints.add(now, 1.0)
-            self.hinted.add(now, work)
+            self.hinted.add(now, min(work, row.op_timeout))    # a bad one of an hour must not spoil the mean
         op = Op(ref, row, tenant if self.shares else caller, work or self._mean_work(), held_kb)
         op.arrived, op.since, op.further_try, op.hinted = now - age, now, further_try, work > 0.0
         op.due = now + wait if wait > 0.0 else max(now, op.arrived + row.op_timeout)
@@ -264,8 +264,7 @@
     def woken(self, now: float, token: int, readings: Sequence[float]) -> None:
         self._pass_time(now)
         gauges = dict(zip(self.gauges, readings))
-        if token == self.alarms:
-            self.armed = math.inf
+        self.armed = math.inf if token == self.alarms else self.armed
         room = self.nacks.total(now) <= FEW_NACKS * self.reads.total(now)
         many = gauges.get("links", 0.0) > MANY_LINKS * self.cores
         self.idle_kept = min(IDLE_KEPT, self.longest_idle) if many and room else self.longest_idle
@@ -623,7 +622,8 @@
         if healthy is not self.told_healthy:
             self.told_healthy = healthy
             return Decision(Verb.HEALTH, flag=healthy)
-        shut = self.shut if healthy else 1.0
+        # Who is told a floor of 1 asks nobody else, either: while leaving, nacks send callers on.
+        shut = self.shut if healthy or self.advice is Advice.FLOOR and self.now >= self.sick_until else 1.0
         if self.advice is None or abs(shut - self.told_shut) < 0.02:
             return None
         self.told_shut, open_part = shut, 1.0 - shut
