At most eight looks at spare connections for one new one

Checked: with little CPU most spare connections have something unread, and each new one asked them all, a system call each.

--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -11,6 +11,7 @@
 import math
 import socket
 from collections.abc import Callable, Sequence
+from itertools import islice
 from typing import Any, Protocol
 
 from tornado import netutil
@@ -28,6 +29,8 @@
 MESSAGE_WAIT = 2.0      # seconds in which a message is to come whole, and an answer to be read
 LINGER, LINGER_BYTES = 2.0, 64 << 20    # what is still read of a peer after its last answer, and thrown away
 BLAME_PAUSE, BLAMED_MOST = 0.1, 10      # seconds before more is read, for each bad request of a connection
+OWED = 4                # the rank of those that make no room
+LOOKS = 8               # at spare connections of a rank, for one new one: each look is a system call
 WASTE = memoryview(bytearray(65536))    # where all that is thrown away is read into
 
 
@@ -67,9 +70,6 @@
         return self.last or not (self.heard and self.reader.started() or self.stream.has_unread())
 
 
-OWED = 4    # the rank of those that make no room
-
-
 class Connections:
     def __init__(self, most: int, reader: Callable[[], Reader], clock: Callable[[], float],
                  on_message: Callable[..., None], on_broken: Callable[[int, ValueError], None],
@@ -103,8 +103,9 @@
     def _pause_listening(self, listener: socket.socket) -> None:
         """With nothing to accept into, the loop would do nothing but look at the listener."""
         self.count("accepts_paused")
-        IOLoop.current().remove_handler(listener)
-        IOLoop.current().call_later(ACCEPT_RETRY, IOLoop.current().add_handler, listener, self._accept, IOLoop.READ)
+        loop = IOLoop.current()
+        loop.remove_handler(listener)
+        loop.call_later(ACCEPT_RETRY, loop.add_handler, listener, self._accept, IOLoop.READ)
 
     def _take(self, sock: socket.socket) -> None:
         if len(self.open) >= self.most and not self._make_room():
@@ -125,7 +126,7 @@
         """At the bound of descriptors one that is owed nothing makes room, and nothing unread is closed: it may
         be a whole request. The new one might carry a whole request already."""
         for shelf in self.shelves[:OWED]:
-            for spare in shelf.values():
+            for spare in islice(shelf.values(), LOOKS):
                 if spare.is_spare():
                     self.count("connections_evicted")
                     self._drop(spare)
