New connections that waited 0.2 s unaccepted are closed unheard

Checked: sixteen accepts a turn against 400 new connections a second; turns of 50 to 90 ms leave a backlog that never empties, and an op in it is had from its last byte on. Changed: once more new connections waited for 0.2 s on end than could be taken, all of the backlog is closed with nothing run: those ops fail and are not lost. It could do harm where hundreds of callers come back in the same moment to a slow start.

--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -25,6 +25,7 @@
 BACKLOG = 256           # what is not accepted yet may hold a whole request already, and its time runs
 ACCEPT_RETRY = 0.05     # seconds until a listener without descriptors looks again
 ACCEPTS_A_TURN = 16     # a flood of new connections must not keep the loop from those it has
+NEW_WAIT, SHEDS_A_TURN = 0.2, 256     # seconds that new ones may have to wait before they are closed unheard
 FIRST_WAIT = 2.0        # seconds in which a new connection is to bring its first message
 MESSAGE_WAIT = 2.0      # seconds in which a message is to come whole, and an answer to be read
 LINGER, LINGER_BYTES = 2.0, 64 << 20    # what is still read of a peer after its last answer, and thrown away
@@ -81,6 +82,7 @@
         # By rank, those longest without use first: at the bound each new connection asks who makes room.
         self.shelves: list[dict[int, Connection]] = [{} for _ in range(OWED + 1)]
         self.accepted = 0
+        self.waiting_since = math.inf    # from then on there were always more new ones than could be taken
         self.tasks: set[asyncio.Task[Any]] = set()
 
     def listen(self, host: str, port: int) -> int:
@@ -91,14 +93,23 @@
         return sockets[0].getsockname()[1]
 
     def _accept(self, listener: socket.socket, _: int) -> None:
-        for _ in range(ACCEPTS_A_TURN):
+        now = self.clock()
+        self.waiting_since = min(self.waiting_since, now)
+        late = now - self.waiting_since > NEW_WAIT
+        for _ in range(SHEDS_A_TURN if late else ACCEPTS_A_TURN):
             try:
                 sock = listener.accept()[0]
             except OSError as error:    # none is left, it went while it waited, or no descriptor is free
                 if error.errno in (errno.EMFILE, errno.ENFILE) and not self._make_room():
                     self._pause_listening(listener)
+                self.waiting_since = math.inf
                 return
-            self._take(sock)
+            if late:
+                # We can't keep up: closed with nothing run it has failed, and those we have get their answers.
+                self.count("connections_shed")
+                sock.close()
+            else:
+                self._take(sock)
 
     def _pause_listening(self, listener: socket.socket) -> None:
         """With nothing to accept into, the loop would do nothing but look at the listener."""
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,6 +20,7 @@
 from mulleinhatch.decide import Hatch
 from mulleinhatch.interface import Advice, Decision, Effect, StopMode, Verb
 from mulleinhatch.protocol.http import RequestReader
+from mulleinhatch.transport.connections import Connections
 from mulleinhatch.transport.stream import GatheringStream
 from standins import Interpreter, SocketPlay, told_at_start
 
@@ -162,6 +163,27 @@
     assert asyncio.run(look())
 
 
+def test_new_connections_that_waited_long_are_closed_unheard() -> None:
+    """What lies in the backlog has its time running: those that can't be taken soon must fail, not be lost."""
+    async def crowd() -> tuple[int, int, int]:
+        now, counts = [5.0], Counter()
+        connections = Connections(100, RequestReader, lambda: now[0], *[print] * 4,
+                                  count=lambda what: counts.update([what]))
+        with socket.create_server(("127.0.0.1", 0), backlog=64) as listener:
+            listener.setblocking(False)
+            callers = [socket.create_connection(listener.getsockname()) for _ in range(40)]
+            connections._accept(listener, 0)
+            taken, now[0] = len(connections.open), 5.3
+            connections._accept(listener, 0)
+            callers.append(socket.create_connection(listener.getsockname()))
+            connections._accept(listener, 0)
+            for sock in callers:
+                sock.close()
+        return taken, counts["connections_shed"], len(connections.open)
+    taken, shed, open_at_last = asyncio.run(crowd())
+    assert 0 < taken < 40 and taken + shed == 40 and open_at_last == taken + 1
+
+
 def test_a_request_cut_at_every_byte() -> None:
     text = (b"POST /svc/read HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: 3\r\n\r\n\r\n!"
             b"GET /x HTTP/1.1\r\n\r\n")
