--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -13,7 +13,7 @@
   -h --help      This text.
 
 serve keeps to the foreground until SIGTERM and the end of its grace; SIGUSR1 logs the counters,
-SIGHUP has the file read again: addresses of the interpreter and the directory, stop_ms and limits are taken over.
+SIGHUP has the file read again: vm, lookup, stop_ms and limits.sockets are taken over.
 check reads what serve would be told and names the faulty key. counters asks a running instance for its own.
 """
 from __future__ import annotations
--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 from enum import Enum
 
-from mulleinhatch.interface import Advice, Decision, Deployment, Effect, Ending, OpType, Ref, StopMode, Verb
+from mulleinhatch.interface import Advice, Decision, Deployment, Effect, Ending, OpType, Ref, Verb
 
 BASE_SPAN = 20.0        # bases run evenly from 0 to this; lower starts sooner
 TENANT_ROOM = 2.0       # a tenant's running share over its fraction of the service: traffic is never even
--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -22,7 +22,8 @@
                  counters: Callable[[], str]) -> None:
         self.take, self.count, self.counters = take, count, counters
         self.connections = Connections(most, http.RequestReader, time.monotonic, on_message=self.request,
-                                       on_broken=self.broken, on_late=self.late, on_lost=self.lost, count=count)
+                                       on_broken=self.broken, on_late=self.late, on_lost=self.lost,
+                                       count=count)
         self.closing: set[int] = set()      # places whose caller asked that the connection be closed
         self.leaving = False
 
--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -165,7 +165,8 @@
 
     def counted(self) -> dict[str, int]:
         return {**self.counts, **self.reducer.counts, "connections_open": len(self.front.connections.open),
-                "ops_owed": len(self.reducer.owed), "advice_percent": round(100.0 * (self.reducer.level or 0.0)),
+                "ops_owed": len(self.reducer.owed),
+                "advice_percent": round(100.0 * (self.reducer.level or 0.0)),
                 **{"broken_" + what.replace(" ", "_"): count for what, count in BROKEN.items()}}
 
     def counters(self) -> str:
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -34,7 +34,7 @@
     CALLER_LOST = "caller lost"  # place
     LEAVE = "leave"              # seconds until the stop
 
-    __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, run several times an op
+    __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, often run
 
 
 class Errand(Enum):
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -105,7 +105,7 @@
                 self.waiting_since = math.inf
                 return
             if late:
-                # We can't keep up: closed with nothing run it has failed, and those we have get their answers.
+                # We can't keep up: closed with nothing run it has failed, and the others get answers.
                 self.count("connections_shed")
                 sock.close()
             else:
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -10,7 +10,7 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
-CHUNK = 8192            # read at once where no buffer is given: a fresh one is made, and cleared, for each read
+CHUNK = 8192            # read at once where no buffer is given: each read makes a new one, and clears it
 RESET = 7               # the state of a TCP socket whose peer reset it, first byte of TCP_INFO
 
 
