Reread: one pause between tries of the link, a figure is read once

The wait before the next try stood twice in Link; number() turned each field's text into a float twice, on every op.

--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -144,9 +144,10 @@
     text = fields.get(name)
     if text is None and absent is not None:
         return absent
-    if text is None or not NUMBER.fullmatch(text) or not least <= float(text) * unit < below:
+    value = float(text) * unit if text is not None and NUMBER.fullmatch(text) else math.nan
+    if not least <= value < below:
         raise BadRequest(name.decode("latin-1"))
-    return float(text) * unit
+    return value
 
 
 def op_told(path: bytes, fields: dict[bytes, bytes], now: float) -> tuple:
--- a/mulleinhatch/transport/link.py
+++ b/mulleinhatch/transport/link.py
@@ -49,8 +49,11 @@
                 stream.close()
                 raise
             stream.close()
-            await asyncio.sleep(self.retry)
-            self.retry = min(LAST_RETRY, 2.0 * self.retry)
+            await self._pause()
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(self.retry)
+        self.retry = min(LAST_RETRY, 2.0 * self.retry)
 
     async def _once(self, stream: GatheringStream) -> None:
         self.stream, self.successor = stream, None
@@ -65,8 +68,7 @@
             self.stream = None
             self.count("link_ended")
             if not self.successor:
-                await asyncio.sleep(self.retry)
-                self.retry = min(LAST_RETRY, 2.0 * self.retry)
+                await self._pause()
 
     def move(self, host: str, port: int) -> None:
         """To another address: the old link serves until the new one stands."""
