--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -1,14 +1,15 @@
 """mulleinhatch: one service instance that decides which ops it takes, runs and turns away.
 
 Usage:
-  mulleinhatch serve [--config FILE] [--log LEVEL]
-  mulleinhatch check [--config FILE]
+  mulleinhatch serve [--config FILE] [--operator FILE] [--log LEVEL]
+  mulleinhatch check [--config FILE] [--operator FILE]
   mulleinhatch counters HOST:PORT
   mulleinhatch version
   mulleinhatch (-h | --help)
 
 Options:
   --config FILE  What the instance is told at start, as JSON; else the file that NODE_CONFIG names.
+  --operator FILE  The operator's own file, as KDL; without one the usual bounds hold.
   --log LEVEL    The least that is logged: debug, info, warning or error [default: info].
   -h --help      This text.
 
@@ -46,7 +47,7 @@
     if told["counters"]:
         return show_counters(told["HOST:PORT"])
     try:
-        place = placement(os.environ, told["--config"])
+        place = placement(os.environ, told["--config"], told["--operator"])
     except Misplaced as error:
         print(f"mulleinhatch: {error}", file=sys.stderr)
         return 2
@@ -54,7 +55,7 @@
         print(f"{place.name}: {len(place.op_types)} op types, {len(place.tenants)} tenants")
         return 0
     try:
-        asyncio.run(Instance(place, lambda: placement(os.environ, told["--config"])).serve())
+        asyncio.run(Instance(place, lambda: placement(os.environ, told["--config"], told["--operator"])).serve())
     except OSError as error:
         print(f"mulleinhatch: {':'.join(map(str, place.listen))}: {error}", file=sys.stderr)
         return 1
--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -14,11 +14,11 @@
 from enum import Enum
 
 from mulleinhatch.interface import Advice, Decision, Deployment, Effect, Ending, OpType, Ref, Verb
+from mulleinhatch.rings import BUCKET, BUCKETS, Ring
 
 BASE_SPAN = 20.0        # bases run evenly from 0 to this; lower starts sooner
 TENANT_ROOM = 2.0       # a tenant's running share over its fraction of the service: traffic is never even
 BEAT = 0.1              # how often the hold is rescored and pressure is judged while there is work
-BUCKET, BUCKETS = 0.25, 10   # what "recent" means: long against a run, short against a slowdown
 GAUGE_SPAN = 0.5        # seconds that the gauge of core use covers: full for less, it tells nothing
 FULL_ENOUGH = 0.5       # seconds at the running limit before mu is believed
 CALM_WAIT = 0.18        # the share of the shortest target latency that the hold's wait may take before advice
@@ -43,6 +43,8 @@
 CALL_MEMORY = 2.5       # seconds without a call in which a slow one is forgotten: else none would ask again
 CALL_ROOM = 3.0         # calls in hand over one more than their mean: unused room fills when calls slow
 BEST_DRIFT = 0.01       # a second: a best call time that is never met again is forgotten
+HEAR_ROOM, HEAR_LEAST = 0.95, 0.05    # of what can be served, in a storm: first tries and retries; retries
+HEAR_STEP = 0.1         # change of that rate, as a share, that is worth a word
 PROVES_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
 
 
@@ -61,33 +63,6 @@
 IN_HAND = (Stage.RUNNING, Stage.PAUSED, *AT_CALL)
 
 
-class Ring:
-    """What was added lately, in fixed buckets of time that are used again.
-
-    >>> ring = Ring(width=1.0, count=2)
-    >>> ring.add(0.5, 3.0); ring.add(1.5, 4.0); ring.total(1.9), ring.total(2.1), ring.total(9.0)
-    (7.0, 4.0, 0.0)
-    """
-
-    def __init__(self, width: float = BUCKET, count: int = BUCKETS) -> None:
-        self.width, self.buckets, self.place = width, [0.0] * count, 0
-
-    def _turn(self, now: float) -> None:
-        place = int(now / self.width)
-        if place > self.place:
-            for stale in range(max(self.place + 1, place - len(self.buckets) + 1), place + 1):
-                self.buckets[stale % len(self.buckets)] = 0.0
-            self.place = place
-
-    def add(self, now: float, amount: float) -> None:
-        self._turn(now)
-        self.buckets[self.place % len(self.buckets)] += amount
-
-    def total(self, now: float) -> float:
-        self._turn(now)
-        return sum(self.buckets)
-
-
 class Row:
     """What the decisions read of an op type."""
 
@@ -171,8 +146,9 @@
         self.retire_at, self.stop_at, self.drain_grace = math.inf, math.inf, get("drain_grace", 0.0)
         self.sweep_at = self.judged_at = now
         self.armed, self.alarms = math.inf, 0
+        self.storm, self.first_tries, self.told_hear = False, 0.0, math.inf
         self.steps = (self._forget, self._place, self._give_up, self._stop_unwanted, self._serve_call,
-                      self._follow, self._start, self._advise, self._wake)
+                      self._follow, self._start, self._advise, self._hear, self._wake)
 
     # Bookkeeping: what the host reports.
 
@@ -261,6 +237,18 @@
         for op in self.ops.values():
             op.due = min(op.due, self.stop_at - STOP_MARGIN)
 
+    def storm_told(self, now: float, on: bool, first_tries: float) -> None:
+        """From a host that keeps storm books: whether repeats go beyond all that can be served, and first tries
+        a second. A host without them never calls."""
+        self._pass_time(now)
+        self.storm, self.first_tries = on, first_tries
+
+    def turned_back(self, now: float, count: int) -> None:
+        """Retries that the host nacked by the last word on how many are heard."""
+        self._pass_time(now)
+        for ring in (self.reads, self.retries, self.nacks):
+            ring.add(now, float(count))
+
     def woken(self, now: float, token: int, readings: Sequence[float]) -> None:
         self._pass_time(now)
         gauges = dict(zip(self.gauges, readings))
@@ -449,6 +437,10 @@
         work = sum(op.work for op in self.at[Stage.HELD].values())
         return work / self.mu if self.mu else 0.0
 
+    def capacity(self) -> float:
+        """Ops a second that can be served, by the slots at the pace seen; unknown, by the rate while last full."""
+        return (self.limit / self.pace if self.pace else self.mu or self.limit) / self._mean_work()
+
     # Deciding: one step after another, each gives a decision or None.
 
     def next_decision(self, now: float) -> Decision | None:
@@ -631,6 +623,16 @@
                  Advice.ALLOWANCE: open_part * 4 * self.cores / self.callers}[self.advice]
         return Decision(Verb.ADVISE, level=level)
 
+    def _hear(self) -> Decision | None:
+        """In a storm only as many retries are heard as first tries leave room for: each of them is one that the
+        caller could not wait for, and read in full they take the time of those that still can."""
+        capacity = self.capacity()
+        rate = max(HEAR_LEAST * capacity, HEAR_ROOM * capacity - self.first_tries) if self.storm else math.inf
+        if rate == self.told_hear or abs(rate - self.told_hear) < HEAR_STEP * self.told_hear < math.inf:
+            return None
+        self.told_hear = rate
+        return Decision(Verb.HEAR, level=rate)
+
     def _wake(self) -> Decision | None:
         """One alarm for the soonest thing to do."""
         at = max(self.sweep_at, self.now + 0.001) if self.ops or self.shut > 0.0 else math.inf
--- a/mulleinhatch/interface.py
+++ b/mulleinhatch/interface.py
@@ -104,6 +104,7 @@
     ADVISE = "advise"            # level
     TRIM = "trim"                # seconds that an idle connection is kept
     WAKE = "wake"                # seconds
+    HEAR = "hear"                # level: marked retries a second that are read in full, the rest nacked
 
     __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, on every decision
 
--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -11,6 +11,7 @@
 
 from mulleinhatch.protocol import http
 from mulleinhatch.routing.reducer import Happening
+from mulleinhatch.storms.desk import PUNCTUAL
 from mulleinhatch.transport.connections import Connections
 
 LOG = logging.getLogger(__name__)
@@ -26,6 +27,8 @@
                                        count=count)
         self.closing: set[int] = set()      # places whose caller asked that the connection be closed
         self.leaving = False
+        self.turned_back: Callable[..., float | None] | None = None
+        self.level: Callable[[], float | None] = lambda: None
 
     def request(self, place: int, method: bytes, path: bytes, fields: dict[bytes, bytes],
                 body: bytes) -> None:
@@ -69,7 +72,26 @@
     def ack(self, place: int, result: bytes, level: float | None) -> None:
         self._write(place, 200, result, level=level)
 
+    def turn_back(self, shed: bool) -> None:
+        """Whether tries may be nacked before they are read in full."""
+        self.connections.turn_back = self._look if shed and self.turned_back else None
+
+    def _look(self, now: float, data: bytes, back_at: float) -> tuple[list[bytes], float] | None:
+        """The nack of a try that is turned back, and when its caller is told to come back. `back_at` is when the
+        connection's last answer told it to; who never heard of such a time is neither punctual nor stubborn."""
+        told = None if self.leaving else http.short_look(data)
+        if told is None:
+            return None
+        soon = now < back_at - PUNCTUAL
+        seconds = self.turned_back(now, *told, punctual=back_at > 0.0 and not soon, stubborn=soon)
+        if seconds is None:
+            return None
+        self.count("answers_429")
+        return http.answer(429, level=self.level(), hold_off=seconds, not_elsewhere=True), now + seconds
+
     def nack(self, place: int, hold_off: float, not_elsewhere: bool, level: float | None) -> None:
+        if hold_off > 0.0:
+            self.connections.told_back(place, time.monotonic() + hold_off)
         self._write(place, 503 if self.leaving else 429, level=level, hold_off=hold_off,
                     not_elsewhere=not_elsewhere)
 
--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -37,8 +37,12 @@
     def __init__(self, placement: Placement, placed_anew: Callable[[], Placement] | None = None) -> None:
         self.placement, self.placed_anew = placement, placed_anew or (lambda: placement)
         self.counts: Counter[str] = Counter()
-        self.reducer = Reducer(placement.deployment, placement.op_types, placement.tenants, placement.seed)
+        self.reducer = Reducer(placement.deployment, placement.op_types, placement.tenants, placement.seed,
+                               placement.storms)
         self.front = front = HttpFront(connections_held(placement), self.take, self.count, self.counters)
+        if placement.storms:
+            front.turned_back, front.level = self.reducer.turned_back, lambda: self.reducer.level
+            front.connections.on_connected = lambda: self.take(Happening.CONNECTED)
         self.interpreter = interpreter = Interpreter(*placement.interpreter, self.take, self.count)
         self.datagrams = Datagrams()
         self.port = 0
@@ -52,7 +56,7 @@
             Errand.GREET: interpreter.greet, Errand.RENEW: interpreter.renew, Errand.RUN: interpreter.run,
             Errand.GAUGES: interpreter.gauges,
             Errand.ALARM: self._alarm, Errand.LISTING: self._listing, Errand.TRIM: self._trim,
-            Errand.LEAVE: self._leave}
+            Errand.LEAVE: self._leave, Errand.TURN_BACK: front.turn_back}
 
     def count(self, what: str) -> None:
         self.counts[what] += 1
@@ -164,7 +168,8 @@
         LOG.info(event, extra={"fields": self.counted()})
 
     def counted(self) -> dict[str, int]:
-        return {**self.counts, **self.reducer.counts, "connections_open": len(self.front.connections.open),
+        storms = self.reducer.storms.counted() if self.reducer.storms else {}
+        return {**self.counts, **self.reducer.counts, **storms, "connections_open": len(self.front.connections.open),
                 "ops_owed": len(self.reducer.owed),
                 "advice_percent": round(100.0 * (self.reducer.level or 0.0)),
                 **{"broken_" + what.replace(" ", "_"): count for what, count in BROKEN.items()}}
--- /dev/null
+++ b/mulleinhatch/program/operator.py
@@ -0,0 +1,135 @@
+"""The operator's own file: KDL, read by ckdl and checked by msgspec; each error names the key and its line.
+
+Imported only where such a file is named, so that an instance without one carries neither library.
+"""
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple
+
+import ckdl
+import msgspec
+from msgspec import Meta
+
+from mulleinhatch.storms.bounds import StormBounds
+
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Multiple = Annotated[float, Meta(gt=0.0, le=1000.0)]
+Seconds = Annotated[float, Meta(gt=0.0, le=3600.0)]
+Room = Annotated[int, Meta(ge=1, le=1_000_000)]
+USUAL = StormBounds()
+PATH = re.compile(r"at `\$\.?([^`]*)`")
+UNKNOWN = re.compile(r"unknown field `([^`]*)`")
+
+
+class BadOperatorFile(ValueError):
+    """The text names file, line and key."""
+
+
+class Storms(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
+    enabled: bool = True
+    rising_share: Share = USUAL.rising_share
+    storm_share: Share = USUAL.storm_share
+    storm_multiple: Multiple = USUAL.storm_multiple
+    calm_multiple: Multiple = USUAL.calm_multiple
+    confirm: Seconds = USUAL.confirm
+    settle: Seconds = USUAL.settle
+    outage_memory: Seconds = USUAL.outage_memory
+    loud_share: Share = USUAL.loud_share
+    callers_kept: Room = USUAL.callers_kept
+    repeats_kept: Room = USUAL.repeats_kept
+    horizon: Seconds = USUAL.horizon
+    heeding_part: Share = USUAL.heeding_part
+
+
+class OperatorFile(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
+    storms: Storms = msgspec.field(default_factory=Storms)
+
+
+class Operator(NamedTuple):
+    storms: StormBounds | None
+
+
+def read(path: str) -> Operator:
+    try:
+        text = Path(path).read_text()
+    except (OSError, ValueError) as error:
+        raise BadOperatorFile(f"{path}: can't be read: {error}") from None
+    return told(text, path)
+
+
+def told(text: str, path: str = "operator.kdl") -> Operator:
+    """
+    >>> told("storms {\\n    settle 5\\n}").storms.settle
+    5.0
+    >>> told("storms enabled=#false").storms
+    >>> told("storms {\\n    settle 5\\n    confirm soon\\n}")
+    Traceback (most recent call last):
+    mulleinhatch.program.operator.BadOperatorFile: operator.kdl:3: storms.confirm: Expected `float`, got `str`
+    >>> told("storms {\\n    setle 5\\n}")
+    Traceback (most recent call last):
+    mulleinhatch.program.operator.BadOperatorFile: operator.kdl:2: storms.setle: no such key
+    """
+    try:
+        document = ckdl.parse(text)
+    except ckdl.ParseError as error:
+        raise BadOperatorFile(f"{path}:{_line_of_break(text)}: {error}") from None
+    tree = _tree(document.nodes, text, path, ())
+    try:
+        checked = msgspec.convert(tree, OperatorFile)
+    except msgspec.ValidationError as error:
+        found, unknown = PATH.search(str(error)), UNKNOWN.search(str(error))
+        way = tuple((found[1] if found else "").split(".")) if found and found[1] else ()
+        if unknown:
+            way, what = (*way, unknown[1]), "no such key"
+        else:
+            what = str(error).partition(" - at")[0]
+        raise BadOperatorFile(f"{path}:{_line(text, way)}: {'.'.join(way)}: {what}") from None
+    storms = msgspec.structs.asdict(checked.storms)
+    enabled = storms.pop("enabled")
+    if checked.storms.storm_share < checked.storms.rising_share:
+        raise BadOperatorFile(f"{path}:{_line(text, ('storms', 'storm-share'))}: storms.storm-share: "
+                              f"{checked.storms.storm_share:g} is below rising-share")
+    return Operator(StormBounds(**storms) if enabled else None)
+
+
+def _tree(nodes: list[Any], text: str, path: str, way: tuple[str, ...]) -> dict[str, Any]:
+    """Nodes as nested dicts: one value, or properties and children; no name twice."""
+    tree: dict[str, Any] = {}
+    for node in nodes:
+        here = (*way, node.name)
+        if node.name in tree:
+            raise BadOperatorFile(f"{path}:{_line(text, here, last=True)}: {'.'.join(here)}: told twice")
+        if node.children or node.properties or not node.args:
+            if node.args:
+                raise BadOperatorFile(f"{path}:{_line(text, here)}: {'.'.join(here)}: a value beside named ones")
+            inner = _tree(node.children, text, path, here)
+            if both := sorted(set(inner) & set(node.properties)):
+                raise BadOperatorFile(f"{path}:{_line(text, here)}: {'.'.join((*here, both[0]))}: told twice")
+            tree[node.name] = {**node.properties, **inner}
+        else:
+            tree[node.name] = node.args[0] if len(node.args) == 1 else node.args
+    return tree
+
+
+def _line(text: str, way: tuple[str, ...], last: bool = False) -> int:
+    """The line where the key stands: ckdl keeps none, so its names are looked for, one inside the other."""
+    at = 0
+    for name in way:
+        found = list(re.finditer(rf"(?<![\w-]){re.escape(name)}(?![\w-])", text[at:]))
+        if found:
+            at += found[-1 if last and name == way[-1] else 0].start()
+    return text.count("\n", 0, at) + 1
+
+
+def _line_of_break(text: str) -> int:
+    """The first line up to which the text can't be made whole by closing what is open."""
+    lines = text.splitlines()
+    for count in range(1, len(lines) + 1):
+        part = "\n".join(lines[:count])
+        try:
+            ckdl.parse(part + "\n" + "}" * max(0, part.count("{") - part.count("}")))
+        except ckdl.ParseError:
+            return count
+    return max(1, len(lines))
--- a/mulleinhatch/program/placement.py
+++ b/mulleinhatch/program/placement.py
@@ -9,6 +9,7 @@
 
 from mulleinhatch.interface import Deployment
 from mulleinhatch.start import deployment, pairs_of_tree
+from mulleinhatch.storms.bounds import StormBounds
 
 LOG = logging.getLogger(__name__)
 Address = tuple[str, int]
@@ -29,6 +30,7 @@
     op_types: list[str]
     tenants: list[str]
     deployment: Deployment
+    storms: StormBounds | None = StormBounds()     # None: no storm books are kept
 
 
 def address(key: str, text: object) -> Address:
@@ -73,7 +75,7 @@
         raise Misplaced(f"settings.{error}") from None
 
 
-def placement(environ: Mapping[str, str], path: str | None = None) -> Placement:
+def placement(environ: Mapping[str, str], path: str | None = None, operator: str | None = None) -> Placement:
     path = path or environ.get("NODE_CONFIG")
     if not path:
         raise Misplaced("NODE_CONFIG: not set")
@@ -88,7 +90,21 @@
         if text and text != told.setdefault(key, text):
             LOG.warning("NODE_%s goes before the file", key.upper(), extra={"fields": {key: told[key]}})
             told[key] = text
-    return placed(told)
+    return placed(told)._replace(**operated(operator))
+
+
+def operated(path: str | None) -> dict[str, Any]:
+    """What the operator's file says, for the fields of a `Placement`; its libraries are loaded for it alone."""
+    if not path:
+        return {}
+    try:
+        from mulleinhatch.program import operator
+    except ImportError as error:
+        raise Misplaced(f"{path}: {error.name} is not installed: pip install 'mulleinhatch[operator]'") from None
+    try:
+        return operator.read(path)._asdict()
+    except operator.BadOperatorFile as error:
+        raise Misplaced(str(error)) from None
 
 
 def placed(told: dict[str, Any]) -> Placement:
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -131,6 +131,44 @@
         self.end, self.searched = rest, 0
 
 
+RETRY_LINE, LENGTH_LINE = b"\r\nx-retry: 1\r\n", b"\r\ncontent-length:"
+SHORT_HEAD = re.compile(rb"post /svc/([^ ?/\r\n]+) http/1\.1\r\n")
+SHORT_LENGTH = re.compile(rb"\r\ncontent-length: ([0-9]{1,4})\r\n")
+SHORT_FIELD = re.compile(rb"\r\n(x-request-id|x-caller|x-tenant|x-object|idempotency-key): ([^\r\n]*)")
+
+
+def short_look(data: bytes) -> tuple | None:
+    """Id, op type, tenant, caller, again, key and body of a request that lies there whole and alone, in the plain
+    form that callers write; None for all else, which the full reading must judge. It believes nothing that could
+    hide a second request: one length, no transfer coding, no bare line end, not a byte too many.
+
+    >>> short_look(b"POST /svc/a HTTP/1.1\\r\\nX-Request-Id: 00000000000000aB\\r\\nX-Caller: 4\\r\\nX-Retry: 1\\r\\n"
+    ...            b"Content-Length: 2\\r\\n\\r\\nhi")
+    ('00000000000000aB', 'a', '', 4, True, '', b'hi')
+    >>> short_look(b"POST /svc/a HTTP/1.1\\r\\nX-Request-Id: 00000000000000aB\\r\\nContent-Length: 2\\r\\n\\r\\nhiP")
+    """
+    end = data.find(HEAD_END) + len(HEAD_END)
+    head = data[:end - len(LINE_END)]
+    low = head.lower()
+    start, length = SHORT_HEAD.match(low), SHORT_LENGTH.search(low)
+    if (start is None or length is None or end + int(length[1]) != len(data)
+            or low.count(LENGTH_LINE) != 1 or b"\ntransfer-encoding" in low or b"\nconnection" in low
+            or low.count(b"\n") != low.count(LINE_END)):
+        return None
+    fields = {}
+    for field in SHORT_FIELD.finditer(low):
+        if field[1] in fields:
+            return None
+        fields[field[1]] = head[field.start(2):field.end(2)]
+    ref, caller = fields.get(b"x-request-id", b""), fields.get(b"x-caller", b"0")
+    if not OP_ID.fullmatch(ref) or not caller.isdigit() or len(caller) > 9:
+        return None
+    key = fields.get(b"idempotency-key") or fields.get(b"x-object", b"")
+    return (ref.decode(), head[start.start(1):start.end(1)].decode("latin-1"),
+            fields.get(b"x-tenant", b"").decode("latin-1"), int(caller), RETRY_LINE in low, key.decode("latin-1"),
+            data[end:])
+
+
 def number(fields: dict[bytes, bytes], name: bytes, least: float = 0.0, below: float = math.inf,
            absent: float | None = 0.0, unit: float = 1.0) -> float:
     """A plain decimal figure in its range; one that must be there has no `absent`.
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -13,8 +13,11 @@
 
 from mulleinhatch.decide import Hatch
 from mulleinhatch.holds import must_hold
-from mulleinhatch.interface import Decision, Deployment, Ending, Verb
+from mulleinhatch.interface import Decision, Deployment, Effect, Ending, Verb
 from mulleinhatch.routing.tables import Keys, Owed
+from mulleinhatch.storms.books import fingerprint
+from mulleinhatch.storms.bounds import StormBounds
+from mulleinhatch.storms.desk import Desk
 
 
 READINGS_LAST = 1.0     # seconds: gauges that stopped coming tell nothing of the cores now
@@ -32,6 +35,7 @@
     ALARM = "alarm"              # token
     CHECKED = "checked"          # place
     CALLER_LOST = "caller lost"  # place
+    CONNECTED = "connected"      # a caller's connection was accepted
     LEAVE = "leave"              # seconds until the stop
 
     __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, often run
@@ -45,6 +49,7 @@
     HEALTH = "health"            # place, good, level: the answer to a check
     ABANDON = "abandon"          # place: its answer goes elsewhere
     LISTING = "listing"          # open: what the directory is to be told
+    TURN_BACK = "turn back"      # whether retries may be nacked before they are read in full
     LEAVE = "leave"              # seconds until the stop
     GREET = "greet"              # number of the last notice
     RENEW = "renew"              # the link
@@ -70,8 +75,12 @@
     """
 
     def __init__(self, deployment: Deployment, op_types: Sequence[str], tenants: Sequence[str],
-                 seed: int) -> None:
+                 seed: int, storms: StormBounds | None = None) -> None:
         self.deployment, self.seed = deployment, seed
+        self.storms = storms and Desk(storms, deployment.get("max_hold_off", 0.0), seed)
+        self.once = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
+                     if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.NON_RETRYABLE}
+        self.back = 0           # retries turned back that the module has not heard of
         self.op_types = {name: place for place, name in enumerate(op_types)}
         self.tenants = {name: place for place, name in enumerate(tenants)}
         self.hatch: Hatch | None = None
@@ -98,6 +107,8 @@
         """The errands stay in `errands` until the next happening, for a host that meets an error here."""
         self.errands = []
         self.handlers[happening](now, *told)
+        if self.storms and self.hatch:
+            self._watch(now)
         while self.hatch and (decision := self.hatch.next_decision(now)):
             name, act = self.verbs[decision.verb]
             self.counts[name] += 1
@@ -122,7 +133,13 @@
         self._ask_gauges()
         self.resync = self.marks
 
+    def _connected(self, now: float) -> None:
+        if self.storms:
+            self.storms.watch.count(connects=1)
+
     def _link_opened(self, now: float) -> None:
+        if self.storms:
+            self.storms.watch.outage(now)
         self.errands.append((Errand.GREET, self.last_notice))
         self.resync = math.inf
 
@@ -146,11 +163,55 @@
             self.errands.append((Errand.NACK, place, 0.0, False, self.level))
         else:
             repeats = self.keys.standing(op_type, key, now)
-            self.owed[ref] = Owed(ref, place, op_type, tenant, key, body, repeats)
+            if self.storms and not self._storm_read(now, op_type, tenant, age, caller, again, key, body, place):
+                return
+            self.owed[ref] = Owed(ref, place, op_type, tenant, key, body, repeats, caller)
             self.places[place] = ref
             self.hatch.op_read(now, ref, self.op_types[op_type], age, wait,
                                self.tenants.get(tenant, 0), repeats, caller, work, kb, again)
 
+    def _storm_read(self, now: float, op_type: str, tenant: str, age: float, caller: int, again: bool, key: str,
+                    body: bytes, place: int) -> bool:
+        """Whether the op goes on to the module: not a marked retry of a non-retryable op whose twin has run here.
+        Nobody can tell it that the first had its effect, and a second one is what must not be."""
+        known = fingerprint(caller, op_type, tenant, key, body)
+        repeat = again or self.storms.nacked.seen(now, known)
+        self.storms.read(now, caller, repeat, age)
+        self.storms.counts["repeats_unmarked"] += repeat and not again
+        if again and op_type in self.once and self.storms.ran.seen(now, known):
+            self.counts["repeats_of_run"] += 1
+            self.errands.append((Errand.FAIL, place, self.level))
+            return False
+        return True
+
+    def turned_back(self, now: float, ref: str, op_type: str, tenant: str, caller: int, again: bool, key: str,
+                    body: bytes, punctual: bool, stubborn: bool) -> float | None:
+        """Asked for a try before it is read in full: seconds that its nack tells to stay away, or None where it
+        goes the ordinary way. Only a repeat is turned back, by the rate that the module named, and none of an op
+        that ran here or is under way. It counts as read, and is no op: it never comes to the module."""
+        desk = self.storms
+        if ref in self.owed or op_type not in self.op_types or self.keys.standing(op_type, key, now):
+            return None
+        known = fingerprint(caller, op_type, tenant, key, body)
+        if not again and not desk.nacked.seen(now, known) or op_type in self.once and desk.ran.seen(now, known):
+            return None
+        if not desk.turned_back(now, caller, punctual):
+            return None
+        desk.read(now, caller, True, 0.0)
+        desk.nacked.add(now, known)
+        desk.counts["turned_back"] += 1
+        desk.counts["turned_back_stubborn"] += stubborn
+        self.back += 1
+        return desk.come_back(now, 0.0, stubborn)
+
+    def _watch(self, now: float) -> None:
+        if self.storms.watch.due(now):
+            if self.back:
+                self.hatch.turned_back(now, self.back)
+                self.back = 0
+            if self.storms.judge(now, self.hatch.capacity()):
+                self.hatch.storm_told(now, *self.storms.told)
+
     def _sent_again(self, place: int, ref: str, *same: object) -> None:
         """The same try on another connection, as it crossed the close of its first: it moves there. Anything
         else under the id of an open op is a stranger's, who must not get its answer nor end its wait."""
@@ -245,13 +306,20 @@
         must_hold(owed and not owed.running, "only an op that is held is run")
         if owed:
             owed.running = True
+            if self.storms and owed.op_type in self.once:
+                self.storms.ran.add(now, owed.fingerprint())
             self._ask_run(owed)
 
     def _do_nack(self, now: float, decision: Decision) -> None:
         owed = self.owed.get(decision.ref)
         must_hold(owed and not owed.running and owed.place is not None, "only an op that never ran is nacked")
         if owed:
-            self._answer(owed, Errand.NACK, decision.seconds, decision.flag)
+            seconds = decision.seconds
+            if self.storms:
+                self.storms.nacked.add(now, owed.fingerprint())
+                if seconds > 0.0:
+                    seconds = self.storms.come_back(now, seconds, False)
+            self._answer(owed, Errand.NACK, seconds, decision.flag)
 
     def _do_fail(self, now: float, decision: Decision) -> None:
         owed = self.owed.get(decision.ref)
@@ -285,6 +353,10 @@
         self._ask_gauges()
         self.errands.append((Errand.ALARM, decision.seconds, decision.ref))
 
+    def _do_hear(self, now: float, decision: Decision) -> None:
+        self.storms.limit(now, decision.level)
+        self.errands.append((Errand.TURN_BACK, self.storms.sheds))
+
     def _do_other(self, now: float, decision: Decision) -> None:
         must_hold(False, f"the link has no word for {decision.verb.value}")
 
--- /dev/null
+++ b/mulleinhatch/standins/interpreter.py
@@ -0,0 +1,145 @@
+"""A stand-in interpreter: cores that all running ops share, notices by number, and a count of what ran twice.
+
+Runs as `python -m mulleinhatch.standins.interpreter PORT CORES SPEED WARMING`; on SIGTERM it prints one JSON line. A
+body says what an op takes and who it is, as `50.0 OP ...`: work in milliseconds on one core, then a name of the op.
+"""
+from __future__ import annotations
+
+import asyncio
+import heapq
+import json
+import signal
+import sys
+import time
+from base64 import b64decode, b64encode
+from collections import Counter
+from typing import Any
+
+NOTICES_KEPT = 4000
+
+
+class Cores:
+    """Processor sharing: each of n ops gets on at min(1, cores/n) of the speed; one timer for the next to end.
+
+    >>> cores = Cores(2, lambda now: 1.0)
+    >>> cores.start(0.0, "a", 1.0); cores.start(0.0, "b", 2.0); cores.start(0.0, "c", 2.0)
+    >>> round(cores.next_end(0.0), 3), cores.ended(1.5), round(cores.next_end(1.5), 3)
+    (1.5, ['a'], 1.0)
+    """
+
+    def __init__(self, cores: int, speed: Any) -> None:
+        self.cores, self.speed = cores, speed
+        self.progress, self.at = 0.0, 0.0
+        self.running: list[tuple[float, str]] = []
+
+    def _rate(self, now: float) -> float:
+        return self.speed(now) * min(1.0, self.cores / len(self.running)) if self.running else 0.0
+
+    def _pass_time(self, now: float) -> None:
+        self.progress += max(0.0, now - self.at) * self._rate(now)
+        self.at = max(self.at, now)
+
+    def start(self, now: float, ref: str, work: float) -> None:
+        self._pass_time(now)
+        heapq.heappush(self.running, (self.progress + work, ref))
+
+    def ended(self, now: float) -> list[str]:
+        self._pass_time(now)
+        done = []
+        while self.running and self.running[0][0] <= self.progress + 1e-9:
+            done.append(heapq.heappop(self.running)[1])
+        return done
+
+    def next_end(self, now: float) -> float | None:
+        return (self.running[0][0] - self.progress) / self._rate(now) if self.running else None
+
+
+class Interpreter:
+    def __init__(self, cores: int, speed: float, warming: float) -> None:
+        self.born = time.monotonic()
+        self.warming, self.cold_speed = warming, speed
+        self.cores = Cores(cores, self.speed)
+        self.bodies: dict[str, tuple[bytes, float]] = {}
+        self.notices: list[bytes] = []
+        self.first_kept = 1
+        self.ran: Counter[str] = Counter()
+        self.writer: asyncio.StreamWriter | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.busy = self.busy_at = self.late_most = 0.0
+        self.wanted: float | None = None
+
+    def speed(self, now: float) -> float:
+        warmed = min(1.0, (now - self.born) / self.warming) if self.warming else 1.0
+        return self.cold_speed + (1.0 - self.cold_speed) * warmed
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.writer:
+            self.writer.close()
+        self.writer = writer
+        try:
+            while line := await reader.readline():
+                self.command(json.loads(line))
+        except (ValueError, KeyError, ConnectionError):
+            pass
+        writer.close()
+
+    def command(self, told: dict[str, Any]) -> None:
+        now = time.monotonic()
+        if told["t"] == "CONNECT":
+            self.say(json.dumps({"t": "BANNER", "status": "new" if self.warming else "old",
+                                 "time_ms": 1000.0 * (now - self.born)}).encode())
+            for notice in self.notices[max(0, told["no"] + 1 - self.first_kept):]:
+                self.say(notice)
+        elif told["t"] == "TOP":
+            busy = min(1.0, len(self.cores.running) / self.cores.cores)
+            self.say(json.dumps({"t": "TOPS", "mark": told["mark"], "v": [busy, len(self.cores.running), 0.1,
+                                                                          1]}).encode())
+        elif told["t"] == "APPLY" and told["rid"] not in self.bodies:
+            body = b64decode(told["b64"])
+            work, who, *_ = body.split(b" ")
+            self.ran[f"{told['route']} {who.decode()}"] += 1
+            self.bodies[told["rid"]] = body, now
+            self.cores.start(now, told["rid"], float(work) / 1000.0)
+            self.look()
+
+    def look(self) -> None:
+        now = time.monotonic()
+        if self.wanted is not None:
+            self.late_most = max(self.late_most, now - self.wanted)
+        for ref in self.cores.ended(now):
+            body, since = self.bodies.pop(ref)
+            number = self.first_kept + len(self.notices)
+            self.notices.append(json.dumps({"t": "VALUE", "no": number, "rid": ref, "status": "good",
+                                            "time_ms": 1000.0 * (now - since),
+                                            "b64": b64encode(b"done " + body).decode()}).encode())
+            self.say(self.notices[-1])
+        if len(self.notices) > 2 * NOTICES_KEPT:
+            self.first_kept += NOTICES_KEPT
+            del self.notices[:NOTICES_KEPT]
+        if self.timer:
+            self.timer.cancel()
+        left = self.cores.next_end(now)
+        self.wanted = None if left is None else now + left
+        self.timer = asyncio.get_running_loop().call_later(left, self.look) if left is not None else None
+
+    def say(self, line: bytes) -> None:
+        if self.writer and not self.writer.is_closing():
+            self.writer.write(line + b"\n")
+
+    def report(self) -> dict[str, Any]:
+        twice = Counter(name.split(" ")[0] for name, count in self.ran.items() if count > 1)
+        return {"ran": sum(self.ran.values()), "twice": dict(twice), "late_most": round(self.late_most, 4)}
+
+
+async def main(port: int, cores: int, speed: float, warming: float) -> None:
+    interpreter = Interpreter(cores, speed, warming)
+    server = await asyncio.start_server(interpreter.serve, "127.0.0.1", port, limit=1 << 20)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await stop.wait()
+    server.close()
+    print(json.dumps(interpreter.report()), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), float(sys.argv[4])))
--- /dev/null
+++ b/mulleinhatch/standins/rig.py
@@ -0,0 +1,320 @@
+"""The rig: real instances, stand-in interpreters and caller stubs in processes of their own, and faults by script.
+
+Everything is on loopback and bounded in time. What measures is measured, too: the processes' CPU and memory each
+quarter of a second, and how late stubs, interpreters and the rig itself were.
+"""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import psutil
+
+from mulleinhatch.standins import faults
+
+SAMPLE = 0.25           # seconds between two looks at the processes
+WINDOW = 2.0            # seconds over which a core counts as busy
+LEAD = 1.5              # seconds from the start of the stubs to their first op
+UP_WITHIN = 15.0
+GARBLE = b"\x00\x17garbled \xff line\r\nContent-Length: -7\r\n\r\n"
+
+
+class Case(NamedTuple):
+    """One run; times are seconds from the first op, rates ops a second."""
+
+    script: str
+    run_for: float
+    rate: float
+    patience: float = 30.0
+    heeding: float = 0.0
+    marked: float = 1.0
+    instances: int = 1
+    cores: int = 4
+    work_ms: float = 50.0
+    loads: int = 2              # stub processes
+    cold_speed: float = 1.0     # of a fresh interpreter
+    warming: float = 0.0        # seconds until it is warm
+    seed: int = 1
+    operator: str = ""          # the operator's file, as KDL
+    longest_hold_off: float = 30.0
+
+
+KINDS = [{"name": "read", "share": 0.70, "repeats": "safe"}, {"name": "update", "share": 0.12, "repeats": "safe"},
+         {"name": "signoff", "share": 0.10, "repeats": "unsafe"}, {"name": "stamp", "share": 0.08, "repeats": "keyed"}]
+
+
+def settings(case: Case) -> dict[str, Any]:
+    """What the instances are told of the deployment."""
+    timing = {"aim": 1800.0, "deadline": 4500.0, "late_worth": 0.0, "memory_span": 60_000.0}
+    worth = {"read": 1.0, "update": 2.0, "signoff": 5.0, "stamp": 5.0}
+    return {"classes": [{"name": kind["name"], "effect": kind["repeats"], "worth": worth[kind["name"]], **timing}
+                        for kind in KINDS],
+            "family_info": {"cores": case.cores, "gauges": ["core_use", "on_cores", "heap_share", "links"],
+                            "memory_kb": 60_000.0, "run_factor": 4.0, "key_kb": 1.0, "say": "floor",
+                            "callers": 4 * case.loads, "idle": 15_000.0},
+            "tick": 2.0, "servers": case.instances, "limits": {"retry_after": True,
+                                                              "max_retry_after": 1000.0 * case.longest_hold_off},
+            "rules": {"drain_grace": 2500.0, "tip_multiple": 8.0, "cold": 1000.0 * case.warming,
+                      "cold_from": case.cold_speed}}
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return free.getsockname()[1]
+
+
+class Place:
+    """An instance and its interpreter, at the same addresses in all their lives."""
+
+    def __init__(self, case: Case, number: int, folder: Path) -> None:
+        self.case, self.number, self.folder = case, number, folder
+        self.port, self.link = free_port(), free_port()
+        self.instance: asyncio.subprocess.Process | None = None
+        self.interpreter: asyncio.subprocess.Process | None = None
+        self.watched: psutil.Process | None = None
+        self.life = 0
+        self.lost_lives: list[dict[str, Any]] = []
+
+    async def start(self) -> None:
+        case, self.life = self.case, self.life + 1
+        told = {"name": f"n{self.number}", "listen": f"127.0.0.1:{self.port}", "vm": f"127.0.0.1:{self.link}",
+                "seed": f"{case.seed * 1000 + self.number * 10 + self.life:x}", "stop_ms": 3000,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(case)}
+        config, operator = self.folder / f"n{self.number}.json", self.folder / "operator.kdl"
+        config.write_text(json.dumps(told))
+        operator.write_text(case.operator)
+        self.log = open(self.folder / f"n{self.number}.log", "a")
+        self.interpreter = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "mulleinhatch.standins.interpreter", str(self.link), str(case.cores),
+            str(case.cold_speed), str(case.warming), stdout=asyncio.subprocess.PIPE)
+        self.instance = await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-m", "mulleinhatch", "serve", "--config", str(config),
+            *(["--operator", str(operator)] if case.operator else []), stderr=self.log)
+        self.watched = psutil.Process(self.instance.pid)
+
+    async def stop(self) -> dict[str, Any]:
+        """What its last interpreter has to report."""
+        if self.instance and self.instance.returncode is None:
+            self.instance.kill()
+            await self.instance.wait()
+        if self.interpreter and self.interpreter.returncode is None:
+            self.interpreter.send_signal(signal.SIGCONT)
+            self.interpreter.terminate()
+            out = (await self.interpreter.communicate())[0]
+            return json.loads(out) if out else {}
+        return {}
+
+    async def kill(self) -> None:
+        """Outright; the interpreter first tells what it ran, which a kill would take with it."""
+        self.instance.kill()
+        self.lost_lives.append(await self.stop())
+        self.watched = None
+
+    async def ask(self, path: str) -> str:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        try:
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n".encode())
+            return (await asyncio.wait_for(reader.read(), 5.0)).decode()
+        finally:
+            writer.close()
+
+    async def counters(self) -> dict[str, int]:
+        try:
+            _, _, body = (await self.ask("/status/counters")).partition("\r\n\r\n")
+        except (OSError, asyncio.TimeoutError):
+            return {}
+        return {name: int(count) for name, _, count in (line.partition("=") for line in body.splitlines())}
+
+
+class Rig:
+    def __init__(self, case: Case, folder: Path, on_sample: Callable[[Rig], None] | None = None) -> None:
+        self.case, self.folder, self.on_sample = case, folder, on_sample
+        self.faults = faults.read(case.script)
+        self.places = [Place(case, number, folder) for number in range(case.instances)]
+        self.samples: list[tuple[float, list[float | None], list[int]]] = []     # at, CPU seconds, memory
+        self.late = 0.0
+        self.noise: list[asyncio.Task[None]] = []
+        self.start_at = 0.0
+
+    async def play(self) -> dict[str, Any]:
+        loads: list[asyncio.subprocess.Process] = []
+        try:
+            for place in self.places:
+                await place.start()
+            await self._up()
+            self.start_at = time.time() + LEAD
+            loads = [await self._load(number) for number in range(self.case.loads)]
+            sampling = asyncio.ensure_future(self._sample())
+            reports = [asyncio.ensure_future(load.communicate()) for load in loads]
+            await self._play_faults()
+            done = await asyncio.wait_for(asyncio.gather(*reports), self.case.run_for + 20.0)
+            sampling.cancel()
+            counters = [await place.counters() for place in self.places]
+            ran = [[*place.lost_lives, await place.stop()] for place in self.places]
+            return {"stubs": [json.loads(out) for out, _ in done], "counters": counters, "ran": ran,
+                    "samples": self.samples, "rig_late": self.late, "end": faults.end_of(self.faults)}
+        finally:
+            for task in self.noise:
+                task.cancel()
+            for load in loads:
+                if load.returncode is None:
+                    load.kill()
+            for place in self.places:
+                with contextlib.suppress(ProcessLookupError):
+                    await place.stop()
+
+    async def _up(self) -> None:
+        """Until all instances answer a health check and have found their interpreters."""
+        until = time.monotonic() + UP_WITHIN
+        for place in self.places:
+            while not (await place.counters()).get("link_opened"):
+                if time.monotonic() > until:
+                    raise TimeoutError(f"instance {place.number} is not up: see {self.folder}")
+                await asyncio.sleep(0.05)
+
+    async def _load(self, number: int) -> asyncio.subprocess.Process:
+        case = self.case
+        habits = {"instances": [["127.0.0.1", place.port] for place in self.places], "kinds": KINDS,
+                  "start_at": self.start_at, "run_for": case.run_for, "rate": case.rate / case.loads,
+                  "seed": 100 * case.seed + number, "first_caller": 4 * number, "patience": case.patience,
+                  "heeding": case.heeding, "marked": case.marked, "work_ms": case.work_ms,
+                  "connections": 900 // case.loads}
+        load = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "mulleinhatch.standins.stubs", stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE)
+        load.stdin.write(json.dumps(habits).encode() + b"\n")
+        await load.stdin.drain()
+        return load
+
+    async def _play_faults(self) -> None:
+        for fault in self.faults:
+            wait = self.start_at + fault.at - time.time()
+            if wait > 0.0:
+                await asyncio.sleep(wait)
+            self.late = max(self.late, time.time() - self.start_at - fault.at)
+            await asyncio.gather(*(self._do(fault, self.places[number]) for number in fault.places))
+
+    async def _do(self, fault: faults.Fault, place: Place) -> None:
+        if fault.what == "kill":
+            await place.kill()
+        elif fault.what == "start":
+            await place.start()
+        elif fault.what in ("freeze", "thaw"):
+            place.interpreter.send_signal(signal.SIGSTOP if fault.what == "freeze" else signal.SIGCONT)
+        elif fault.what == "leave":
+            place.instance.send_signal(signal.SIGTERM)
+        elif fault.what == "quiet":
+            for task in self.noise:
+                task.cancel()
+        else:
+            self.noise += [asyncio.ensure_future(self._noise(place, fault.what)) for _ in range(fault.count)]
+
+    @staticmethod
+    async def _noise(place: Place, what: str) -> None:
+        """A connection that is of no use to anybody, opened again whenever it is closed."""
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", place.port)
+                try:
+                    if what == "garble":
+                        writer.write(GARBLE)
+                    await reader.read()
+                finally:
+                    writer.close()
+            await asyncio.sleep(0.2)
+
+    async def _sample(self) -> None:
+        while True:
+            cpu: list[float | None] = []
+            memory = []
+            for place in self.places:
+                try:
+                    times = place.watched.cpu_times() if place.watched else None
+                    cpu.append(times and times.user + times.system)
+                    memory.append(place.watched.memory_info().rss if place.watched else 0)
+                except psutil.Error:
+                    cpu.append(None)
+                    memory.append(0)
+            self.samples.append((time.time() - self.start_at, cpu, memory))
+            if self.on_sample:
+                self.on_sample(self)
+            await asyncio.sleep(SAMPLE)
+
+
+def core_use(samples: list[tuple[float, list[float | None], list[int]]], since: float) -> float:
+    """The largest part of a core that one instance used in any `WINDOW` from `since` on.
+
+    >>> core_use([(t / 4, [t / 8], [0]) for t in range(20)], 1.0)
+    0.5
+    """
+    most, width = 0.0, round(WINDOW / SAMPLE)
+    for earlier, later in zip(samples, samples[width:]):
+        if earlier[0] >= since:
+            for before, after in zip(earlier[1], later[1]):
+                if before is not None and after is not None and after >= before:
+                    most = max(most, (after - before) / (later[0] - earlier[0]))
+    return most
+
+
+def played(case: Case, keep: Path | None = None, on_sample: Callable[[Rig], None] | None = None) -> dict[str, Any]:
+    """One run from start to end; `keep` is a folder for the instances' logs."""
+    with tempfile.TemporaryDirectory() as folder:
+        rig = Rig(case, keep or Path(folder), on_sample)
+        return asyncio.run(rig.play())
+
+
+def outcome(case: Case, told: dict[str, Any]) -> dict[str, Any]:
+    """The figures that a run is judged by; shares from 0 to 1, times in seconds from the end of the outage."""
+    bucket = told["stubs"][0]["bucket"]
+    first: dict[int, int] = {}
+    good: dict[int, int] = {}
+    for stub in told["stubs"]:
+        for name, into in (("first", first), ("in_time", good)):
+            for key, count in stub[name].items():
+                into[int(key)] = into.get(int(key), 0) + count
+    end, per = told["end"], round(1.0 / bucket)
+    start, stop = round(end * per), round(case.run_for * per)
+    after, served = sum(first.get(b, 0) for b in range(start, stop)), sum(good.get(b, 0) for b in range(start, stop))
+    back, late = None, 0
+    for at in range(stop - 2 * per, start - 1, -1):     # backwards: the last two seconds that were not good
+        wanted, got = (sum(of.get(b, 0) for b in range(at, at + 2 * per)) for of in (first, good))
+        if got < 0.9 * wanted:
+            break
+        back = (at - start) * bucket
+    before = range(per, round(min((fault.at for fault in faults.read(case.script)), default=case.run_for) * per) - 2 * per)
+    calm = sum(first.get(b, 0) for b in before)
+    twice: dict[str, int] = {}
+    for life in (life for lives in told["ran"] for life in lives):
+        for name, count in life.get("twice", {}).items():
+            twice[name] = twice.get(name, 0) + count
+        late = max(late, life.get("late_most", 0.0))
+    counts = {name: sum(stub["counts"][name] for stub in told["stubs"]) for name in told["stubs"][0]["counts"]}
+    tries = {}
+    for stub in told["stubs"]:
+        for key, count in stub["tries"].items():
+            tries[int(key)] = tries.get(int(key), 0) + count
+    return {"in_time": served / max(1, after), "calm": sum(good.get(b, 0) for b in before) / max(1, calm),
+            "back_after": back, "core": core_use(told["samples"], end + 10.0),
+            "core_all": core_use(told["samples"], 0.0),
+            "memory_mb": max(max(sample[2]) for sample in told["samples"]) / 1e6,
+            "lost": counts["unanswered"], "wrong": counts["wrong"],
+            "twice": twice.get("signoff", 0) + twice.get("stamp", 0), "most_tries": max(tries.values()) / bucket,
+            "told": max((stub["told"] for stub in told["stubs"]), key=lambda told: told["50"]),
+            "late": max([late, told["rig_late"], *(stub["late"]["99"] for stub in told["stubs"])]),
+            "counts": counts, "counters": told["counters"],
+            "series": {"first": first, "good": good, "tries": tries}}
+
+
+def keep_environment() -> None:
+    """The processes of a rig find the project where it was started from."""
+    os.environ.setdefault("PYTHONPATH", str(Path(__file__).parents[2]))
--- /dev/null
+++ b/mulleinhatch/standins/stubs.py
@@ -0,0 +1,287 @@
+"""Stand-in caller stubs: open load with habits, in a process of its own.
+
+Runs as `python -m mulleinhatch.standins.stubs`, with its habits as one JSON line on standard input; at the end of its
+time, or on SIGTERM, it prints one JSON line. Ops come by a Poisson process whatever becomes of the earlier ones; an op
+is tried until it is acked, failed for good, or its client's patience is over.
+"""
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import re
+import signal
+import socket
+import sys
+import time
+from typing import Any, NamedTuple
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+ANSWER = re.compile(rb"HTTP/1\.1 ([0-9]{3}) [^\r\n]*\r\n((?:[^\r\n]+\r\n)*)\r\n")
+FIELD = re.compile(rb"(?i)(content-length|retry-after-ms|x-dont-retry|connection): ([^\r\n]*)\r\n")
+BUCKET = 0.25           # seconds of a count
+
+
+class OpKind(msgspec.Struct, frozen=True):
+    name: str
+    share: float
+    repeats: str = "safe"       # safe: after any failure; keyed: with its key; unsafe: after a nack or a broken link
+
+
+class Habits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the stubs of one process do; times are seconds, rates ops a second, shares from 0 to 1."""
+
+    instances: list[tuple[str, int]]
+    kinds: list[OpKind]
+    start_at: float                 # on the system's clock
+    run_for: float
+    rate: float
+    seed: int = 1
+    first_caller: int = 0
+    callers: int = 4
+    patience: float = 4.5           # of a client, over all its tries
+    try_wait: float = 4.5           # of a stub for one try
+    pause: float = 0.05             # before the next try
+    heeding: float = 0.0            # clients that stay away as long as they are told
+    marked: float = 1.0             # clients whose further tries are marked
+    work_ms: float = 50.0
+    most_tries: int = 1_000_000
+    connections: int = 900          # an instance
+    directory: tuple[str, int] | None = None
+    second_copy: float = 0.0        # seconds after which a safe op is sent once more beside; 0: never
+
+
+class Op(NamedTuple):
+    """What an op is through all its tries; `state` holds what changes: tries, whether it is over, its place."""
+
+    number: int
+    kind: OpKind
+    caller: int
+    born: float
+    heeds: bool
+    marks: bool
+    work: float
+    state: list[Any]
+
+
+class Wire(asyncio.Protocol):
+    """One kept connection with one try at a time."""
+
+    def __init__(self, load: Load, place: int) -> None:
+        self.load, self.place = load, place
+        self.transport: asyncio.Transport | None = None
+        self.data = b""
+        self.op: Op | None = None
+        self.sent = 0
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, op: Op, request: bytes, wait: float) -> None:
+        self.op = op
+        self.sent += 1
+        self.transport.write(request)
+        self.timer = asyncio.get_running_loop().call_later(wait, self.overdue)
+
+    def overdue(self) -> None:
+        op, self.op = self.op, None
+        self.transport.abort()
+        self.load.unanswered(op)
+
+    def data_received(self, data: bytes) -> None:
+        self.data = self.data + data if self.data else data
+        found = ANSWER.match(self.data)
+        if not found or self.op is None:
+            return
+        fields = {field[1].lower(): field[2] for field in FIELD.finditer(found[2])}
+        length = int(fields.get(b"content-length", b"0"))
+        if len(self.data) < found.end() + length:
+            return
+        body, self.data = self.data[found.end():found.end() + length], b""
+        op, self.op = self.op, None
+        self.timer.cancel()
+        if fields.get(b"connection") == b"close":
+            self.transport.close()
+        else:
+            self.load.idle[self.place].append(self)
+        self.load.answered(op, self.place, int(found[1]), body, float(fields.get(b"retry-after-ms", 0)) / 1000.0)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.load.open[self.place] -= 1
+        if self in self.load.idle[self.place]:
+            self.load.idle[self.place].remove(self)
+        if self.op is not None:
+            op, self.op = self.op, None
+            self.timer.cancel()
+            self.load.broken(op)
+
+
+class Load:
+    def __init__(self, habits: Habits) -> None:
+        self.habits, self.draw = habits, random.Random(habits.seed)
+        self.idle: list[list[Wire]] = [[] for _ in habits.instances]
+        self.open = [0] * len(habits.instances)
+        self.numbers = 0
+        self.first: dict[int, int] = {}         # bucket of birth: ops
+        self.in_time: dict[int, int] = {}       # and those acked within the target
+        self.tries: dict[int, int] = {}
+        self.by_kind: dict[str, list[int]] = {kind.name: [0, 0, 0, 0] for kind in habits.kinds}
+        self.counts = {name: 0 for name in ("acked", "nacked", "failed", "unanswered", "broken", "refused",
+                                            "gave_up", "wrong", "second_copies", "tries")}
+        self.late = HdrHistogram(1, 60_000, 3)      # milliseconds that our own timers were late
+        self.waits = HdrHistogram(1, 60_000, 3)     # milliseconds that nacks told
+        self.latency = HdrHistogram(1, 120_000, 3)  # of acked ops, from their first try
+        self.target = 1.8
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.waiting = 0
+
+    async def play(self) -> None:
+        habits, loop = self.habits, asyncio.get_running_loop()
+        at = habits.start_at
+        while at < habits.start_at + habits.run_for:
+            at += self.draw.expovariate(habits.rate)
+            wait = at - time.time()
+            if wait > 0.0:
+                await asyncio.sleep(wait)
+            self.late.record_value(max(1, min(60_000, int(1000.0 * (time.time() - at)))))
+            self.born(at)
+        self.over_at = loop.time()
+
+    def born(self, at: float) -> None:
+        draw, habits = self.draw, self.habits
+        kind = draw.choices(habits.kinds, [kind.share for kind in habits.kinds])[0]
+        self.numbers += 1
+        op = Op(self.numbers, kind, habits.first_caller + draw.randrange(habits.callers), at,
+                draw.random() < habits.heeding, draw.random() < habits.marked,
+                habits.work_ms * draw.uniform(0.7, 1.3), [0, False, draw.randrange(len(self.open))])
+        bucket = int((at - habits.start_at) / BUCKET)
+        self.first[bucket] = self.first.get(bucket, 0) + 1
+        self.by_kind[kind.name][0] += 1
+        self.waiting += 1
+        self.next_try(op)
+        if habits.second_copy and kind.repeats == "safe":
+            asyncio.get_running_loop().call_later(habits.second_copy, self.copy, op)
+
+    def copy(self, op: Op) -> None:
+        if not op.state[1]:
+            self.counts["second_copies"] += 1
+            self.next_try(op)
+
+    def next_try(self, op: Op) -> None:
+        now = time.time()
+        if op.state[1]:
+            return
+        if now - op.born > self.habits.patience or op.state[0] >= self.habits.most_tries:
+            self.over(op, "gave_up")
+            return
+        op.state[0] += 1
+        self.counts["tries"] += 1
+        bucket = int((now - self.habits.start_at) / BUCKET)
+        self.tries[bucket] = self.tries.get(bucket, 0) + 1
+        place = op.state[2] % len(self.open)
+        if self.idle[place]:
+            self.send(self.idle[place].pop(), op, now)
+        elif self.open[place] < self.habits.connections:
+            self.open[place] += 1
+            task = asyncio.ensure_future(self.connect(op, place))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        else:
+            self.refused(op)
+
+    async def connect(self, op: Op, place: int) -> None:
+        try:
+            _, wire = await asyncio.wait_for(asyncio.get_running_loop().create_connection(
+                lambda: Wire(self, place), *self.habits.instances[place]), 1.0)
+        except (OSError, asyncio.TimeoutError):
+            self.open[place] -= 1
+            self.refused(op)
+            return
+        self.send(wire, op, time.time())
+
+    def send(self, wire: Wire, op: Op, now: float) -> None:
+        habits = self.habits
+        wait = max(0.05, min(habits.try_wait, op.born + habits.patience - now))
+        again = "X-Retry: 1\r\n" if op.state[0] > 1 and op.marks else ""
+        key = f"Idempotency-Key: {habits.seed}-{op.number}\r\n" if op.kind.repeats == "keyed" else ""
+        body = f"{op.work:.1f} {habits.seed}-{op.number} of caller {op.caller}".encode()
+        wire.send(op, (f"POST /svc/{op.kind.name} HTTP/1.1\r\nHost: origin.svc\r\n"
+                       f"X-Request-Id: {self.draw.getrandbits(64):016x}\r\nX-Request-Start: {now * 1000:.0f}\r\n"
+                       f"X-Caller: {op.caller}\r\nX-Timeout-Ms: {1000.0 * wait:.0f}\r\n"
+                       f"X-Cost-Ms: {op.work:.2f}\r\nX-Memory-Kb: 20.0\r\nX-Rank: 0.5000\r\n{again}{key}"
+                       f"Content-Length: {len(body)}\r\n\r\n").encode() + body, wait + 0.25)
+
+    # What becomes of a try.
+
+    def answered(self, op: Op, place: int, status: int, body: bytes, told: float) -> None:
+        if status == 200:
+            name = f" {self.habits.seed}-{op.number} ".encode()
+            self.over(op, "acked" if name in body else "wrong")
+        elif status in (429, 503):
+            self.counts["nacked"] += 1
+            if told:
+                self.waits.record_value(max(1, min(60_000, int(1000.0 * told))))
+            op.state[2] = place + 1
+            self.again(op, max(self.habits.pause, told) if op.heeds else self.habits.pause)
+        else:
+            self.counts["failed"] += 1
+            self.again(op, self.habits.pause) if op.kind.repeats != "unsafe" else self.over(op, "gave_up")
+
+    def unanswered(self, op: Op) -> None:
+        self.counts["unanswered"] += 1
+        self.again(op, self.habits.pause) if op.kind.repeats != "unsafe" else self.over(op, "gave_up")
+
+    def broken(self, op: Op) -> None:
+        self.counts["broken"] += 1
+        op.state[2] += 1
+        self.again(op, self.habits.pause)
+
+    def refused(self, op: Op) -> None:
+        self.counts["refused"] += 1
+        op.state[2] += 1
+        self.again(op, self.habits.pause)
+
+    def again(self, op: Op, pause: float) -> None:
+        asyncio.get_running_loop().call_later(pause, self.next_try, op)
+
+    def over(self, op: Op, how: str) -> None:
+        if op.state[1]:
+            return
+        op.state[1] = True
+        self.waiting -= 1
+        self.counts[how] += 1
+        took, kind = time.time() - op.born, self.by_kind[op.kind.name]
+        if how == "acked":
+            kind[1] += 1
+            self.latency.record_value(max(1, min(120_000, int(1000.0 * took))))
+            if took <= self.target:
+                bucket = int((op.born - self.habits.start_at) / BUCKET)
+                self.in_time[bucket] = self.in_time.get(bucket, 0) + 1
+                kind[2] += 1
+
+    def report(self) -> dict[str, Any]:
+        def quantiles(histogram: HdrHistogram) -> dict[str, float]:
+            return {str(q): histogram.get_value_at_percentile(q) / 1000.0 for q in (50, 95, 99, 100)}
+        return {"first": self.first, "in_time": self.in_time, "tries": self.tries, "counts": self.counts,
+                "by_kind": self.by_kind, "late": quantiles(self.late), "told": quantiles(self.waits),
+                "latency": quantiles(self.latency), "waiting": self.waiting, "bucket": BUCKET}
+
+
+async def main() -> None:
+    load = Load(msgspec.json.decode(sys.stdin.buffer.readline(), type=Habits))
+    task = asyncio.ensure_future(load.play())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        await task
+        await asyncio.sleep(load.target + 0.2)      # the last ops have their time, too
+    except asyncio.CancelledError:
+        pass
+    print(json.dumps(load.report()), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import logging
 import math
 import socket
 from collections.abc import Callable, Sequence
+from functools import partial
 from itertools import islice
 from typing import Any, Protocol
 
@@ -32,6 +34,7 @@
 BLAME_PAUSE, BLAMED_MOST = 0.1, 10      # seconds before more is read, for each bad request of a connection
 OWED = 4                # the rank of those that make no room
 LOOKS = 8               # at spare connections of a rank, for one new one: each look is a system call
+LOOK = 4096             # bytes of a request that are looked at before it is read in full
 WASTE = memoryview(bytearray(65536))    # where all that is thrown away is read into
 
 
@@ -55,6 +58,7 @@
         self.blamed = 0          # bad requests
         self.settled = asyncio.Event()
         self.shelf: dict[int, Connection] = {}
+        self.back_at = 0.0       # when its caller was told to come back
 
     def is_idle(self) -> bool:
         return not self.owing and not self.last and not self.reader.started()
@@ -82,6 +86,8 @@
         # By rank, those longest without use first: at the bound each new connection asks who makes room.
         self.shelves: list[dict[int, Connection]] = [{} for _ in range(OWED + 1)]
         self.accepted = 0
+        self.turn_back: Callable[[float, bytes, float], tuple[Sequence[bytes], float] | None] | None = None
+        self.on_connected: Callable[[], None] | None = None
         self.waiting_since = math.inf    # from then on there were always more new ones than could be taken
         self.tasks: set[asyncio.Task[Any]] = set()
 
@@ -127,6 +133,9 @@
         self.accepted += 1
         self.count("connections_accepted")
         connection = Connection(self.accepted, GatheringStream(sock), self.reader(), self.clock())
+        connection.stream.doorman = partial(self._at_the_door, connection)
+        if self.on_connected:
+            self.on_connected()
         self.open[connection.number] = connection
         self._shelve(connection)
         task = asyncio.ensure_future(self._converse(connection))
@@ -207,7 +216,37 @@
             left -= await connection.stream.read_into(WASTE, partial=True)
             await asyncio.sleep(0)
 
+    def _at_the_door(self, connection: Connection) -> bool:
+        """While `turn_back` is set, a request that lies there whole is looked at before its coroutine is woken, and
+        answered where it stands if that says so: a small part of what it costs to read it in full."""
+        if (self.turn_back is None or connection.owing or connection.last or connection.reader.started()
+                or connection.stream.writing()):
+            return False
+        sock, now = connection.stream.socket, self.clock()
+        try:
+            data = sock.recv(LOOK, socket.MSG_PEEK)
+            answer = self.turn_back(now, data, connection.back_at) if data else None
+            if answer is None:
+                return False
+            sock.recv_into(WASTE, len(data))
+        except OSError:
+            return False
+        pieces, connection.back_at = answer
+        if not connection.again:
+            connection.heard, connection.again = True, connection.heard
+            self._shelve(connection)
+        connection.quiet_since, connection.due = now, math.inf
+        with contextlib.suppress(StreamClosedError):
+            connection.stream.write_gathered(pieces)
+        return True
+
+    def told_back(self, number: int, at: float) -> None:
+        """Its answer told when to come back."""
+        if connection := self.open.get(number):
+            connection.back_at = at
+
     def _drop(self, connection: Connection) -> None:
+        connection.stream.doorman = None
         connection.stream.close()
         connection.settled.set()
         connection.shelf.pop(connection.number, None)
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 import struct
-from collections.abc import Awaitable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 from tornado.ioloop import IOLoop
@@ -18,6 +18,7 @@
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock, read_chunk_size=CHUNK)
         self.parked = self.was_parked = False
+        self.doorman: Callable[[], bool] | None = None
         self.set_nodelay(True)
 
     def park(self) -> None:
@@ -41,6 +42,8 @@
         """The loop stops watching a parked stream only when something comes: few peers send ahead, and two
         system calls for each op would be much of what it costs."""
         if not self.parked or not events & IOLoop.READ:
+            if self.doorman and events == IOLoop.READ and self.doorman():
+                return    # what came is answered already; the read that waits goes on waiting
             super()._handle_events(fd, events)
             return
         self.io_loop.remove_handler(self.fileno())
