--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -43,7 +43,7 @@
 CALL_MEMORY = 2.5       # seconds without a call in which a slow one is forgotten: else none would ask again
 CALL_ROOM = 3.0         # calls in hand over one more than their mean: unused room fills when calls slow
 BEST_DRIFT = 0.01       # a second: a best call time that is never met again is forgotten
-HEAR_ROOM, HEAR_LEAST = 0.95, 0.05    # of what can be served, in a storm: first tries and retries; retries
+HEAR_ROOM, HEAR_LEAST = 0.95, 0.02    # of what can be served, in a storm: first tries and retries; retries
 HEAR_STEP = 0.1         # change of that rate, as a share, that is worth a word
 PROVES_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
 
--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -76,7 +76,7 @@
         """Whether tries may be nacked before they are read in full."""
         self.connections.turn_back = self._look if shed and self.turned_back else None
 
-    def _look(self, now: float, data: bytes, back_at: float) -> tuple[list[bytes], float] | None:
+    def _look(self, now: float, data: bytes, back_at: float) -> tuple[bytes, float] | None:
         """The nack of a try that is turned back, and when its caller is told to come back. `back_at` is when the
         connection's last answer told it to; who never heard of such a time is neither punctual nor stubborn."""
         told = None if self.leaving else http.short_look(data)
@@ -87,7 +87,7 @@
         if seconds is None:
             return None
         self.count("answers_429")
-        return http.answer(429, level=self.level(), hold_off=seconds, not_elsewhere=True), now + seconds
+        return http.turned_back(self.level(), seconds), now + seconds
 
     def nack(self, place: int, hold_off: float, not_elsewhere: bool, level: float | None) -> None:
         if hold_off > 0.0:
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -131,10 +131,11 @@
         self.end, self.searched = rest, 0
 
 
-RETRY_LINE, LENGTH_LINE = b"\r\nx-retry: 1\r\n", b"\r\ncontent-length:"
-SHORT_HEAD = re.compile(rb"post /svc/([^ ?/\r\n]+) http/1\.1\r\n")
-SHORT_LENGTH = re.compile(rb"\r\ncontent-length: ([0-9]{1,4})\r\n")
-SHORT_FIELD = re.compile(rb"\r\n(x-request-id|x-caller|x-tenant|x-object|idempotency-key): ([^\r\n]*)")
+SHORT_REQUEST = re.compile(     # one pass in C: the fields that count, and no other that only a full reading may judge
+    rb"(?i)POST /svc/([^ ?/\r\n]+) HTTP/1\.1\r\n(?:X-(?:Request-Id: ([0-9a-f]{16})|Caller: ([0-9]{1,9})|Retry: (1)|"
+    rb"Tenant: ([^\r\n]*)|Object: ([^\r\n]*)|(?!Request-Id|Caller|Retry|Tenant|Object)[a-z-]+:[^\r\n]*)\r\n|"
+    rb"Content-Length: ([0-9]{1,4})\r\n|Idempotency-Key: ([^\r\n]*)\r\n|"
+    rb"(?!X-|Content-Length|Idempotency-Key|Transfer-|Connection|Expect|Upgrade)[a-z0-9-]+:[^\r\n]*\r\n)*\r\n")
 
 
 def short_look(data: bytes) -> tuple | None:
@@ -147,26 +148,29 @@
     ('00000000000000aB', 'a', '', 4, True, '', b'hi')
     >>> short_look(b"POST /svc/a HTTP/1.1\\r\\nX-Request-Id: 00000000000000aB\\r\\nContent-Length: 2\\r\\n\\r\\nhiP")
     """
-    end = data.find(HEAD_END) + len(HEAD_END)
-    head = data[:end - len(LINE_END)]
-    low = head.lower()
-    start, length = SHORT_HEAD.match(low), SHORT_LENGTH.search(low)
-    if (start is None or length is None or end + int(length[1]) != len(data)
-            or low.count(LENGTH_LINE) != 1 or b"\ntransfer-encoding" in low or b"\nconnection" in low
-            or low.count(b"\n") != low.count(LINE_END)):
+    found = SHORT_REQUEST.match(data)
+    if found is None:
         return None
-    fields = {}
-    for field in SHORT_FIELD.finditer(low):
-        if field[1] in fields:
-            return None
-        fields[field[1]] = head[field.start(2):field.end(2)]
-    ref, caller = fields.get(b"x-request-id", b""), fields.get(b"x-caller", b"0")
-    if not OP_ID.fullmatch(ref) or not caller.isdigit() or len(caller) > 9:
+    op_type, ref, caller, again, tenant, thing, length, key = found.groups(b"")
+    end = found.end()
+    if not ref or not length or end + int(length) != len(data) or data[:end].lower().count(b"\ncontent-length") != 1:
         return None
-    key = fields.get(b"idempotency-key") or fields.get(b"x-object", b"")
-    return (ref.decode(), head[start.start(1):start.end(1)].decode("latin-1"),
-            fields.get(b"x-tenant", b"").decode("latin-1"), int(caller), RETRY_LINE in low, key.decode("latin-1"),
-            data[end:])
+    return (ref.decode(), op_type.decode("latin-1"), tenant.decode("latin-1"), int(caller or 0), again == b"1",
+            (key or thing).decode("latin-1"), data[end:])
+
+
+TURNED_BACK = b"".join([b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n%bRetry-After-Ms: %d\r\n",
+                        b"X-Dont-Retry: 1\r\n\r\n"])
+
+
+def turned_back(level: float | None, hold_off: float) -> bytes:
+    """The nack of a repeat in a storm, in one piece; by then there is always a time to come back at.
+
+    >>> turned_back(0.25, 1.5) == b"".join(answer(429, level=0.25, hold_off=1.5, not_elsewhere=True))
+    True
+    """
+    signal = b"" if level is None else b"X-Load-Signal: %.4f\r\n" % level
+    return TURNED_BACK % (signal, max(1, round(hold_off * 1000.0)))
 
 
 def number(fields: dict[bytes, bytes], name: bytes, least: float = 0.0, below: float = math.inf,
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -190,17 +190,17 @@
         goes the ordinary way. Only a repeat is turned back, by the rate that the module named, and none of an op
         that ran here or is under way. It counts as read, and is no op: it never comes to the module."""
         desk = self.storms
-        if ref in self.owed or op_type not in self.op_types or self.keys.standing(op_type, key, now):
-            return None
-        known = fingerprint(caller, op_type, tenant, key, body)
-        if not again and not desk.nacked.seen(now, known) or op_type in self.once and desk.ran.seen(now, known):
+        if ref in self.owed or op_type not in self.op_types or key and self.keys.standing(op_type, key, now):
             return None
+        if not again or op_type in self.once:    # else its fingerprint tells nothing new, and costs
+            known = fingerprint(caller, op_type, tenant, key, body)
+            if not again and not desk.nacked.seen(now, known) or op_type in self.once and desk.ran.seen(now, known):
+                return None
         if not desk.turned_back(now, caller, punctual):
             return None
         desk.read(now, caller, True, 0.0)
-        desk.nacked.add(now, known)
-        desk.counts["turned_back"] += 1
-        desk.counts["turned_back_stubborn"] += stubborn
+        desk.turned += 1
+        desk.stubborn += stubborn
         self.back += 1
         return desk.come_back(now, 0.0, stubborn)
 
--- a/mulleinhatch/standins/faults.py
+++ b/mulleinhatch/standins/faults.py
@@ -7,6 +7,7 @@
     at 4 flap 0 every 3 until 20     # killed for 3, up for 3, and so on
     at 2 silent 200 at 0 for 10      # connections that say nothing
     at 2 garble 50 at 0 for 10       # connections that send what is no request, again and again
+    at 9 look 0                      # no fault: its counters and CPU are taken down
     at 9 leave 1                     # the notice to leave
     at 9 start 1
 """
@@ -21,7 +22,7 @@
 
 class Fault(NamedTuple):
     at: float           # seconds from the first op
-    what: str           # kill, start, freeze, thaw, leave, silent, garble, quiet
+    what: str           # kill, start, freeze, thaw, leave, look, silent, garble, quiet
     places: tuple[int, ...]
     count: int = 0
 
@@ -73,6 +74,6 @@
             moments += [Fault(at, "kill", places), Fault(at + every, "start", places)]
             at += 2.0 * every
         return moments
-    if what in ("start", "leave", "thaw"):
+    if what in ("start", "leave", "thaw", "look"):
         return [Fault(at, what, places)]
     raise ValueError
--- a/mulleinhatch/standins/interpreter.py
+++ b/mulleinhatch/standins/interpreter.py
@@ -12,10 +12,11 @@
 import sys
 import time
 from base64 import b64decode, b64encode
-from collections import Counter
+from collections import Counter, deque
 from typing import Any
 
 NOTICES_KEPT = 4000
+GAUGE_SPAN = 0.5        # seconds that the gauge of core use covers
 
 
 class Cores:
@@ -29,7 +30,7 @@
 
     def __init__(self, cores: int, speed: Any) -> None:
         self.cores, self.speed = cores, speed
-        self.progress, self.at = 0.0, 0.0
+        self.progress, self.at, self.busy = 0.0, 0.0, 0.0      # busy: core seconds used since the start
         self.running: list[tuple[float, str]] = []
 
     def _rate(self, now: float) -> float:
@@ -37,6 +38,7 @@
 
     def _pass_time(self, now: float) -> None:
         self.progress += max(0.0, now - self.at) * self._rate(now)
+        self.busy += max(0.0, now - self.at) * min(self.cores, len(self.running))
         self.at = max(self.at, now)
 
     def start(self, now: float, ref: str, work: float) -> None:
@@ -65,7 +67,8 @@
         self.ran: Counter[str] = Counter()
         self.writer: asyncio.StreamWriter | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.busy = self.busy_at = self.late_most = 0.0
+        self.late_most = 0.0
+        self.busy_then: deque[tuple[float, float]] = deque([(self.born, 0.0)])
         self.wanted: float | None = None
 
     def speed(self, now: float) -> float:
@@ -91,9 +94,8 @@
             for notice in self.notices[max(0, told["no"] + 1 - self.first_kept):]:
                 self.say(notice)
         elif told["t"] == "TOP":
-            busy = min(1.0, len(self.cores.running) / self.cores.cores)
-            self.say(json.dumps({"t": "TOPS", "mark": told["mark"], "v": [busy, len(self.cores.running), 0.1,
-                                                                          1]}).encode())
+            self.say(json.dumps({"t": "TOPS", "mark": told["mark"],
+                                 "v": [self.core_use(now), len(self.cores.running), 0.1, 1]}).encode())
         elif told["t"] == "APPLY" and told["rid"] not in self.bodies:
             body = b64decode(told["b64"])
             work, who, *_ = body.split(b" ")
@@ -102,6 +104,15 @@
             self.cores.start(now, told["rid"], float(work) / 1000.0)
             self.look()
 
+    def core_use(self, now: float) -> float:
+        """The share of the cores that was busy in the last half second."""
+        self.look()
+        self.busy_then.append((now, self.cores.busy))
+        while len(self.busy_then) > 2 and self.busy_then[1][0] <= now - GAUGE_SPAN:
+            self.busy_then.popleft()
+        (then, busy), span = self.busy_then[0], max(0.01, now - self.busy_then[0][0])
+        return min(1.0, (self.cores.busy - busy) / (span * self.cores.cores))
+
     def look(self) -> None:
         now = time.monotonic()
         if self.wanted is not None:
--- a/mulleinhatch/standins/rig.py
+++ b/mulleinhatch/standins/rig.py
@@ -143,6 +143,7 @@
         self.places = [Place(case, number, folder) for number in range(case.instances)]
         self.samples: list[tuple[float, list[float | None], list[int]]] = []     # at, CPU seconds, memory
         self.late = 0.0
+        self.looks: list[tuple[float, float, dict[str, int]]] = []     # CPU seconds, at, counters
         self.noise: list[asyncio.Task[None]] = []
         self.start_at = 0.0
 
@@ -162,7 +163,7 @@
             counters = [await place.counters() for place in self.places]
             ran = [[*place.lost_lives, await place.stop()] for place in self.places]
             return {"stubs": [json.loads(out) for out, _ in done], "counters": counters, "ran": ran,
-                    "samples": self.samples, "rig_late": self.late, "end": faults.end_of(self.faults)}
+                    "samples": self.samples, "looks": self.looks, "rig_late": self.late, "end": faults.end_of(self.faults)}
         finally:
             for task in self.noise:
                 task.cancel()
@@ -213,6 +214,9 @@
             place.interpreter.send_signal(signal.SIGSTOP if fault.what == "freeze" else signal.SIGCONT)
         elif fault.what == "leave":
             place.instance.send_signal(signal.SIGTERM)
+        elif fault.what == "look":
+            counters, times = await place.counters(), place.watched.cpu_times()
+            self.looks.append((times.user + times.system, time.time() - self.start_at, counters))
         elif fault.what == "quiet":
             for task in self.noise:
                 task.cancel()
@@ -273,6 +277,19 @@
         return asyncio.run(rig.play())
 
 
+def played_beside(cases: list[Case], on_sample: Callable[[Rig], None] | None = None) -> list[dict[str, Any]]:
+    """Several runs at one time, for a comparison under the same conditions: each takes four processes or more."""
+    async def all_of_them() -> list[dict[str, Any]]:
+        with tempfile.TemporaryDirectory() as folder:
+            rigs = []
+            for number, case in enumerate(cases):
+                place = Path(folder) / str(number)
+                place.mkdir()
+                rigs.append(Rig(case, place, on_sample))
+            return list(await asyncio.gather(*(rig.play() for rig in rigs)))
+    return asyncio.run(all_of_them())
+
+
 def outcome(case: Case, told: dict[str, Any]) -> dict[str, Any]:
     """The figures that a run is judged by; shares from 0 to 1, times in seconds from the end of the outage."""
     bucket = told["stubs"][0]["bucket"]
@@ -291,7 +308,7 @@
         if got < 0.9 * wanted:
             break
         back = (at - start) * bucket
-    before = range(per, round(min((fault.at for fault in faults.read(case.script)), default=case.run_for) * per) - 2 * per)
+    before = range(0, round(min((fault.at for fault in faults.read(case.script)), default=case.run_for) * per) - 2 * per)
     calm = sum(first.get(b, 0) for b in before)
     twice: dict[str, int] = {}
     for life in (life for lives in told["ran"] for life in lives):
--- a/mulleinhatch/storms/budget.py
+++ b/mulleinhatch/storms/budget.py
@@ -40,12 +40,13 @@
     def __init__(self, heeding_part: float) -> None:
         self.heeding_part, self.rate, self.filled = heeding_part, math.inf, 0.0
         self.punctual, self.others = Bucket(1.0), Bucket(1.0)
+        self.none_before = 0.0      # no token of any kind until then: thousands ask in between
 
     def limit(self, now: float, rate: float) -> None:
         """Retries a second from now on; what was saved up at a higher rate is cut back."""
         if self.rate < math.inf:
             self._fill(now)
-        self.rate, self.filled = rate, now
+        self.rate, self.filled, self.none_before = rate, now, now
         if rate < math.inf:
             for bucket in (self.punctual, self.others):
                 bucket.most = max(1.0, BURST * rate)
@@ -57,7 +58,14 @@
         self.others.fill(1.0, left + span * (1.0 - self.heeding_part) * self.rate)
 
     def hears(self, now: float, punctual: bool) -> bool:
+        if now < self.none_before:
+            return False
         if self.rate == math.inf:
             return True
         self._fill(now)
-        return punctual and self.punctual.take() or self.others.take()
+        if punctual and self.punctual.take() or self.others.take():
+            return True
+        if self.rate and self.punctual.tokens < 1.0:
+            lacks = (1.0 - max(self.punctual.tokens, self.others.tokens)) / self.rate
+            self.none_before = now + lacks
+        return False
--- a/mulleinhatch/storms/desk.py
+++ b/mulleinhatch/storms/desk.py
@@ -42,11 +42,15 @@
         self.chance = seed % 2 ** 64
         self.loud: int | None = None
         self.faded_at = 0.0
+        self.promised_until = 0.0    # the last come-back that was told to a caller who may heed it
+        self.turned = self.stubborn = 0     # tries turned back, and those of them that came before their time
         self.told: tuple[bool, float] = (False, 0.0)
 
     @property
     def on(self) -> bool:
-        return self.watch.stage in (Stage.STORM, Stage.RECOVERING)
+        """From the first signs to the end of the recovery: callers that heed keep a storm from ever being one, and
+        their come-backs still crowd out first tries, as long as any was told to come."""
+        return self.watch.stage is not Stage.CALM or self.watch.judged_at < self.promised_until
 
     @property
     def sheds(self) -> bool:
@@ -97,7 +101,9 @@
             return least
         if stubborn:
             return max(least, (0.5 + 0.5 * self._draw()) * self.calendar.horizon)
-        return self.calendar.book(now, least, self._draw())
+        seconds = self.calendar.book(now, least, self._draw())
+        self.promised_until = max(self.promised_until, now + seconds)
+        return seconds
 
     def _draw(self) -> float:
         self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % 2 ** 64
@@ -105,7 +111,7 @@
 
     def counted(self) -> dict[str, int]:
         watch = self.watch
-        return {**self.counts, "storm_stage": list(Stage).index(watch.stage),
+        return {**self.counts, "turned_back": self.turned, "turned_back_stubborn": self.stubborn, "storm_stage": list(Stage).index(watch.stage),
                 "storms": watch.entered[Stage.STORM], "storm_first_tries_a_second": round(watch.first_rate),
                 "storm_repeats_a_second": round(watch.repeat_rate),
                 "storm_connects_a_second": round(watch.connect_rate),
--- a/mulleinhatch/storms/watch.py
+++ b/mulleinhatch/storms/watch.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import math
 from enum import Enum
 
 from mulleinhatch.rings import Ring
@@ -48,7 +49,7 @@
         self.new_age = 0.0
         self.reads, self.repeats, self.connects, self.ages = (Ring(SEEN, SEEN_BUCKETS) for _ in range(4))
         self.usual = self.first_rate = self.repeat_rate = self.connect_rate = 0.0
-        self.judged_at: float | None = None
+        self.judged_at = -math.inf
         self.since = self.eased = self.likely = 0.0     # seconds: in this stage, looking calmer, like a storm
         self.outage_at: float | None = None
         self.entered: dict[Stage, int] = {stage: 0 for stage in Stage}
@@ -65,11 +66,11 @@
         self.outage_at = now
 
     def due(self, now: float) -> bool:
-        return self.judged_at is None or now - self.judged_at >= BEAT
+        return now - self.judged_at >= BEAT
 
     def judge(self, now: float, capacity: float) -> None:
         """One beat; `capacity` is the ops a second that can be served, 0 where that is not known."""
-        span = min(1.0, BEAT if self.judged_at is None else now - self.judged_at)
+        span = BEAT if self.judged_at == -math.inf else now - self.judged_at
         self.judged_at = now
         for ring, amount in ((self.reads, self.new_reads), (self.repeats, self.new_repeats),
                              (self.connects, self.new_connects), (self.ages, self.new_age)):
@@ -92,7 +93,7 @@
         served. Each way back asks for less than the way there, and for longer: it must not flap."""
         bounds, self.since = self.bounds, self.since + span
         stormy = share >= bounds.storm_share and multiple >= bounds.storm_multiple
-        self.likely = self.likely + span if stormy else 0.0
+        self.likely = self.likely + min(span, 2.0 * BEAT) if stormy else 0.0    # a stall of ours is no storm
         if self.stage is Stage.CALM:
             if share >= bounds.rising_share and multiple >= 0.5 * bounds.storm_multiple:
                 self._enter(Stage.RISING)
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import errno
 import logging
 import math
@@ -86,7 +85,7 @@
         # By rank, those longest without use first: at the bound each new connection asks who makes room.
         self.shelves: list[dict[int, Connection]] = [{} for _ in range(OWED + 1)]
         self.accepted = 0
-        self.turn_back: Callable[[float, bytes, float], tuple[Sequence[bytes], float] | None] | None = None
+        self.turn_back: Callable[[float, bytes, float], tuple[bytes, float] | None] | None = None
         self.on_connected: Callable[[], None] | None = None
         self.waiting_since = math.inf    # from then on there were always more new ones than could be taken
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -231,13 +230,12 @@
             sock.recv_into(WASTE, len(data))
         except OSError:
             return False
-        pieces, connection.back_at = answer
+        words, connection.back_at = answer
         if not connection.again:
             connection.heard, connection.again = True, connection.heard
             self._shelve(connection)
         connection.quiet_since, connection.due = now, math.inf
-        with contextlib.suppress(StreamClosedError):
-            connection.stream.write_gathered(pieces)
+        connection.stream.write_at_once(words)
         return True
 
     def told_back(self, number: int, at: float) -> None:
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -70,6 +70,18 @@
             with contextlib.suppress(OSError):
                 self.socket.shutdown(socket.SHUT_WR)
 
+    def write_at_once(self, words: bytes) -> None:
+        """A short answer to one that waits, on a stream that writes nothing else; its end is no error of ours."""
+        try:
+            sent = self.socket.send(words)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            self.close(exc_info=error)
+            return
+        if sent < len(words):
+            self.write(words[sent:])
+
     def write_gathered(self, pieces: Sequence[bytes]) -> None:
         """The pieces leave in one system call without being joined; IOStream's own buffer takes only what the
         socket has no room for, and all of it while older bytes wait there."""
