In a storm the running limit covers a late loop; runs that stopped ending count as an outage

Cause: each run that ended waited for its turn in a loop full of nacks, 5 ms of 50: four slots gave 72 ops a second, not 80, and the gauge of core use stood at 0.9, above the 0.85 under which the running limit grows. Changed: in a storm it grows under 0.95. A first run that ends after a second without any, while some were in hand, is an outage to the watch. A test of 400 connects in one moment beside an open connection.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -258,7 +258,9 @@
         many = gauges.get("links", 0.0) > MANY_LINKS * self.cores
         self.idle_kept = min(IDLE_KEPT, self.longest_idle) if many and room else self.longest_idle
         busy = gauges.get("core_use", 1.0)
-        if now >= self.full_since + GAUGE_SPAN and busy < 0.85 and self.limit < self._crowd_ceiling():
+        # In a storm the host is late: what its way there and back leaves idle is a slot's worth, too.
+        idle = busy < (0.95 if self.storm else 0.85)
+        if now >= self.full_since + GAUGE_SPAN and idle and self.limit < self._crowd_ceiling():
             self.limit += 1
         elif busy > 0.97 and self.limit > self.cores:
             self.limit -= 1
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -20,6 +20,7 @@
 from mulleinhatch.storms.desk import Desk
 
 READINGS_LAST = 1.0     # seconds: gauges that stopped coming tell nothing of the cores now
+RUN_GAP = 1.0           # seconds in which no run ended, though some were asked for: the interpreter stood still
 RUN_COUNTS = {ending: "run_" + ending.name.lower() for ending in Ending}
 
 
@@ -79,6 +80,8 @@
         self.storms = storms and Desk(storms, deployment.get("max_hold_off", 0.0), seed)
         self.once = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
                      if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.NON_RETRYABLE}
+        self.ended_at = self.idle_until = -math.inf     # when a run last ended; when one was asked for with none in hand
+        self.unended = 0        # runs asked for that have not ended
         self.back = 0           # retries turned back that the module has not heard of
         self.op_types = {name: place for place, name in enumerate(op_types)}
         self.tenants = {name: place for place, name in enumerate(tenants)}
@@ -229,6 +232,9 @@
         if number <= self.last_notice:
             self.counts["notices_repeated"] += 1
             return
+        if self.storms and now - max(self.ended_at, self.idle_until) > RUN_GAP:
+            self.storms.watch.outage(now)
+        self.ended_at = now
         self.last_notice, self.heard_at = number, now
         self._end_run(now, ref, ending, result)
 
@@ -249,6 +255,7 @@
             self.counts["endings_unexpected"] += 1
             return
         owed.running = False
+        self.unended -= 1
         if ending is Ending.STOPPED and owed.place is not None:
             ending = Ending.ERROR    # nobody here stopped it, and the module would take it for paused
         self.counts[RUN_COUNTS[ending]] += 1
@@ -304,6 +311,9 @@
         owed = self.owed.get(decision.ref)
         must_hold(owed and not owed.running, "only an op that is held is run")
         if owed:
+            if not self.unended:
+                self.idle_until = now
+            self.unended += 1
             owed.running = True
             if self.storms and owed.op_type in self.once:
                 self.storms.ran.add(now, owed.fingerprint())
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -1,14 +1,17 @@
 """Storms: the watch by scenarios, the books against plain ones, the player in virtual time, what the door believes."""
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import Counter
 from pathlib import Path
 
 import pytest
 
+from mulleinhatch.interface import Ending
 from mulleinhatch.program import operator
 from mulleinhatch.protocol.http import BadRequest, RequestReader, op_told, short_look
+from mulleinhatch.routing.reducer import Happening, Reducer
 from mulleinhatch.standins import faults
 from mulleinhatch.standins.virtual import Weather, World
 from mulleinhatch.storms.books import HeavyCallers, Lately
@@ -16,6 +19,7 @@
 from mulleinhatch.storms.budget import RetryBudget
 from mulleinhatch.storms.calendar import Calendar
 from mulleinhatch.storms.watch import BEAT, Stage, Watch
+from standins import SocketPlay
 
 ROOT = Path(__file__).parent
 SETTLED = 12.0      # seconds after the last input in which every history must be calm again
@@ -204,3 +208,56 @@
 def test_a_bad_fault_script_is_refused(script: str) -> None:
     with pytest.raises(faults.BadScript, match="line 1"):
         faults.read(script)
+
+
+def test_hundreds_connect_at_once_and_nobody_starves() -> None:
+    """A fresh instance under a burst of connects: an open connection gets its checks answered meanwhile, alarms go off in
+    time, and each new connection is served or closed, none left hanging."""
+    async def burst() -> tuple[float, list[bytes], int]:
+        play = SocketPlay()
+        await play.start()
+        await play.interpreter_up()
+        try:
+            await play.caller_checks("a")
+            await play.caller_hears("a", "200")
+            slowest, loop = 0.0, asyncio.get_running_loop()
+
+            async def newcomer(number: int) -> bytes:
+                reader, writer = await asyncio.open_connection("127.0.0.1", play.instance.port)
+                try:
+                    writer.write(b"GET /status/live HTTP/1.1\r\nHost: x\r\n\r\n")
+                    return (await reader.read(200))[:12]
+                except ConnectionResetError:
+                    return b""
+                finally:
+                    writer.close()
+            crowd = asyncio.gather(*(newcomer(number) for number in range(400)))
+            while not crowd.done():
+                asked = loop.time()
+                await play.caller_checks("a")
+                await play.caller_hears("a", "200")
+                slowest = max(slowest, loop.time() - asked)
+                await asyncio.sleep(0.01)
+            return slowest, await crowd, play.instance.counts["alarm_late_ms_most"]
+        finally:
+            play.instance.stopped.set()
+            await play.serving
+    slowest, answers, late = asyncio.run(asyncio.wait_for(burst(), 20))
+    assert set(answers) <= {b"HTTP/1.1 200", b""} and answers.count(b"HTTP/1.1 200") > 200
+    assert slowest < 1.5 and late < 1000, (slowest, late)
+
+
+def test_runs_that_stopped_ending_count_as_an_outage() -> None:
+    """A frozen interpreter is one, an idle instance is none: behind an outage a storm is seen sooner."""
+    def outage_after(gap: float, in_hand: bool) -> bool:
+        reducer = Reducer({"op_types": [{}], "cores": 1}, ["read"], [], 7, StormBounds())
+        reducer.reduce(0.0, Happening.INTERPRETER_UP, False, 9.0)
+        asked = 0.0 if in_hand else gap
+        for number, at in ((1, 0.0), (2, asked)):
+            reducer.reduce(at, Happening.OP_READ, number, f"r{number}", "read", "", 0.0, 60.0, 1, 0.1, 8.0, False, "", b"")
+            if number == 1:
+                reducer.reduce(0.0, Happening.RUN_ENDED, 1, "r1", Ending.OK, b"")
+        reducer.reduce(gap, Happening.RUN_ENDED, 2, "r2", Ending.OK, b"")
+        return reducer.storms.watch.outage_at is not None
+    assert outage_after(5.0, in_hand=True)
+    assert not outage_after(0.2, in_hand=True) and not outage_after(5.0, in_hand=False)
