--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -173,17 +173,21 @@
             self.errands.append((Errand.NACK, place, 0.0, False, self.level))
         else:
             repeats = self.keys.standing(op_type, key, now)
-            if self.storms and not self._storm_read(now, op_type, tenant, age, caller, again, key, body, place):
-                return
+            if self.storms:
+                repeat = self._storm_read(now, op_type, tenant, age, caller, again, key, body, place)
+                if repeat is None:
+                    return
+                again = again or repeat and self.storms.on      # unmarked, it is one more of those that crowd
             self.owed[ref] = Owed(ref, place, op_type, tenant, key, body, repeats, caller)
             self.places[place] = ref
             self.hatch.op_read(now, ref, self.op_types[op_type], age, wait,
                                self.tenants.get(tenant, 0), repeats, caller, work, kb, again)
 
     def _storm_read(self, now: float, op_type: str, tenant: str, age: float, caller: int, again: bool, key: str,
-                    body: bytes, place: int) -> bool:
-        """Whether the op goes on to the module: not a marked retry of a non-retryable op whose twin has run here.
-        Nobody can tell it that the first had its effect, and a second one is what must not be."""
+                    body: bytes, place: int) -> bool | None:
+        """Whether it is a repeat, marked or not; None where the op does not go on to the module: a marked retry of a
+        non-retryable op whose twin has run here. Nobody can tell it that the first had its effect, and a second one
+        is what must not be."""
         known = fingerprint(caller, op_type, tenant, key, body)
         repeat = again or self.storms.nacked.seen(now, known)
         self.storms.read(now, caller, repeat, age)
@@ -191,8 +195,8 @@
         if again and op_type in self.once and self.storms.ran.seen(now, known):
             self.counts["repeats_of_run"] += 1
             self.errands.append((Errand.FAIL, place, self.level))
-            return False
-        return True
+            return None
+        return repeat
 
     def turned_back(self, now: float, ref: str, op_type: str, tenant: str, caller: int, again: bool, key: str,
                     body: bytes, punctual: bool, stubborn: bool) -> float | None:
--- a/mulleinhatch/traces/block.py
+++ b/mulleinhatch/traces/block.py
@@ -7,13 +7,14 @@
 
 import struct
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any, NamedTuple
 
 import zstandard
 from xxhash import xxh3_64_intdigest
 
-from mulleinhatch.traces.codec import MOST_NUMBERS, Damaged, In, Out
+from mulleinhatch.traces.codec import MICRO, MOST_NUMBERS, Damaged, In, Out
 from mulleinhatch.traces.kinds import DECIDED, DECIDED_FOR, KINDS, Kind, Record
 
 MAGIC = b"mhtBLOCK"
@@ -46,39 +47,58 @@
         self.times, self.kinds = Out(), bytearray()
         self.texts: dict[str, int] = {}
         self.first = self.last = 0.0
-        self.size = 0
+        self.micro = 0
+        self.puts: dict[int, list[Callable[[Any], None]]] = {}
 
     def add(self, record: Record) -> None:
         kind, time, values = record
+        micro = round(time * MICRO)
         if not self.kinds:
             self.first = self.last = time
-        self.times.number(round(time - self.last, 6))
-        self.last = round(self.last + round(time - self.last, 6), 6)
+            self.micro = micro
+        apart, self.micro = micro - self.micro, micro
+        self.last = max(self.last, time)
+        self.times.whole(2 * apart if apart >= 0 else -2 * apart - 1)
         self.kinds.append(kind.code)
-        for place, ((_, codec), value) in enumerate(zip(kind.columns, values)):
-            column = self.columns.get((kind.code, place))
-            if column is None:
-                column = self.columns[kind.code, place] = Out()
-            self._put(column, codec, value)
+        if values:
+            for put, value in zip(self.puts.get(kind.code) or self._puts(kind), values):
+                put(value)
+
+    def _puts(self, kind: Kind) -> list[Callable[[Any], None]]:
+        """How the values of that kind go into their columns, settled at its first record."""
+        puts = self.puts[kind.code] = []
+        for place, (_, codec) in enumerate(kind.columns):
+            column = self.columns[kind.code, place] = Out()
+            puts.append({"whole": column.whole, "number": column.number}.get(codec) or partial(
+                {"op": self._op, "numbers": self._numbers, "ref": self._ref, "text": self._text}[codec], column))
+        return puts
+
+    def _op(self, column: Out, value: int) -> None:
+        if not value:
+            column.data.append(0)
+            return
+        apart = self.newest - value
+        if apart < 0:
+            self.newest = value
+            column.whole(-2 * apart)
+        else:
+            column.whole(2 * apart + 1)
 
-    def _put(self, column: Out, codec: str, value: Any) -> None:
-        if codec == "whole":
-            column.whole(int(value))
-        elif codec == "op":
-            apart = self.newest - value
-            column.whole(0 if not value else 1 + (2 * apart if apart >= 0 else -2 * apart - 1))
-            self.newest = max(self.newest, value)
-        elif codec == "number":
+    @staticmethod
+    def _numbers(column: Out, values: tuple[float, ...]) -> None:
+        column.whole(len(values))
+        for value in values:
             column.number(value)
-        elif codec == "numbers":
-            column.whole(len(value))
-            for one in value:
-                column.number(one)
-        elif codec == "ref" and len(value) == 16 and HEX.issuperset(value):
-            column.whole(0)
-            column.raw(bytes.fromhex(value))
+
+    def _ref(self, column: Out, ref: str) -> None:
+        if len(ref) == 16 and HEX.issuperset(ref):
+            column.data.append(0)
+            column.data += bytes.fromhex(ref)
         else:
-            column.whole(self.texts.setdefault(value, len(self.texts)) + (codec == "ref"))
+            column.whole(1 + self.texts.setdefault(ref, len(self.texts)))
+
+    def _text(self, column: Out, text: str) -> None:
+        column.whole(self.texts.setdefault(text, len(self.texts)))
 
     def __len__(self) -> int:
         return len(self.kinds)
@@ -184,11 +204,12 @@
                         for code, count in Counter(self.kinds).items()})
 
     def records(self) -> Iterator[Record]:
-        times, time, newest = self._column(TIMES), self.head.first, self.head.newest
+        times, micro, newest = self._column(TIMES), _micro(self.head.first), self.head.newest
         columns = {code: [(codec, self._column(code + 2, place)) for place, (_, codec) in enumerate(kind.columns)]
                    for code, kind in KINDS.items()}
         for code in self.kinds:
-            time = round(time + times.number(), 6)
+            apart = times.whole()
+            micro += -(apart + 1) // 2 if apart & 1 else apart // 2
             kind = KINDS.get(code)
             if kind is None:
                 self.unknown[code] += 1
@@ -199,7 +220,7 @@
                 if codec == "op":
                     newest = max(newest, value)
                 values.append(value)
-            yield Record(kind, time, tuple(values))
+            yield Record(kind, micro / MICRO, tuple(values))
 
     def _get(self, codec: str, column: In, newest: int) -> Any:
         if codec == "whole":
@@ -208,8 +229,7 @@
             told = column.whole()
             if not told:
                 return 0
-            apart = told - 1
-            value = newest - (apart // 2 if apart % 2 == 0 else -(apart + 1) // 2)
+            value = newest - (told - 1) // 2 if told & 1 else newest + told // 2
             if value <= 0:
                 raise Damaged("an op before the first")
             return value
@@ -230,6 +250,12 @@
         return self.texts[place]
 
 
+def _micro(time: float) -> int:
+    if not abs(time) < 1e12:
+        raise Damaged(f"a time of {time}")
+    return round(time * MICRO)
+
+
 def decided(major: int) -> Kind:
     """The kind of record that a decision is in a file of that version."""
     return DECIDED_FOR if major >= 2 else DECIDED
--- a/mulleinhatch/traces/codec.py
+++ b/mulleinhatch/traces/codec.py
@@ -18,7 +18,7 @@
 
     >>> out = Out()
     >>> out.whole(300); out.number(0.25); out.number(1 / 3); out.number(-2.0); len(out.data)
-    23
+    22
     >>> into = In(bytes(out.data)); into.whole(), into.number(), into.number() == 1 / 3, into.number()
     (300, 0.25, True, -2.0)
     """
@@ -27,6 +27,7 @@
         self.data = bytearray()
 
     def whole(self, value: int) -> None:
+        value = int(value)
         if value < 0:
             raise ValueError(f"{value} is no whole number of 0 or more")
         while value > 127:
@@ -35,10 +36,14 @@
         self.data.append(value)
 
     def number(self, value: float) -> None:
-        """As whole microseconds, doubled, where that is exact; else, and below zero, a 1 and its eight bytes."""
+        """Four times its whole thousandths, where that is exact; else four times its whole millionths, and 2; else, and
+        below zero, a 1 and its eight bytes."""
         micro = value * MICRO
         if 0.0 <= micro < EXACT and (whole := round(micro)) / MICRO == value and (whole or str(value)[0] != "-"):
-            self.whole(2 * whole)
+            if whole % 1000:
+                self.whole(4 * whole + 2)
+            else:
+                self.whole(4 * (whole // 1000))
         else:
             self.data.append(1)
             self.data += F64.pack(value)
@@ -71,9 +76,9 @@
         value = self.whole()
         if value == 1:
             return F64.unpack(self.raw(8))[0]
-        if value & 1 or value > 2 * EXACT:
+        if value & 1 or value > 4 * EXACT + 2:
             raise Damaged("a float in no known form")
-        return (value >> 1) / MICRO
+        return (value >> 2) / MICRO if value & 2 else (value >> 2) * 1000 / MICRO
 
     def raw(self, count: int) -> bytes:
         data = self.data[self.at:self.at + count]
--- a/mulleinhatch/traces/cutting.py
+++ b/mulleinhatch/traces/cutting.py
@@ -9,7 +9,7 @@
 from mulleinhatch.traces.file import Facts, Trace, Writer
 from mulleinhatch.traces.kinds import Record
 
-BLOCK_RECORDS = 4096
+BLOCK_RECORDS = 16384   # larger blocks are smaller an op; a live file's are as the writer was handed them
 
 
 class Wanted(NamedTuple):
--- a/mulleinhatch/traces/recorder.py
+++ b/mulleinhatch/traces/recorder.py
@@ -5,31 +5,42 @@
 """
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 from mulleinhatch.decide import Hatch
 from mulleinhatch.interface import Decision, Ref, Verb
 from mulleinhatch.traces import kinds
-from mulleinhatch.traces.kinds import Record
 
 BATCH = 4096            # records that are handed on together
 VERBS = {verb: place for place, verb in enumerate(Verb)}    # new verbs go to the end: files hold these numbers
 BY_PLACE = dict(enumerate(Verb))
 
 
+def _micro(seconds: float) -> float:
+    return round(seconds * 1e6) / 1e6
+
+
 class Recorder:
     """`hand_on` gets each full batch, with the number of the newest op before it; `flush` hands on what there is."""
 
     def __init__(self, hatch: Hatch, now: float, cold: bool, since: float,
-                 hand_on: Callable[[list[Record], int], None]) -> None:
+                 hand_on: Callable[[list[tuple], int], None]) -> None:
         self.hatch, self.hand_on = hatch, hand_on
-        self.batch: list[Record] = []
+        self.batch: list[tuple] = []
         self.numbers: dict[Ref, int] = {}
         self.newest = self.newest_before = 0
+        self.heard, self.rounded = math.nan, 0.0
         self._add(kinds.START, round(now, 6), int(cold), since)
 
     def _add(self, kind: kinds.Kind, now: float, *values: object) -> None:
-        self.batch.append(Record(kind, now, values))
+        self.batch.append((kind, now, values))    # a `Record` but in name: that costs more than all else here
+
+    def _time(self, now: float) -> float:
+        """To the microsecond; one happening asks for the same time again and again."""
+        if now != self.heard:
+            self.heard, self.rounded = now, round(now * 1e6) / 1e6
+        return self.rounded
 
     def flush(self) -> None:
         """Also the moment to forget the numbers of ops that the module forgot."""
@@ -43,49 +54,49 @@
 
     def op_read(self, now: float, ref: Ref, op_type: int, age: float, wait: float, tenant: int, repeat_of: Ref,
                 caller: int, work: float, held_kb: float, further_try: bool) -> None:
-        now, age, wait, work = round(now, 6), round(age, 6), round(wait, 6), round(work, 6)
+        now, age, wait, work = self._time(now), _micro(age), _micro(wait), _micro(work)
         self.newest = self.numbers[ref] = self.newest + 1
         self._add(kinds.READ, now, self.newest, str(ref), op_type, age, wait, tenant, self.numbers.get(repeat_of, 0), caller,
                   work, held_kb, int(further_try))
         self.hatch.op_read(now, ref, op_type, age, wait, tenant, repeat_of, caller, work, held_kb, further_try)
 
     def run_ended(self, now: float, ref: Ref, ending: int) -> None:
-        now = round(now, 6)
+        now = self._time(now)
         self._add(kinds.RUN_ENDED, now, self.numbers.get(ref, 0), int(ending))
         self.hatch.run_ended(now, ref, ending)
 
     def call_wanted(self, now: float, ref: Ref) -> None:
-        now = round(now, 6)
+        now = self._time(now)
         self._add(kinds.CALL_WANTED, now, self.numbers.get(ref, 0))
         self.hatch.call_wanted(now, ref)
 
     def call_ended(self, now: float, ref: Ref, ending: int) -> None:
-        now = round(now, 6)
+        now = self._time(now)
         self._add(kinds.CALL_ENDED, now, self.numbers.get(ref, 0), int(ending))
         self.hatch.call_ended(now, ref, ending)
 
     def op_abandoned(self, now: float, ref: Ref) -> None:
-        now = round(now, 6)
+        now = self._time(now)
         self._add(kinds.ABANDONED, now, self.numbers.get(ref, 0))
         self.hatch.op_abandoned(now, ref)
 
     def leave_notice(self, now: float, grace: float) -> None:
-        now, grace = round(now, 6), round(grace, 6)
+        now, grace = self._time(now), round(grace, 6)
         self._add(kinds.LEAVE, now, grace)
         self.hatch.leave_notice(now, grace)
 
     def woken(self, now: float, token: int, readings: Sequence[float]) -> None:
-        now = round(now, 6)
+        now = self._time(now)
         self._add(kinds.WOKEN, now, token, tuple(readings))
         self.hatch.woken(now, token, readings)
 
     def storm_told(self, now: float, on: bool, first_tries: float) -> None:
-        now = round(now, 6)
+        now = self._time(now)
         self._add(kinds.STORM, now, int(on), first_tries)
         self.hatch.storm_told(now, on, first_tries)
 
     def turned_back(self, now: float, count: int) -> None:
-        now = round(now, 6)
+        now = self._time(now)
         self._add(kinds.TURNED_BACK, now, count)
         self.hatch.turned_back(now, count)
 
@@ -95,7 +106,7 @@
     # What it decides.
 
     def next_decision(self, now: float) -> Decision | None:
-        now = round(now, 6)
+        now = self._time(now)
         decision = self.hatch.next_decision(now)
         if decision is None:
             self._add(kinds.PULLED, now)
@@ -109,4 +120,4 @@
 
     def note(self, now: float, what: str, detail: str = "") -> None:
         """For people: no part of what the module heard."""
-        self._add(kinds.NOTE, round(now, 6), what, detail)
+        self._add(kinds.NOTE, self._time(now), what, detail)
--- a/mulleinhatch/traces/writer.py
+++ b/mulleinhatch/traces/writer.py
@@ -51,13 +51,13 @@
 
     def batch(self, records: list[Record], newest: int) -> None:
         if self.dropped:
-            records = [Record(kinds.GAP, records[0].time, (self.dropped, self.dropped_until)), *records]
+            records = [Record(kinds.GAP, records[0][1], (self.dropped, self.dropped_until)), *records]
         try:
             self.queue.put_nowait((records, newest))
             self.dropped = 0
         except queue.Full:
             lost = len(records) - (1 if self.dropped else 0)
-            self.dropped, self.dropped_until = self.dropped + lost, records[-1].time
+            self.dropped, self.dropped_until = self.dropped + lost, records[-1][1]
             self.counts["trace_records_dropped"] += lost
 
     def close(self, within: float = 2.0) -> None:
@@ -99,7 +99,7 @@
     def _refuse(self, records: list[Record]) -> None:
         """The next batch that goes through tells of it: by then this one is long past."""
         self.counts["trace_records_dropped"] += len(records)
-        self.dropped, self.dropped_until = self.dropped + len(records), records[-1].time
+        self.dropped, self.dropped_until = self.dropped + len(records), records[-1][1]
 
     def _begin_file(self) -> None:
         self.number += 1
