--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -239,8 +239,8 @@
             op.due = min(op.due, self.stop_at - STOP_MARGIN)
 
     def storm_told(self, now: float, on: bool, first_tries: float) -> None:
-        """From a host that keeps storm books: whether repeats go beyond all that can be served, and first tries
-        a second. A host without them never calls."""
+        """From a host that keeps storm books: whether repeats go beyond all that can be served, and first
+        tries a second. A host without them never calls."""
         self._pass_time(now)
         self.storm, self.first_tries = on, first_tries
 
@@ -442,7 +442,7 @@
         return work / self.mu if self.mu else 0.0
 
     def capacity(self) -> float:
-        """Ops a second that can be served, by the slots at the pace seen; unknown, by the rate while last full."""
+        """Ops a second that can be served: by the slots at the pace seen, else as when last full."""
         return (self.limit / self.pace if self.pace else self.mu or self.limit) / self._mean_work()
 
     # Deciding: one step after another, each gives a decision or None.
@@ -469,7 +469,7 @@
             op = next(iter(self.unplaced.values()))
             op.due = min(op.due, self.stop_at - STOP_MARGIN)
             if op.arrived > self.retire_at + self.drain_grace - self.margin:
-                return self._turn_away(op)
+                return self._turn_away(op, "drain")
             del self.unplaced[op.ref]
             if op.ran:
                 self._move(op, Stage.REPEATING)
@@ -478,8 +478,10 @@
                 self._move(op, Stage.FOLLOWING)
                 continue
             key_kb = self.key_kb if op.row.keyed else 0.0
-            if self.kb + key_kb > self.memory_kb or self._over_bound(op):
-                return self._turn_away(op)
+            if self.kb + key_kb > self.memory_kb:
+                return self._turn_away(op, "memory")
+            if self._over_bound(op):
+                return self._turn_away(op, "bound")
             if op.row.keyed:
                 return self._keep(op)
         return None
@@ -508,14 +510,14 @@
         ahead = self._work_ahead(op) if ahead is None else ahead
         return ahead >= max(self.limit * self._mean_work(), self.mu * wait)
 
-    def _turn_away(self, op: Op) -> Decision:
+    def _turn_away(self, op: Op, cause: str) -> Decision:
         """The final answer to what is given up: a nack only if no try of it ever ran."""
         if op.ran or op.leader is not None and op.leader.ran:
             self._let_go(op)
-            return Decision(Verb.FAIL, op.ref)
+            return Decision(Verb.FAIL, op.ref, cause=cause)
         self._close(op)
         self.nacks.add(self.now, 1.0)
-        return Decision(Verb.NACK, op.ref, self._hold_off(), flag=self._fleet_full())
+        return Decision(Verb.NACK, op.ref, self._hold_off(), self._fleet_full(), cause=cause)
 
     def _fleet_full(self) -> bool:
         return self.retries.total(self.now) > CROWDED_RETRIES * self.reads.total(self.now)
@@ -542,7 +544,7 @@
         while self.given_up:
             op = self.given_up.pop()
             if op.ref in self.ops and not op.answered:
-                return self._turn_away(op)
+                return self._turn_away(op, "due" if op.due <= self.now + self.margin else "bound")
         return None
 
     def _stop_unwanted(self) -> Decision | None:
@@ -568,7 +570,7 @@
             fits = free and patience >= min(left, 2.0 * self.call_time)
             spoilt = op.call_ending is not None and not (op.row.retryable or op.call_ending in PROVES_UNRUN)
             if spoilt or not degradable and crowded and left <= 0.0:
-                return self._turn_away(op)
+                return self._turn_away(op, "call")
             if degradable and (op.call_ending is not None or crowded or not fits or left <= 0.0):
                 self._move(op, Stage.RUNNING)
                 return Decision(Verb.SKIP_CALL, op.ref)
@@ -608,7 +610,7 @@
             return None
         op.ran = True
         self._move(op, Stage.RUNNING)
-        return Decision(Verb.RUN, op.ref)
+        return Decision(Verb.RUN, op.ref, cause="order" if len(free) in (0, len(waiting)) else "cap")
 
     def _advise(self) -> Decision | None:
         if self.idle_kept != self.told_idle:
@@ -628,14 +630,14 @@
         return Decision(Verb.ADVISE, level=level)
 
     def _hear(self) -> Decision | None:
-        """In a storm only as many retries are heard as first tries leave room for: each of them is one that the
-        caller could not wait for, and read in full they take the time of those that still can."""
+        """In a storm only as many retries are heard as first tries leave room for: each of them is one that
+        the caller could not wait for, and read in full they take the time of those that still can."""
         capacity = self.capacity()
         rate = max(HEAR_LEAST * capacity, HEAR_ROOM * capacity - self.first_tries) if self.storm else math.inf
         if rate == self.told_hear or abs(rate - self.told_hear) < HEAR_STEP * self.told_hear < math.inf:
             return None
         self.told_hear = rate
-        return Decision(Verb.HEAR, level=rate)
+        return Decision(Verb.HEAR, level=rate, cause="storm" if self.storm else "")
 
     def _wake(self) -> Decision | None:
         """One alarm for the soonest thing to do."""
--- a/mulleinhatch/interface.py
+++ b/mulleinhatch/interface.py
@@ -114,3 +114,4 @@
     seconds: float = 0.0
     flag: bool = False
     level: float = 0.0
+    cause: str = ""            # for people: bound, cap, due, memory, drain, order, call, storm
--- a/mulleinhatch/standins/interpreter.py
+++ b/mulleinhatch/standins/interpreter.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 NOTICES_KEPT = 4000
+STOOD_STILL = 1.0       # seconds late from which it was stopped, not slow
 GAUGE_SPAN = 0.5        # seconds that the gauge of core use covers
 
 
@@ -67,7 +68,7 @@
         self.ran: Counter[str] = Counter()
         self.writer: asyncio.StreamWriter | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.late_most = 0.0
+        self.late_most = self.late_before = 0.0
         self.busy_then: deque[tuple[float, float]] = deque([(self.born, 0.0)])
         self.wanted: float | None = None
 
@@ -116,6 +117,8 @@
     def look(self) -> None:
         now = time.monotonic()
         if self.wanted is not None:
+            if now - self.wanted < STOOD_STILL:
+                self.late_before = self.late_most
             self.late_most = max(self.late_most, now - self.wanted)
         for ref in self.cores.ended(now):
             body, since = self.bodies.pop(ref)
@@ -133,6 +136,10 @@
         self.wanted = None if left is None else now + left
         self.timer = asyncio.get_running_loop().call_later(left, self.look) if left is not None else None
 
+    def thawed(self) -> None:
+        self.wanted = None
+        self.late_most = self.late_before
+
     def say(self, line: bytes) -> None:
         if self.writer and not self.writer.is_closing():
             self.writer.write(line + b"\n")
@@ -147,6 +154,8 @@
     server = await asyncio.start_server(interpreter.serve, "127.0.0.1", port, limit=1 << 20)
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    # While it stood still nothing could be on time, and that is no lateness of the machine.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGCONT, interpreter.thawed)
     await stop.wait()
     server.close()
     print(json.dumps(interpreter.report()), flush=True)
--- a/mulleinhatch/traces/recorder.py
+++ b/mulleinhatch/traces/recorder.py
@@ -114,8 +114,8 @@
                 self.flush()
             return None
         wake = decision.verb is Verb.WAKE
-        self._add(kinds.DECIDED, now, VERBS[decision.verb], 0 if wake else self.numbers.get(decision.ref, 0),
-                  decision.seconds, int(decision.flag), float(decision.ref) if wake else decision.level)
+        self._add(kinds.DECIDED_FOR, now, VERBS[decision.verb], 0 if wake else self.numbers.get(decision.ref, 0),
+                  decision.seconds, int(decision.flag), float(decision.ref) if wake else decision.level, decision.cause)
         return decision
 
     def note(self, now: float, what: str, detail: str = "") -> None:
--- a/mulleinhatch/traces/replay.py
+++ b/mulleinhatch/traces/replay.py
@@ -45,9 +45,11 @@
     seconds: float
     flag: bool
     level: float
+    cause: str = ""
 
     def __str__(self) -> str:
-        more = [f"{self.seconds:.3f} s"] * bool(self.seconds) + [f"level {self.level:.4f}"] * bool(self.level)
+        more = [word for word, there in ((self.cause, self.cause), (f"{self.seconds:.3f} s", self.seconds),
+                                         (f"level {self.level:.4f}", self.level)) if there]
         return " ".join([self.verb, f"op {self.op}" if self.op else "", *more, "flag" if self.flag else ""]).strip()
 
 
@@ -122,13 +124,13 @@
     def _said(self, decision: Decision) -> Said:
         wake = decision.verb is Verb.WAKE
         return Said(decision.verb.value, 0 if wake else self.numbers.get(decision.ref, 0), decision.seconds,
-                    bool(decision.flag), float(decision.ref) if wake else decision.level)
+                    bool(decision.flag), float(decision.ref) if wake else decision.level, getattr(decision, "cause", ""))
 
 
 def said(record: Record) -> Said:
-    verb, op, seconds, flag, level = record.values[:5]
+    verb, op, seconds, flag, level, *cause = record.values
     known = BY_PLACE.get(verb)
-    return Said(known.value if known else f"verb {verb}", op, seconds, bool(flag), level)
+    return Said(known.value if known else f"verb {verb}", op, seconds, bool(flag), level, cause[0] if cause else "")
 
 
 def pulls(records: Iterable[Record], player: Player) -> Iterator[tuple[float, list[Said], list[Said]]]:
