A dropped mark of a gap is told again by the next; loop and writer share the count under a lock

Need: a batch with a mark that found the queue full took what the mark had told of with it, and both threads changed the count. Cause: the mark was built before it was known to get through. Changed: what it told of is given back; a lock round the count.

--- a/mulleinhatch/commands/trace.py
+++ b/mulleinhatch/commands/trace.py
@@ -150,8 +150,8 @@
             outcome = replay(trace.records(), trace.facts, other_text(against), to_the_end=True)
         else:
             outcome = replay(trace.records(), trace.facts)
-        print(f"{outcome.decisions} decisions in {outcome.pulls} steps, "
-              f"{outcome.differences or 'none'} {'steps differ' if outcome.differences != 1 else 'step differs'}")
+        differ = {0: "no step differs", 1: "one step differs"}.get(outcome.differences, f"{outcome.differences} steps differ")
+        print(f"{outcome.decisions} decisions in {outcome.pulls} steps, {differ}")
         print(missing(trace), end="")
     tell_difference(outcome)
     if against:
--- a/mulleinhatch/traces/writer.py
+++ b/mulleinhatch/traces/writer.py
@@ -41,6 +41,7 @@
         self.bounds, self.facts, self.major = bounds, facts, major
         self.counts: Counter[str] = Counter()
         self.queue: queue.Queue[tuple[list[Record], int] | None] = queue.Queue(WAITING)
+        self.lock = threading.Lock()    # loop and thread both drop
         self.dropped, self.dropped_until = 0, 0.0
         self.number, self.refused_at = 0, -RETRY_AFTER
         self.writer: Writer | None = None
@@ -50,15 +51,20 @@
         self.thread.start()
 
     def batch(self, records: list[Record], newest: int) -> None:
-        if self.dropped:
-            records = [Record(kinds.GAP, records[0][1], (self.dropped, self.dropped_until)), *records]
-        try:
-            self.queue.put_nowait((records, newest))
+        with self.lock:
+            dropped, until = self.dropped, self.dropped_until
             self.dropped = 0
+        marked = [Record(kinds.GAP, records[0][1], (dropped, until)), *records] if dropped else records
+        try:
+            self.queue.put_nowait((marked, newest))
         except queue.Full:
-            lost = len(records) - (1 if self.dropped else 0)
-            self.dropped, self.dropped_until = self.dropped + lost, records[-1][1]
-            self.counts["trace_records_dropped"] += lost
+            self._drop(dropped, records)
+
+    def _drop(self, marked_before: int, records: list[Record]) -> None:
+        """Counted once; what an earlier mark, lost with this batch, had told of is told again by the next."""
+        with self.lock:
+            self.counts["trace_records_dropped"] += len(records)
+            self.dropped, self.dropped_until = self.dropped + marked_before + len(records), records[-1][1]
 
     def close(self, within: float = 2.0) -> None:
         """Ends the file, if the disk lets it in that time."""
@@ -98,8 +104,7 @@
 
     def _refuse(self, records: list[Record]) -> None:
         """The next batch that goes through tells of it: by then this one is long past."""
-        self.counts["trace_records_dropped"] += len(records)
-        self.dropped, self.dropped_until = self.dropped + len(records), records[-1][1]
+        self._drop(0, records)
 
     def _begin_file(self) -> None:
         self.number += 1
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -5,6 +5,8 @@
 import io
 import random
 import struct
+import threading
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -310,9 +312,9 @@
     """Reads and their decisions at those times, ids `NAME-0` and on; the instance's clock stood at 100 at `wall`."""
     file, built = io.BytesIO(), Builder(major, 0)
     decided = block.decided(major)
-    for place, time in enumerate(times, 1):
-        built.add(Record(kinds.READ, time, (place, f"{name}-{place}", 0, 0.0, 1.0, 0, 0, 4711, 0.05, 8.0, 0)))
-        built.add(Record(decided, time, (0, place, 0.0, 0, 0.0) + (("order",) if major > 1 else ())))
+    for place, at in enumerate(times, 1):
+        built.add(Record(kinds.READ, at, (place, f"{name}-{place}", 0, 0.0, 1.0, 0, 0, 4711, 0.05, 8.0, 0)))
+        built.add(Record(decided, at, (0, place, 0.0, 0, 0.0) + (("order",) if major > 1 else ())))
     writer = Writer(file, Facts(name, seed, 100.0, wall, number, op_types=["read"], tenants=["Moshi Portal"]), major)
     writer.write(built.block())
     writer.close()
@@ -360,3 +362,27 @@
     assert anonymous_facts(part.facts, Aliases(b"another key of sixteen")).instance != facts.instance
     (note,) = anonymous([Record(kinds.NOTE, 1.0, ("reloaded", "by Juma at Moshi 17"))], aliases)
     assert note.values[0] == "reloaded" and "Juma" not in note.values[1] and len(note.values[1]) == 19
+
+
+def test_what_a_full_queue_drops_is_told_whole_by_the_next_mark(tmp_path: Path) -> None:
+    """A mark that is itself dropped must not take what it told of with it."""
+    gate = threading.Event()
+
+    def facts(number: int) -> Facts:
+        gate.wait(10.0)     # the disk hangs at the first file
+        return Facts("n1", 7)
+    keeper = Keeper(TraceBounds(str(tmp_path)), facts)
+    notes = [Record(kinds.NOTE, place / 10.0, ("note", "")) for place in range(10)]
+    for _ in range(30):
+        keeper.batch(notes, 0)
+    dropped = keeper.counts["trace_records_dropped"]
+    assert dropped >= 120 and dropped == keeper.dropped
+    gate.set()
+    while not keeper.queue.empty():
+        time.sleep(0.01)
+    keeper.batch(notes, 0)
+    keeper.close()
+    (path,) = tmp_path.glob("*.mht")
+    records = list(Trace(io.BytesIO(path.read_bytes())).records())
+    assert [record.values[0] for record in records if record.kind is kinds.GAP] == [dropped]
+    assert sum(record.kind is kinds.NOTE for record in records) + dropped == 310
