--- a/benchmarks/traces.py
+++ b/benchmarks/traces.py
@@ -23,6 +23,7 @@
 import tracemalloc
 from collections.abc import Iterator
 from pathlib import Path
+from statistics import median
 
 from docopt import docopt
 from rich.console import Console
@@ -130,8 +131,10 @@
         for one in files:
             one.close()
     path_ops = 4000 if quick else 20_000
-    plain, traced = (min(op_path(path_ops, kept) for _ in range(3)) for kept in (False, True))
-    more = traced - plain
+    op_path(path_ops, True)     # warms what both use
+    turns = [(op_path(path_ops, False), op_path(path_ops, True)) for _ in range(7)]    # in turns: the machine's pace drifts
+    plain, traced = median(one for one, _ in turns), median(other for _, other in turns)
+    more = median(other - one for one, other in turns)
     figures = {"records": records, "bytes_an_op": round(size / ops, 1), "written_a_second": round(records / written),
                "read_a_second": round(count / read), "seek_ms": round(1000 * seek, 2), "scan_ms": round(1000 * scan, 1),
                "seek_faster": round(scan / seek, 1), "merged": merged, "merge_s": round(merging, 1),
