Reread: no hold-off told at the door where none is allowed; less work a pull and a connect

Need: the settings may name a longest hold-off and allow none; the module heeds that, the door told one all the same. Seen on rereading; a test fails without it.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -632,8 +632,10 @@
     def _hear(self) -> Decision | None:
         """In a storm only as many retries are heard as first tries leave room for: each of them is one that
         the caller could not wait for, and read in full they take the time of those that still can."""
-        capacity = self.capacity()
-        rate = max(HEAR_LEAST * capacity, HEAR_ROOM * capacity - self.first_tries) if self.storm else math.inf
+        rate = math.inf
+        if self.storm:
+            capacity = self.capacity()
+            rate = max(HEAR_LEAST * capacity, HEAR_ROOM * capacity - self.first_tries)
         if rate == self.told_hear or abs(rate - self.told_hear) < HEAR_STEP * self.told_hear < math.inf:
             return None
         self.told_hear = rate
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -159,18 +159,21 @@
             (key or thing).decode("latin-1"), data[end:])
 
 
-TURNED_BACK = b"".join([b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n%bRetry-After-Ms: %d\r\n",
+TURNED_BACK = b"".join([b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n%b%b",
                         b"X-Dont-Retry: 1\r\n\r\n"])
 
 
 def turned_back(level: float | None, hold_off: float) -> bytes:
-    """The nack of a repeat in a storm, in one piece; by then there is always a time to come back at.
+    """The nack of a repeat in a storm, in one piece; no time to come back at where the settings allow none.
 
     >>> turned_back(0.25, 1.5) == b"".join(answer(429, level=0.25, hold_off=1.5, not_elsewhere=True))
     True
+    >>> b"Retry-After" in turned_back(None, 0.0)
+    False
     """
     signal = b"" if level is None else b"X-Load-Signal: %.4f\r\n" % level
-    return TURNED_BACK % (signal, max(1, round(hold_off * 1000.0)))
+    back = b"Retry-After-Ms: %d\r\n" % max(1, round(hold_off * 1000.0)) if hold_off > 0.0 else b""
+    return TURNED_BACK % (signal, back)
 
 
 def number(fields: dict[bytes, bytes], name: bytes, least: float = 0.0, below: float = math.inf,
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -36,7 +36,6 @@
     ALARM = "alarm"              # token
     CHECKED = "checked"          # place
     CALLER_LOST = "caller lost"  # place
-    CONNECTED = "connected"      # a caller's connection was accepted
     LEAVE = "leave"              # seconds until the stop
 
     __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, often run
@@ -81,7 +80,8 @@
         """`record` puts something between us and the module that keeps what passes, given when the instance started."""
         self.record = record
         self.deployment, self.seed = deployment, seed
-        self.storms = storms and Desk(storms, deployment.get("max_hold_off", 0.0), seed)
+        hold_off = deployment.get("max_hold_off", 0.0) if deployment.get("hold_off_allowed", False) else 0.0
+        self.storms = storms and Desk(storms, hold_off, seed)
         self.once = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
                      if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.NON_RETRYABLE}
         self.ended_at = self.idle_until = -math.inf     # when a run last ended; when one was asked for with none in hand
@@ -143,10 +143,6 @@
         self._ask_gauges()
         self.resync = self.marks
 
-    def _connected(self, now: float) -> None:
-        if self.storms:
-            self.storms.watch.count(connects=1)
-
     def _link_opened(self, now: float) -> None:
         if self.storms:
             self.storms.watch.outage(now)
@@ -220,6 +216,10 @@
         self.back += 1
         return desk.come_back(now, 0.0, stubborn)
 
+    def connected(self) -> None:
+        """A caller's connection was accepted: counted alone, for hundreds come at once and nothing is decided by one."""
+        self.storms.watch.count(connects=1)
+
     def _watch(self, now: float) -> None:
         if self.storms.watch.due(now):
             if self.back:
--- a/mulleinhatch/standins/stubs.py
+++ b/mulleinhatch/standins/stubs.py
@@ -49,7 +49,6 @@
     work_ms: float = 50.0
     most_tries: int = 1_000_000
     connections: int = 900          # an instance
-    directory: tuple[str, int] | None = None
     second_copy: float = 0.0        # seconds after which a safe op is sent once more beside; 0: never
 
 
--- a/mulleinhatch/storms/watch.py
+++ b/mulleinhatch/storms/watch.py
@@ -50,7 +50,7 @@
         self.reads, self.repeats, self.connects, self.ages = (Ring(SEEN, SEEN_BUCKETS) for _ in range(4))
         self.usual = self.first_rate = self.repeat_rate = self.connect_rate = 0.0
         self.judged_at = -math.inf
-        self.since = self.eased = self.likely = 0.0     # seconds: in this stage, looking calmer, like a storm
+        self.eased = self.likely = 0.0      # seconds: looking calmer, like a storm
         self.outage_at: float | None = None
         self.entered: dict[Stage, int] = dict.fromkeys(Stage, 0)
 
@@ -91,7 +91,7 @@
     def _step(self, now: float, span: float, share: float, multiple: float) -> None:
         """The one place where the stage changes: by the share of repeats and by their multiple of what can be
         served. Each way back asks for less than the way there, and for longer: it must not flap."""
-        bounds, self.since = self.bounds, self.since + span
+        bounds = self.bounds
         stormy = share >= bounds.storm_share and multiple >= bounds.storm_multiple
         self.likely = self.likely + min(span, 2.0 * BEAT) if stormy else 0.0    # a stall of ours is no storm
         if self.stage is Stage.CALM:
@@ -116,5 +116,5 @@
         return self.eased >= long_enough
 
     def _enter(self, stage: Stage) -> None:
-        self.stage, self.since, self.eased = stage, 0.0, 0.0
+        self.stage, self.eased = stage, 0.0
         self.entered[stage] += 1
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -263,6 +263,18 @@
     assert not outage_after(0.2, in_hand=True) and not outage_after(5.0, in_hand=False)
 
 
+def test_no_time_is_told_where_the_settings_allow_none() -> None:
+    """A longest hold-off may be told beside the word that none is allowed; the door must heed that as the module does."""
+    for allowed in (False, True):
+        reducer = Reducer({"op_types": [{}], "cores": 1, "max_hold_off": 5.0, "hold_off_allowed": allowed}, ["read"], [], 7,
+                          StormBounds())
+        reducer.reduce(0.0, Happening.INTERPRETER_UP, False, 9.0)
+        reducer.storms.limit(0.0, 0.001)
+        told = [reducer.turned_back(0.1, f"r{number}", "read", "", 4, True, "", b"", punctual=False, stubborn=number > 2)
+                for number in range(6)]
+        assert max(told) > 0.0 if allowed else set(told) == {0.0}
+
+
 def test_an_unmarked_repeat_is_known_for_as_long_as_it_keeps_coming() -> None:
     """Seen on loopback: 20 s after their first nack all unmarked repeats counted as first tries, and came in at once."""
     reducer = Reducer({"op_types": [{}], "cores": 1, "max_hold_off": 5.0}, ["read"], [], 7, StormBounds())
