--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -74,7 +74,8 @@
 def row(case: Case, figures: dict[str, Any]) -> list[str]:
     back = figures["back_after"]
     return [f"{case.alike:g}", f"{figures['in_time']:.2f}", "never" if back is None else f"{back:.1f}",
-            f"{figures['core']:.2f}", f"{figures['memory_mb']:.0f}", str(figures["lost"]), str(figures["twice"]), f"{figures['calm']:.2f}",
+            f"{figures['core']:.2f}", f"{figures['memory_mb']:.0f}",
+            str(figures["lost"]), str(figures["twice"]), f"{figures['calm']:.2f}",
             f"{figures['most_tries']:.0f}", f"{figures['told']['50']:.1f} {figures['told']['95']:.1f}",
             f"{figures['late']:.2f}"]
 
--- /dev/null
+++ b/mulleinhatch/fleet/bounds.py
@@ -0,0 +1,32 @@
+"""The bounds that an operator sets for the fleet, with what holds where none is set."""
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class BudgetBounds(NamedTuple):
+    """One total for the whole fleet, in units a window; `seats` names share it evenly, a name without a seat borrows."""
+
+    name: str
+    total: int              # units that all instances together may use in any window
+    seats: tuple[str, ...]  # the names that own an even part each
+    window: float = 1.0     # seconds; 0 for what is held, not used up
+    lease: float = 5.0      # seconds that a borrowed part lasts without a word of its giver
+    drift: float = 0.03     # by which clocks may run apart, as a share: 1% each, with room
+
+
+class FleetBounds(NamedTuple):
+    """Times are seconds; what is sent a beat does not depend on the fleet's size."""
+
+    fleet: str                          # its name: datagrams of others are dropped
+    listen: tuple[str, int] = ("127.0.0.1", 0)
+    seeds: tuple[str, ...] = ()         # host:port of some members, to join by
+    beat: float = 0.1
+    probes: int = 2                     # members asked a beat
+    probe_wait: float = 0.3             # until others are asked to ask for us
+    helpers: int = 3                    # as many
+    probe_fails: float = 0.65           # until it is suspected
+    suspect_for: float = 1.95           # until a suspected one is gone
+    late: float = 0.4                   # a beat that comes so late is our own trouble
+    forget: float = 600.0               # how long one that is gone is still asked now and then
+    budgets: tuple[BudgetBounds, ...] = ()
--- /dev/null
+++ b/mulleinhatch/fleet/words.py
@@ -0,0 +1,118 @@
+"""What passes between members: MessagePack of at most 1,200 bytes, checked into these structs by msgspec.
+
+No datagram is answered at length, and none that is not of this fleet, this version and a good form is answered at all.
+"""
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+MOST_BYTES = 1200
+VERSION = 1
+RUMOUR_BYTES, REPORT_BYTES, TRADE_BYTES = 34, 40, 30      # beside their names, at most
+
+Name = Annotated[str, Meta(min_length=1, max_length=40)]
+Address = Annotated[str, Meta(min_length=3, max_length=60, pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+Number = Annotated[int, Meta(ge=0, le=2 ** 62)]
+Amount = Annotated[int, Meta(ge=0, le=10 ** 12)]
+Age = Annotated[float, Meta(ge=0.0, le=86_400.0)]
+Figure = Annotated[float, Meta(ge=0.0, le=1e12)]
+ALIVE, SUSPECT, GONE, LEFT = 0, 1, 2, 3
+STATES = ("alive", "suspect", "gone", "left")
+
+
+class Rumour(msgspec.Struct, array_like=True, frozen=True):
+    """What is thought of a member; the higher life, incarnation and state win, in this order."""
+
+    name: Name
+    address: Address
+    life: Number
+    incarnation: Number
+    state: Annotated[int, Meta(ge=ALIVE, le=LEFT)]
+    age: Age = 0.0          # seconds since it was suspected first
+
+
+class Report(msgspec.Struct, array_like=True, frozen=True):
+    """A member's own figures. `figures` are what `counts.py` names, `parts` by budget: part held, demand, sent units."""
+
+    name: Name
+    life: Number
+    number: Number          # grows with each report of this life
+    age: Age                # since it was made
+    figures: Annotated[list[Figure], Meta(max_length=16)]
+    parts: Annotated[list[tuple[Amount, Amount]], Meta(max_length=16)]
+
+
+class Trade(msgspec.Struct, array_like=True, frozen=True):
+    """An ask (`have` is used from now on at most, `want` is wished for in all) or a give (`have` may be used)."""
+
+    budget: Annotated[int, Meta(ge=0, lt=16)]
+    number: Number
+    give: bool
+    have: Amount
+    want: Amount = 0
+
+
+class Letter(msgspec.Struct, array_like=True, frozen=True):
+    version: int
+    fleet: Name
+    sender: Name
+    address: Address
+    life: Number
+    incarnation: Number
+    what: Annotated[str, Meta(pattern=r"^(ping|ack|help|word)$")]
+    number: Number = 0                  # of the ping that is sent, helped with or answered
+    about: Annotated[str, Meta(max_length=40)] = ""     # whom a helper asked, or is to ask
+    rumours: Annotated[list[Rumour], Meta(max_length=40)] = []
+    reports: Annotated[list[Report], Meta(max_length=40)] = []
+    trades: Annotated[list[Trade], Meta(max_length=32)] = []
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Letter)
+_first = msgspec.msgpack.Decoder(list)
+
+
+class Unfit(ValueError):
+    """The text is the counter that it goes by: garbage, other_version, other_fleet, too_long."""
+
+
+def encode(letter: Letter) -> bytes:
+    return _encoder.encode(letter)
+
+
+def decode(datagram: bytes, fleet: str) -> Letter:
+    """
+    >>> letter = Letter(VERSION, "f", "n1", "127.0.0.1:9", 7, 0, "ping", 3)
+    >>> decode(encode(letter), "f") == letter
+    True
+    >>> decode(encode(letter), "g")
+    Traceback (most recent call last):
+    mulleinhatch.fleet.words.Unfit: other_fleet
+    >>> decode(b"\\x93\\x02", "f")
+    Traceback (most recent call last):
+    mulleinhatch.fleet.words.Unfit: garbage
+    """
+    if len(datagram) > MOST_BYTES:
+        raise Unfit("too_long")
+    try:
+        letter = _decoder.decode(datagram)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        raise Unfit(_why(datagram)) from None
+    if letter.version != VERSION:
+        raise Unfit("other_version")
+    if letter.fleet != fleet:
+        raise Unfit("other_fleet")
+    return letter
+
+
+def _why(datagram: bytes) -> str:
+    """A newer version may have other fields: told from garbage by its first one."""
+    try:
+        first = _first.decode(datagram)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return "garbage"
+    newer = first and isinstance(first[0], int) and not isinstance(first[0], bool) and first[0] > VERSION
+    return "other_version" if newer else "garbage"
