--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -16,9 +16,10 @@
 from mulleinhatch.holds import must_hold
 from mulleinhatch.interface import Decision, Deployment, Effect, Ending, Verb
 from mulleinhatch.routing.tables import Keys, Owed
+from mulleinhatch.storms.books import fingerprint
 from mulleinhatch.storms.bounds import StormBounds
 from mulleinhatch.storms.desk import Desk
-from mulleinhatch.storms.twins import Likeness, likeness
+from mulleinhatch.storms.twins import Likeness, finer, likeness
 
 READINGS_LAST = 1.0     # seconds: gauges that stopped coming tell nothing of the cores now
 RUN_GAP = 1.0           # seconds in which no run ended, though some were asked for: the interpreter stood still
@@ -234,16 +235,15 @@
         desk = self.storms
         if ref in self.owed or op_type not in self.op_types or key and self.keys.standing(op_type, key, now):
             return None
-        like, once = None, op_type in self.once
+        plain, once = b"", op_type in self.once
         if not again or once:    # else its likeness tells nothing new, and costs
-            like = likeness(caller, op_type, tenant, key, body, *figures())
-            if (not desk.tries.known(now, like) if not again
-                    else once and desk.runs.doubt(now, like, desk.tries.figures_stay(now))):
+            plain = fingerprint(caller, op_type, tenant, key, body)
+            if not desk.tries.known(now, plain, lambda: finer(plain, *figures())) if not again else plain in desk.runs.by_plain:
                 return None
         if not desk.turned_back(now, caller, punctual):
             return None
-        if like:
-            desk.tries.turned_back(now, like, once)
+        if plain:
+            desk.tries.turned_back(now, plain, lambda: finer(plain, *figures()), again)
         desk.runs.asks_again(place)
         desk.read(now, caller, True, 0.0)
         desk.turned += 1
--- a/mulleinhatch/storms/twins.py
+++ b/mulleinhatch/storms/twins.py
@@ -9,7 +9,7 @@
 import math
 import struct
 from collections import Counter
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from typing import NamedTuple
 
 from mulleinhatch.storms.books import Lately, fingerprint
@@ -30,7 +30,11 @@
 def likeness(caller: int, op_type: str, tenant: str, key: str, body: bytes, rank: float, work: float,
              kb: float) -> Likeness:
     plain = fingerprint(caller, op_type, tenant, key, body)
-    return Likeness(plain, plain + struct.pack("<3d", rank, work, kb))
+    return Likeness(plain, finer(plain, rank, work, kb))
+
+
+def finer(plain: bytes, rank: float, work: float, kb: float) -> bytes:
+    return plain + struct.pack("<3d", rank, work, kb)
 
 
 class Tally:
@@ -126,20 +130,24 @@
             self.counts["likenesses_shared"] += not self.shared.seen(now, what)
             self.shared.add(now, what)
 
-    def known(self, now: float, like: Likeness) -> bool:
+    def known(self, now: float, plain: bytes, fine: Callable[[], bytes]) -> bool:
         """Whether an unmarked try that was not read in full yet repeats a nacked one for certain. One that looks like
         what waits here or was acked must be read, and compared."""
-        what = like.fine if self.shared.seen(now, like.plain) else like.plain
+        what = fine() if self.shared.seen(now, plain) else plain
         return (self.outstanding.has(now, what) and what not in self.open and not self.done.seen(now, what)
                 and not self.shared.seen(now, what))
 
-    def turned_back(self, now: float, like: Likeness, watched: bool) -> None:
-        """Nacked before it was read in full, perhaps once more: it stays known for as long as it keeps coming."""
+    def turned_back(self, now: float, plain: bytes, fine: Callable[[], bytes], again: bool) -> None:
+        """Nacked before it was read in full, perhaps once more: it stays known for as long as it keeps coming. Of a marked
+        one nothing needs to be known, but whether its figures stay, where looks are shared."""
+        shared = self.shared.seen(now, plain)
+        if again and not shared:
+            return
         were = []
-        for what in like if watched or self.shared.seen(now, like.plain) else like[:1]:
+        for what in (plain, fine()) if shared else (plain,):
             were.append(self.outstanding.take(now, what))
             self.outstanding.add(now, what)
-        if watched and were[0]:
+        if again and were[0]:
             self._figures(now, were[1])
 
     def nacked(self, now: float, looks: tuple[bytes, ...]) -> None:
