--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -5,6 +5,7 @@
   mulleinhatch check [--config FILE] [--operator FILE] [--log LEVEL]
   mulleinhatch counters HOST:PORT
   mulleinhatch demo [--fault FILE] [--seconds N]
+  mulleinhatch fleet (members|budgets|judgements|watch) [--operator FILE] [--at HOST:PORT]
   mulleinhatch trace info FILE...
   mulleinhatch trace cut FILE --out FILE [--since S] [--until S] [--tenant NAME] [--op-type NAME] [--op ID]
   mulleinhatch trace merge FILE... --out FILE [--offset NODE=S]...
@@ -17,6 +18,7 @@
 Options:
   --config FILE    What the instance is told at start, as JSON; else the file that NODE_CONFIG names.
   --operator FILE  The operator's own file, as KDL; without one the usual bounds hold.
+  --at HOST:PORT   Where the instance's callers connect; else `status` of the fleet in the operator's file.
   --fault FILE     What goes wrong in the demo, as a fault script; else a kill for 6 s.
   --seconds N      How long the demo lasts [default: 60].
   --out FILE       Where a trace that is made goes; a new file.
@@ -44,7 +46,7 @@
 
 from docopt import docopt
 
-COMMANDS = ("serve", "check", "counters", "demo", "trace", "version")
+COMMANDS = ("serve", "check", "counters", "demo", "fleet", "trace", "version")
 
 
 def main(argv: list[str] | None = None) -> int:
--- /dev/null
+++ b/mulleinhatch/commands/fleet.py
@@ -0,0 +1,99 @@
+"""What a running instance knows of its fleet: members, budgets, judgements, or all of it live."""
+from __future__ import annotations
+
+import json
+import sys
+import time
+import urllib.error
+import urllib.request
+from typing import Any
+
+from mulleinhatch.program import operator
+from mulleinhatch.protocol.http import FLEET_PATH
+
+LOOK = 0.5      # seconds between two looks
+
+
+def ask(address: str) -> dict[str, Any]:
+    with urllib.request.urlopen(f"http://{address}{FLEET_PATH.decode()}", timeout=5) as answer:
+        return json.loads(answer.read())
+
+
+def members(told: dict[str, Any]) -> list[tuple[str, ...]]:
+    return [("member", "state", "heard", "life", "address"), *(
+        (row["name"], row["state"], "-" if row["state"] == "self" or row["heard"] > 1e5 else f"{row['heard']:.1f} s",
+         f"{row['life']}.{row['incarnation']}", row["address"]) for row in sorted(told["members"], key=lambda row: row["name"]))]
+
+
+def budgets(told: dict[str, Any]) -> list[tuple[str, ...]]:
+    return [("budget", "total", "even", "may use", "lent", "borrowed", "demand"), *(
+        (row["name"], f"{row['total']} in {row['window']:g} s" if row["window"] else f"{row['total']} in hand",
+         *(f"{row[key]:g}" for key in ("home", "usable", "lent", "borrowed", "demand"))) for row in told["budgets"])]
+
+
+def judgements(told: dict[str, Any]) -> list[tuple[str, ...]]:
+    return [("subject", "verdict"), *((subject, "out") for subject in told["out"]),
+            *((subject, f"ill for {voice} alone: look there") for voice, subject in told["alone"]),
+            *([("-", f"{told['held_back']} more are ill, and kept: too many at once")] if told["held_back"] else [])]
+
+
+def text(rows: list[tuple[str, ...]]) -> str:
+    """
+    >>> text([("a", "bb"), ("ccc", "d")])
+    'a    bb\\nccc  d\\n'
+    """
+    widths = [max(map(len, column)) for column in zip(*rows)]
+    return "".join("  ".join(word.ljust(width) for word, width in zip(row, widths)).rstrip() + "\n" for row in rows)
+
+
+def head(told: dict[str, Any]) -> str:
+    state = "FROZEN: most are silent to us, nobody is declared gone" if told["frozen"] else "as heard"
+    return f"fleet {told['fleet']}, {state}{'; ANOTHER INSTANCE HAS OUR NAME' if told['doubled'] else ''}"
+
+
+def sums(told: dict[str, Any]) -> list[tuple[str, ...]]:
+    return [("over the fleet", "least", "most", "of", "silent"), *(
+        (figure, f"{row['least']:.0f}", f"{row['most']:.0f}", str(row["members"]), str(row["silent"]))
+        for figure, row in told["sums"].items())]
+
+
+def watch(address: str) -> None:
+    try:
+        from rich.console import Group
+        from rich.live import Live
+        from rich.text import Text
+    except ImportError:
+        raise SystemExit("mulleinhatch: watch needs rich: pip install 'mulleinhatch[lab]'") from None
+    with Live(refresh_per_second=4) as live:
+        while True:
+            try:
+                told = ask(address)
+                shown = [Text(head(told))] + [Text(text(rows)) for rows in (
+                    members(told), budgets(told), sums(told), judgements(told))]
+            except (OSError, ValueError) as error:
+                shown = [Text(f"{address}: {error}")]
+            live.update(Group(*shown))
+            time.sleep(LOOK)
+
+
+def run(told: dict[str, Any]) -> int:
+    address = told["--at"]
+    try:
+        if not address:
+            if not told["--operator"]:
+                raise operator.BadOperatorFile("--operator FILE or --at HOST:PORT is wanted")
+            address = operator.fleet_status(told["--operator"])
+        if told["watch"]:
+            watch(address)
+        fleet = ask(address)
+    except KeyboardInterrupt:
+        return 0
+    except urllib.error.HTTPError:
+        print(f"mulleinhatch: {address}: the instance there is in no fleet", file=sys.stderr)
+        return 1
+    except (operator.BadOperatorFile, OSError, ValueError) as error:
+        print(f"mulleinhatch: {address + ': ' if address else ''}{error}", file=sys.stderr)
+        return 1
+    rows = members if told["members"] else budgets if told["budgets"] else judgements
+    sys.stdout.write(head(fleet) + "\n" + text(rows(fleet)))
+    return 0
--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -148,6 +148,8 @@
         self.sweep_at = self.judged_at = now
         self.armed, self.alarms = math.inf, 0
         self.storm, self.first_tries, self.told_hear = False, 0.0, math.inf
+        self.parts: dict[int, tuple[float, Sequence[tuple[float, float]]]] = {}
+        self.part_used: dict[int, list[float]] = {}
         self.steps = (self._forget, self._place, self._give_up, self._stop_unwanted, self._serve_call,
                       self._follow, self._start, self._advise, self._hear, self._wake)
 
@@ -244,6 +246,17 @@
         self._pass_time(now)
         self.storm, self.first_tries = on, first_tries
 
+    def part_told(self, now: float, tenant: int, window: float, pieces: Sequence[tuple[float, float]]) -> None:
+        """From a host whose instances share totals: the runs of a tenant that this one may start in any window, as
+        pieces of units and until when each is ours. Between two words a piece may end, so each has its time."""
+        self._pass_time(now)
+        self.parts[tenant] = window, pieces
+
+    def calls_told(self, now: float, share: float) -> None:
+        """Our part of the calls that the shared dependency bears, where the instances settle it."""
+        self._pass_time(now)
+        self.calls_share = share
+
     def turned_back(self, now: float, count: int) -> None:
         """Retries that the host nacked by the last word on how many are heard."""
         self._pass_time(now)
@@ -437,6 +450,27 @@
         share = self.shares[op.tenant] if op.tenant < len(self.shares) else TENANT_ROOM / self.callers
         return max(1, math.floor(self.limit * share))
 
+    def _part_rate(self, tenant: int) -> float:
+        """Runs a second that a tenant's part makes room for; without a part there is no bound."""
+        if tenant not in self.parts:
+            return math.inf
+        window, pieces = self.parts[tenant]
+        return sum(units for units, until in pieces if self.now < until) / window
+
+    def _part_left(self, tenant: int) -> bool:
+        if tenant not in self.parts:
+            return True
+        window = self.parts[tenant][0]
+        used = self.part_used[tenant] = [at for at in self.part_used.get(tenant, ()) if at > self.now - window]
+        return len(used) + 1 <= self._part_rate(tenant) * window
+
+    def _over_part(self, op: Op) -> bool:
+        """L_max of a tenant whose runs the fleet shares out: what its part starts in the time that this one has."""
+        rate = self._part_rate(op.tenant)
+        held = sum(other.tenant == op.tenant for other in self.at[Stage.HELD].values() if other is not op)
+        return rate < math.inf and held >= rate * max(0.0, self._wait_allowed(op, op.aim)) and not (
+            held == 0 and self._part_left(op.tenant))
+
     def _held_wait(self) -> float:
         work = sum(op.work for op in self.at[Stage.HELD].values())
         return work / self.mu if self.mu else 0.0
@@ -482,6 +516,8 @@
                 return self._turn_away(op, "memory")
             if self._over_bound(op):
                 return self._turn_away(op, "bound")
+            if self.parts and self._over_part(op):
+                return self._turn_away(op, "part")
             if op.row.keyed:
                 return self._keep(op)
         return None
@@ -601,6 +637,8 @@
         in_hand = sum(len(self.at[stage]) for stage in IN_HAND)
         if self.some_must_call and self._calls_taken():
             waiting = [op for op in waiting if not op.row.must_call]
+        if self.parts:
+            waiting = [op for op in waiting if op.stage is Stage.PAUSED or self._part_left(op.tenant)]
         if not waiting or in_hand >= self._crowd_ceiling():
             return None
         free = [op for op in waiting if self.tenant_running[op.tenant] < self._cap(op)]
@@ -608,6 +646,8 @@
         more_kb = op.held_kb * (self.run_factor - 1.0) if op.stage is Stage.HELD else 0.0
         if self.kb + more_kb > self.memory_kb and in_hand:
             return None
+        if op.tenant in self.parts and not op.ran:
+            self.part_used.setdefault(op.tenant, []).append(self.now)
         op.ran = True
         self._move(op, Stage.RUNNING)
         return Decision(Verb.RUN, op.ref, cause="order" if len(free) in (0, len(waiting)) else "cap")
--- a/mulleinhatch/fleet/bounds.py
+++ b/mulleinhatch/fleet/bounds.py
@@ -13,6 +13,7 @@
     window: float = 1.0     # seconds; 0 for what is held, not used up
     lease: float = 5.0      # seconds that a borrowed part lasts without a word of its giver
     drift: float = 0.03     # by which clocks may run apart, as a share: 1% each, with room
+    tenant: str = ""        # whose runs it bounds; none: calls in hand at the shared dependency
 
 
 class FleetBounds(NamedTuple):
@@ -20,8 +21,10 @@
 
     fleet: str                          # its name: datagrams of others are dropped
     listen: tuple[str, int] = ("127.0.0.1", 0)
+    advertise: str = ""                 # host:port that the others are told; else what is listened on
     seeds: tuple[str, ...] = ()         # host:port of some members, to join by
     beat: float = 0.1
+    status: str = ""                    # host:port where the command line asks
     probes: int = 2                     # members asked a beat
     probe_wait: float = 0.3             # until others are asked to ask for us
     helpers: int = 3                    # as many
--- a/mulleinhatch/fleet/budgets.py
+++ b/mulleinhatch/fleet/budgets.py
@@ -7,7 +7,7 @@
 """
 from __future__ import annotations
 
-from math import sqrt
+from math import inf, sqrt
 from typing import NamedTuple
 
 from mulleinhatch.fleet.bounds import BudgetBounds
@@ -121,6 +121,11 @@
         """Units that may be used now; with `lasts`, by what holds them for so long."""
         return self.own(now) + sum(have.amount for have in self.borrowed.values() if now + lasts < have.until)
 
+    def pieces(self, now: float) -> list[tuple[float, float]]:
+        """What may be used, as units and until when: our own without an end, since only we can give it away."""
+        return [(float(self.own(now)), inf), *((float(have.amount), have.until) for have in self.borrowed.values()
+                                               if have.amount and now < have.until)]
+
     def _pass_time(self, now: float) -> None:
         self.cooling = [(until, amount) for until, amount in self.cooling if until > now]
         for asker, loan in list(self.loans.items()):
--- /dev/null
+++ b/mulleinhatch/program/fleet.py
@@ -0,0 +1,176 @@
+"""The fleet's I/O: one UDP socket, one timer, and the core's words carried out. Imported only where a fleet is told of."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from mulleinhatch.fleet.core import Fleet, Local
+from mulleinhatch.fleet.counts import FIGURES
+from mulleinhatch.fleet.words import MOST_BYTES, STATES
+from mulleinhatch.program.placement import Placement
+from mulleinhatch.routing.reducer import Happening, Reducer
+
+LOG = logging.getLogger(__name__)
+A_TURN = 64             # datagrams read before others have their turn
+RECEIVE_ROOM = 1 << 18  # bytes of the socket's queue: what came while we stood still says who is there
+RUN_CLOSES = 2.0        # seconds that a call may take, of a part that bounds what is in hand
+
+
+class FleetSide:
+    def __init__(self, placement: Placement, reducer: Reducer, take: Callable[..., None]) -> None:
+        self.placement, self.reducer, self.take = placement, reducer, take
+        self.bounds = placement.fleet
+        self.counts: Counter[str] = Counter()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.core: Fleet | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.told_pieces: dict[str, list[tuple[float, float]]] = {}
+        # What each tenant with a part was asked for: by window of its budget, now and before.
+        self.asked: dict[str, list[int]] = {budget.tenant: [0, 0] for budget in self.bounds.budgets if budget.tenant}
+        self.window_at: dict[str, float] = {}
+
+    def listen(self) -> None:
+        self.socket.setblocking(False)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_ROOM)
+        self.socket.bind(self.bounds.listen)
+        host, port = self.socket.getsockname()
+        address, now = self.bounds.advertise or f"{host}:{port}", time.monotonic()
+        # A life's number must grow over restarts and has no disk to stand on: the wall clock, and where that was set
+        # back the others tell (`Members._our_name`).
+        self.core = Fleet(self.bounds, self.placement.name, address, int(1000.0 * time.time()), self.placement.seed, now)
+        self.reducer.on_tenant = self._asked_for if self.asked else None
+        LOG.info("fleet", extra={"fields": {"fleet": self.bounds.fleet, "address": address}})
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self.socket.fileno(), self._readable)
+        self._tell_parts(now)
+        self._beat()
+
+    def close(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+        asyncio.get_running_loop().remove_reader(self.socket.fileno())
+        self.socket.close()
+
+    def leave(self) -> None:
+        """The others hear it now; what is borrowed goes back, and our own part starts nothing new either."""
+        if self.core and not self.core.members.left:
+            now = time.monotonic()
+            self._send(self.core.leave(now))
+            self._tell_parts(now)
+
+    def _asked_for(self, now: float, tenant: str) -> None:
+        if counts := self.asked.get(tenant):
+            counts[0] += 1
+
+    def _demands(self, now: float) -> tuple[float, ...]:
+        """Units a window, by budget: of the whole windows and of the one that runs, by its part."""
+        demands = []
+        for budget in self.bounds.budgets:
+            counts = self.asked.get(budget.tenant)
+            if not counts:
+                demands.append(float(self.reducer.unended))
+                continue
+            since = self.window_at.setdefault(budget.tenant, now)
+            if now - since >= budget.window:
+                counts[1], counts[0], self.window_at[budget.tenant] = round(counts[0] * budget.window / (now - since)), 0, now
+                since = now
+            part = (now - since) / budget.window
+            demands.append(counts[0] + (1.0 - part) * counts[1])
+        return tuple(demands)
+
+    def _local(self, now: float) -> Local:
+        reducer = self.reducer
+        counts, hatch = reducer.counts, reducer.hatch
+        storms = reducer.storms
+        repeats = float(storms.counts["repeats_read"]) if storms else 0.0
+        reads = float(counts["ops_read"] + (storms.turned if storms else 0))
+        figures = [max(0.0, reads - repeats), repeats, float(counts["run_ok"]), float(counts["decided_nack"]),
+                   float(len(reducer.owed) - reducer.unended), float(reducer.unended),
+                   float(hatch.capacity()) if hatch else 0.0, float(reducer.healthy and hatch is not None)]
+        runs, errors = counts["run_ok"] + counts["run_error"], counts["run_error"]
+        opinions = [(f"interpreter of {self.placement.name}"[:40], round(100 * errors / runs), runs)] if runs else []
+        assert len(figures) == len(FIGURES)
+        return Local(figures, self._demands(now), [], opinions)
+
+    def _beat(self) -> None:
+        now = time.monotonic()
+        self.timer = asyncio.get_running_loop().call_later(self.bounds.beat, self._beat)
+        try:
+            self._send(self.core.beat(now, self._local(now)))
+            self._tell_parts(now)
+            for change in self.core.changes():
+                LOG.info("fleet", extra={"fields": {"member": change.name, "state": change.state, "why": change.why}})
+        except Exception:
+            # The fleet is help, not service: what goes wrong here must not take the instance with it.
+            self.counts["fleet_errors_inside"] += 1
+            LOG.exception("error inside", extra={"fields": {"at": "fleet beat"}})
+
+    def _readable(self) -> None:
+        for _ in range(A_TURN):
+            try:
+                data = self.socket.recv(MOST_BYTES + 1)
+            except OSError:     # nothing more, or the word of a closed port
+                return
+            try:
+                now = time.monotonic()
+                self._send(self.core.datagram(now, data))
+                self._tell_parts(now)
+            except Exception:
+                self.counts["fleet_errors_inside"] += 1
+                LOG.exception("error inside", extra={"fields": {"at": "fleet datagram"}})
+
+    def _send(self, errands: list[tuple[str, bytes]]) -> None:
+        for address, data in errands:
+            host, _, port = address.rpartition(":")
+            with contextlib.suppress(OSError, OverflowError):      # it may be down, or a name that nobody knows
+                self.socket.sendto(data, (host, int(port)))
+
+    def _tell_parts(self, now: float) -> None:
+        """At once when a part changes: what was lent a moment ago must not be used."""
+        for budget, part in zip(self.bounds.budgets, self.core.parts):
+            if not budget.tenant:
+                share = float(part.usable(now, RUN_CLOSES))
+                if self.told_pieces.get(budget.name) != [(share, 0.0)]:
+                    self.told_pieces[budget.name] = [(share, 0.0)]
+                    self.take(Happening.CALLS, share)
+                continue
+            pieces = part.pieces(now)
+            if self.told_pieces.get(budget.name) != pieces:
+                self.told_pieces[budget.name] = pieces
+                self.take(Happening.PART, budget.tenant, budget.window, pieces)
+
+    def told(self) -> bytes:
+        """What the command line shows."""
+        core, now = self.core, time.monotonic()
+        members = core.members
+        rows = [{"name": members.name, "address": members.address, "state": "left" if members.left else "self", "heard": 0.0,
+                 "life": members.life, "incarnation": members.incarnation}]
+        rows += [{"name": member.name, "address": member.address, "state": STATES[member.state], "life": member.life,
+                  "incarnation": member.incarnation, "heard": round(min(1e6, now - member.heard_at), 2)}
+                 for member in members.view.values()]
+        budgets = []
+        for place, (budget, part) in enumerate(zip(self.bounds.budgets, core.parts)):
+            budgets.append({
+                "name": budget.name, "total": budget.total, "window": budget.window, "tenant": budget.tenant,
+                "home": part.home, "own": part.own(now), "usable": part.usable(now), "demand": round(core.demands[place], 1),
+                "lent": sum(loan.amount for loan in part.loans.values()),
+                "borrowed": sum(have.amount for have in part.borrowed.values() if now < have.until)})
+        sums: dict[str, Any] = {figure: core.known.total(now, figure)._asdict() for figure in FIGURES}
+        return json.dumps({"fleet": self.bounds.fleet, "frozen": members.frozen, "doubled": members.doubled(now),
+                           "members": rows, "budgets": budgets, "sums": sums, "out": core.out,
+                           "alone": sorted(core.verdicts.alone), "held_back": core.verdicts.held_back}).encode()
+
+    def counted(self) -> dict[str, int]:
+        if not self.core:
+            return dict(self.counts)
+        members = self.core.members
+        return {**self.counts, **{f"fleet_{name}": count for name, count in {**self.core.counts, **members.counts}.items()},
+                "fleet_members": len(members.alive()) + 1, "fleet_is_frozen": int(members.frozen),
+                "fleet_is_doubled": int(members.doubled(time.monotonic()))}
--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -30,6 +30,7 @@
         self.leaving = False
         self.turned_back: Callable[..., float | None] | None = None
         self.level: Callable[[], float | None] = lambda: None
+        self.fleet: Callable[[], bytes] | None = None      # what is known of the others, as JSON
 
     def request(self, place: int, method: bytes, path: bytes, fields: dict[bytes, bytes],
                 body: bytes) -> None:
@@ -50,6 +51,8 @@
             self.take(Happening.CHECKED, place)
         elif path == http.COUNTERS_PATH:
             self._write(place, 200, self.counters().encode())
+        elif path == http.FLEET_PATH and self.fleet:
+            self._write(place, 200, self.fleet())
         else:
             raise http.BadRequest("path", 404)
 
--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from mulleinhatch.decide import Hatch
+    from mulleinhatch.program.fleet import FleetSide
     from mulleinhatch.program.tracing import Tracing
     from mulleinhatch.traces.recorder import Recorder
 
@@ -43,6 +44,7 @@
         self.placement, self.placed_anew = placement, placed_anew or (lambda: placement)
         self.counts: Counter[str] = Counter()
         self.tracing: Tracing | None = None
+        self.fleet: FleetSide | None = None
         self.reducer = Reducer(placement.deployment, placement.op_types, placement.tenants, placement.seed,
                                placement.storms, self._recorded if placement.traces else None)
         self.front = front = HttpFront(connections_held(placement), self.take, self.count, self.counters)
@@ -111,6 +113,8 @@
     def _leave(self, seconds: float) -> None:
         """It listens to the end and past it: what lies in the backlog of a closed socket is lost."""
         self.front.leaving = True
+        if self.fleet:
+            self.fleet.leave()
         self.log_counters("leaving")
         asyncio.get_running_loop().call_later(seconds + OUTLIVE_STOP, self.stopped.set)
 
@@ -130,10 +134,17 @@
         loop.add_signal_handler(signal.SIGUSR1, self.log_counters, "counters")
         self.port = await self._listen()
         LOG.info("listening", extra={"fields": {"name": self.placement.name, "port": self.port}})
+        if self.placement.fleet:
+            from mulleinhatch.program.fleet import FleetSide
+            self.fleet = FleetSide(self.placement, self.reducer, self.take)
+            self.fleet.listen()
+            self.front.fleet = self.fleet.told
         tasks = [asyncio.ensure_future(work) for work in
                  (self.interpreter.link.keep(), self._every(REPORT_EVERY, self._report),
                   self._every(SWEEP_EVERY, self._sweep))]
         await self.stopped.wait()
+        if self.fleet:
+            self.fleet.close()
         if self.tracing:
             self.tracing.close()
         for task in tasks:
@@ -186,7 +197,9 @@
     def counted(self) -> dict[str, int]:
         storms = self.reducer.storms.counted() if self.reducer.storms else {}
         traces = self.tracing.keeper.counts if self.tracing else {}
-        return {**self.counts, **self.reducer.counts, **storms, **traces, "connections_open": len(self.front.connections.open),
+        fleet = self.fleet.counted() if self.fleet else {}
+        return {**self.counts, **self.reducer.counts, **storms, **traces, **fleet,
+                "connections_open": len(self.front.connections.open),
                 "ops_owed": len(self.reducer.owed),
                 "advice_percent": round(100.0 * (self.reducer.level or 0.0)),
                 **{"broken_" + what.replace(" ", "_"): count for what, count in BROKEN.items()}}
--- a/mulleinhatch/program/operator.py
+++ b/mulleinhatch/program/operator.py
@@ -19,6 +19,7 @@
 Seconds = Annotated[float, Meta(gt=0.0, le=3600.0)]
 Room = Annotated[int, Meta(ge=1, le=1_000_000)]
 USUAL = StormBounds()
+HostPort = Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
 PATH = re.compile(r"at `\$\.?([^`]*)`")
 UNKNOWN = re.compile(r"unknown field `([^`]*)`")
 
@@ -50,14 +51,38 @@
     total_mb: Annotated[float, Meta(gt=0.0, le=10_000_000.0)] = 1024.0
 
 
+class Budget(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
+    total: Annotated[int, Meta(ge=1, le=10 ** 9)]
+    tenant: str = ""
+    calls: bool = False
+    window: Annotated[float, Meta(ge=0.0, le=3600.0)] = 1.0
+    lease: Seconds = 5.0
+    drift: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.03
+    seats: str | list[str] = []
+
+
+class FleetFile(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
+    name: Annotated[str, Meta(min_length=1, max_length=40)]
+    listen: HostPort
+    advertise: HostPort | None = None
+    status: HostPort | None = None
+    seeds: HostPort | list[HostPort] = []
+    seats: str | list[str] = []
+    beat: Annotated[float, Meta(ge=0.02, le=10.0)] = 0.1
+    suspect_for: Seconds = 1.95
+    budgets: Annotated[dict[str, Budget], Meta(max_length=16)] = {}
+
+
 class OperatorFile(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
     storms: Storms = msgspec.field(default_factory=Storms)
     traces: Traces | None = None
+    fleet: FleetFile | None = None
 
 
 class Operator(NamedTuple):
     storms: StormBounds | None
     traces: Any = None      # the bounds of a trace's files, a `TraceBounds`
+    fleet: Any = None       # of what passes between instances, a `FleetBounds`
 
 
 def read(path: str) -> Operator:
@@ -68,6 +93,14 @@
     return told(text, path)
 
 
+def fleet_status(path: str) -> str:
+    """Where the command line asks: `status` of the fleet."""
+    fleet = read(path).fleet
+    if fleet is None or not fleet.status:
+        raise BadOperatorFile(f"{path}: fleet.status: missing, or name the instance by --at")
+    return fleet.status
+
+
 def told(text: str, path: str = "operator.kdl") -> Operator:
     """
     >>> told("storms {\\n    settle 5\\n}").storms.settle
@@ -100,7 +133,8 @@
     if checked.storms.storm_share < checked.storms.rising_share:
         raise BadOperatorFile(f"{path}:{_line(text, ('storms', 'storm-share'))}: storms.storm-share: "
                               f"{checked.storms.storm_share:g} is below rising-share")
-    return Operator(StormBounds(**storms) if enabled else None, _traces(checked.traces))
+    return Operator(StormBounds(**storms) if enabled else None, _traces(checked.traces),
+                    checked.fleet and _fleet(checked.fleet, text, path))
 
 
 def _traces(told: Traces | None) -> Any:
@@ -113,6 +147,27 @@
     return TraceBounds(**msgspec.structs.asdict(told))
 
 
+def _fleet(told: FleetFile, text: str, path: str) -> Any:
+    from mulleinhatch.fleet.bounds import BudgetBounds, FleetBounds
+
+    def several(value: str | list[str]) -> tuple[str, ...]:
+        return (value,) if isinstance(value, str) else tuple(value)
+    budgets = []
+    for name, budget in told.budgets.items():
+        seats, way = several(budget.seats or told.seats), ("fleet", "budgets", name)
+        wrong = ("seats: nobody has an even part" if not seats else "seats: told twice" if len(set(seats)) < len(seats) else
+                 f"total: {budget.total} is less than one for each of {len(seats)} seats" if budget.total < len(seats) else
+                 "tenant: either a tenant's runs or calls" if bool(budget.tenant) is budget.calls else
+                 "window: runs are counted over a window" if budget.tenant and not budget.window else "")
+        if wrong:
+            raise BadOperatorFile(f"{path}:{_line(text, way)}: {'.'.join(way)}.{wrong}")
+        window = 0.0 if budget.calls else budget.window
+        budgets.append(BudgetBounds(name, budget.total, seats, window, budget.lease, budget.drift, budget.tenant))
+    host, _, port = told.listen.rpartition(":")
+    return FleetBounds(told.name, (host, int(port)), told.advertise or "", several(told.seeds), told.beat,
+                       status=told.status or "", suspect_for=told.suspect_for, budgets=tuple(budgets))
+
+
 def _tree(nodes: list[Any], text: str, path: str, way: tuple[str, ...]) -> dict[str, Any]:
     """Nodes as nested dicts: one value, or properties and children; no name twice."""
     tree: dict[str, Any] = {}
--- a/mulleinhatch/program/placement.py
+++ b/mulleinhatch/program/placement.py
@@ -32,6 +32,7 @@
     deployment: Deployment
     storms: StormBounds | None = StormBounds()     # None: no storm books are kept
     traces: Any = None      # `TraceBounds` where traces are written
+    fleet: Any = None       # `FleetBounds` where instances speak with each other
 
 
 def address(key: str, text: object) -> Address:
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -19,7 +19,7 @@
            429: b"Too Many Requests", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
            503: b"Service Unavailable"}
 ONLY_ONCE = (b"content-length", b"transfer-encoding", b"connection", b"host", b"idempotency-key")
-OP_PATH, HEALTH_PATH, COUNTERS_PATH = b"/svc/", b"/status/live", b"/status/counters"
+OP_PATH, HEALTH_PATH, COUNTERS_PATH, FLEET_PATH = b"/svc/", b"/status/live", b"/status/counters", b"/status/fleet"
 
 
 class BadRequest(ValueError):
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -40,6 +40,8 @@
     CHECKED = "checked"          # place
     CALLER_LOST = "caller lost"  # place
     LEAVE = "leave"              # seconds until the stop
+    PART = "part"                # tenant, window, pieces of units and their ends: what the fleet leaves us of a total
+    CALLS = "calls"              # share
 
     __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, often run
 
@@ -108,6 +110,9 @@
         self.stop_at: float | None = None
         self.counts: Counter[str] = Counter()
         self.parked: dict[str, tuple[float, float, Owed, Likeness, tuple]] = {}     # until, since, op, likeness, told
+        self.calls_share: float | None = None
+        self.on_tenant: Callable[[float, str], None] | None = None      # told of each op that is read, for its demand
+        self.parts: dict[str, tuple[float, Sequence[tuple[float, float]]]] = {}     # by tenant: window, pieces
         self.errands: list[tuple] = []
         self.handlers = {happening: getattr(self, "_" + happening.name.lower()) for happening in Happening}
         self.verbs = {verb: ("decided_" + verb.name.lower(), getattr(self, "_do_" + verb.name.lower(),
@@ -140,6 +145,10 @@
                 self.hatch = self.record(self.hatch, now, cold, since)
             if self.stop_at is not None:
                 self.hatch.leave_notice(now, self.stop_at - now)
+            for tenant, part in self.parts.items():
+                self._part(now, tenant, *part)
+            if self.calls_share is not None:
+                self._calls(now, self.calls_share)
         elif now - since > self.heard_at:
             # It began after the last word of the one before: it is another interpreter.
             self.last_notice, self.renewed_at = 0, -1
@@ -188,6 +197,8 @@
     def _take_in(self, now: float, owed: Owed, op_type: str, tenant: str, age: float, wait: float, caller: int,
                  work: float, kb: float, again: bool, key: str, rank: float) -> None:
         owed.repeats = self.keys.standing(op_type, key, now)
+        if self.on_tenant:
+            self.on_tenant(now, tenant)
         if self.storms:
             like = likeness(caller, op_type, tenant, key, owed.body, rank, work, kb)
             repeat, owed.looks = self.storms.tries.read(now, like, again, op_type in self.once)
@@ -357,6 +368,17 @@
         if self.hatch:
             self.hatch.leave_notice(now, grace)
 
+    def _part(self, now: float, tenant: str, window: float, pieces: Sequence[tuple[float, float]]) -> None:
+        """Before the module is there it is kept for it: a tenant with a total must never run without its part."""
+        self.parts[tenant] = window, pieces
+        if self.hatch and tenant in self.tenants:
+            self.hatch.part_told(now, self.tenants[tenant], window, pieces)
+
+    def _calls(self, now: float, share: float) -> None:
+        self.calls_share = share
+        if self.hatch:
+            self.hatch.calls_told(now, share)
+
     # What the module decides.
 
     def _do_run(self, now: float, decision: Decision) -> None:
--- a/mulleinhatch/storms/desk.py
+++ b/mulleinhatch/storms/desk.py
@@ -59,6 +59,7 @@
     def read(self, now: float, caller: int, repeat: bool, age: float) -> None:
         self.watch.count(1, repeat, 0, age)
         if repeat:
+            self.counts["repeats_read"] += 1
             self.callers.add(caller)
 
     def judge(self, now: float, capacity: float) -> bool:
--- a/mulleinhatch/traces/kinds.py
+++ b/mulleinhatch/traces/kinds.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 MAJORS = (1, 2)         # that are read; 2 adds the cause of a decision
-MINOR = 0
+MINOR = 1               # 1 adds what a fleet told
 
 
 class Kind(NamedTuple):
@@ -49,7 +49,9 @@
 NOTE = Kind(14, "note", (("what", "text"), ("detail", "text")))      # connections, reloads, counters: for people
 GAP = Kind(15, "gap", (("records", "whole"), ("until", "number")))   # blocks that the disk was too slow for
 NODE = Kind(16, "node", (("node", "whole"),), since=2)     # in a merged file: whose the records that follow are
+PART = Kind(17, "part", (("tenant", "whole"), ("window", "number"), ("pieces", "numbers")))     # units and end, in turn
+CALLS = Kind(18, "calls", (("share", "number"),))
 
 KINDS = {kind.code: kind for kind in (START, READ, RUN_ENDED, CALL_WANTED, CALL_ENDED, ABANDONED, LEAVE, WOKEN, TURNED_BACK,
-                                      STORM, PULLED, DECIDED, DECIDED_FOR, NOTE, GAP, NODE)}
+                                      STORM, PULLED, DECIDED, DECIDED_FOR, NOTE, GAP, NODE, PART, CALLS)}
 BY_NAME = {kind.name: kind for kind in KINDS.values()}
--- a/mulleinhatch/traces/recorder.py
+++ b/mulleinhatch/traces/recorder.py
@@ -100,6 +100,16 @@
         self._add(kinds.TURNED_BACK, now, count)
         self.hatch.turned_back(now, count)
 
+    def part_told(self, now: float, tenant: int, window: float, pieces: Sequence[tuple[float, float]]) -> None:
+        now = self._time(now)
+        self._add(kinds.PART, now, tenant, window, tuple(figure for piece in pieces for figure in piece))
+        self.hatch.part_told(now, tenant, window, pieces)
+
+    def calls_told(self, now: float, share: float) -> None:
+        now = self._time(now)
+        self._add(kinds.CALLS, now, share)
+        self.hatch.calls_told(now, share)
+
     def capacity(self) -> float:
         return self.hatch.capacity()
 
--- a/mulleinhatch/traces/replay.py
+++ b/mulleinhatch/traces/replay.py
@@ -114,6 +114,10 @@
             self.hatch.storm_told(now, bool(values[0]), values[1])
         elif kind is kinds.TURNED_BACK:
             self.hatch.turned_back(now, values[0])
+        elif kind is kinds.PART:
+            self.hatch.part_told(now, values[0], values[1], list(zip(values[2][::2], values[2][1::2])))
+        elif kind is kinds.CALLS:
+            self.hatch.calls_told(now, values[0])
 
     def _ref(self, op: int) -> str:
         return self.refs.get(op, "")
