--- a/mulleinhatch/commands/fleet.py
+++ b/mulleinhatch/commands/fleet.py
@@ -20,9 +20,11 @@
 
 
 def members(told: dict[str, Any]) -> list[tuple[str, ...]]:
-    return [("member", "state", "heard", "life", "address"), *(
-        (row["name"], row["state"], "-" if row["state"] == "self" or row["heard"] > 1e5 else f"{row['heard']:.1f} s",
-         f"{row['life']}.{row['incarnation']}", row["address"]) for row in sorted(told["members"], key=lambda row: row["name"]))]
+    rows = [("member", "state", "heard", "life", "address")]
+    for row in sorted(told["members"], key=lambda row: row["name"]):
+        heard = "-" if row["state"] == "self" or row["heard"] > 1e5 else f"{row['heard']:.1f} s"
+        rows.append((row["name"], row["state"], heard, f"{row['life']}.{row['incarnation']}", row["address"]))
+    return rows
 
 
 def budgets(told: dict[str, Any]) -> list[tuple[str, ...]]:
--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -104,6 +104,9 @@
         self._judge_ourselves(now)
         self._declare(now)
         if self.left:
+            # Until the process ends: where most leave together, word from a few would not reach those that stay.
+            for member in self._some(bounds.probes, ""):
+                yield member.address, {"what": "word", "to": member.name}
             return
         for name in self._next(bounds.probes):
             yield self._probe(now, self.view[name])
--- a/mulleinhatch/program/operator.py
+++ b/mulleinhatch/program/operator.py
@@ -118,16 +118,11 @@
     except ckdl.ParseError as error:
         raise BadOperatorFile(f"{path}:{_line_of_break(text)}: {error}") from None
     tree = _tree(document.nodes, text, path, ())
+    checked_budgets(tree, text, path)
     try:
         checked = msgspec.convert(tree, OperatorFile)
     except msgspec.ValidationError as error:
-        found, unknown = PATH.search(str(error)), UNKNOWN.search(str(error))
-        way = tuple((found[1] if found else "").split(".")) if found and found[1] else ()
-        if unknown:
-            way, what = (*way, unknown[1]), "no such key"
-        else:
-            what = str(error).partition(" - at")[0]
-        raise BadOperatorFile(f"{path}:{_line(text, way)}: {'.'.join(way)}: {what}") from None
+        raise _complaint(error, (), text, path) from None
     storms = msgspec.structs.asdict(checked.storms)
     enabled = storms.pop("enabled")
     if checked.storms.storm_share < checked.storms.rising_share:
@@ -137,6 +132,27 @@
                     checked.fleet and _fleet(checked.fleet, text, path))
 
 
+def _complaint(error: msgspec.ValidationError, above: tuple[str, ...], text: str, path: str) -> BadOperatorFile:
+    found, unknown = PATH.search(str(error)), UNKNOWN.search(str(error))
+    way = (*above, *(tuple(found[1].split(".")) if found and found[1] else ()))
+    if unknown:
+        way, what = (*way, unknown[1]), "no such key"
+    else:
+        what = str(error).partition(" - at")[0]
+    return BadOperatorFile(f"{path}:{_line(text, way)}: {'.'.join(way)}: {what}")
+
+
+def checked_budgets(tree: dict[str, Any], text: str, path: str) -> None:
+    """One by one: of several under names of the operator's own, an error would not say which."""
+    fleet = tree.get("fleet")
+    budgets = fleet.get("budgets") if isinstance(fleet, dict) else None
+    for name, budget in budgets.items() if isinstance(budgets, dict) else ():
+        try:
+            msgspec.convert(budget, Budget)
+        except msgspec.ValidationError as error:
+            raise _complaint(error, ("fleet", "budgets", name), text, path) from None
+
+
 def _traces(told: Traces | None) -> Any:
     if told is None:
         return None
--- /dev/null
+++ b/mulleinhatch/standins/fleet_rig.py
@@ -0,0 +1,302 @@
+"""A fleet of real processes: instances, one host of interpreters, stubs, and a relay that all words between them pass through.
+
+Faults come by script (`faults.py`). What is said of the fleet is looked at from outside: what each instance tells over HTTP,
+what the interpreters ran and when, what the operating system says of the processes. Each is ended by its id.
+"""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import psutil
+
+from mulleinhatch.standins import faults
+from mulleinhatch.standins.rig import free_port
+
+UP_WITHIN = 40.0
+STARTS_AT_A_TIME = 16   # processes that start together: more only wait for the cores
+LOOK_WAIT = 2.0
+
+
+class FleetCase(NamedTuple):
+    """Times are seconds, rates ops a second; a stub process for each of `loads`: places, rate."""
+
+    instances: int
+    script: str = ""
+    run_for: float = 10.0
+    total: int = 0              # runs of the tenant that the fleet may start in a window; 0: no budget
+    window: float = 1.0
+    leases: bool = True
+    loads: tuple[tuple[str, float], ...] = ()
+    beat: float = 0.1
+    work_ms: float = 2.0
+    cores: int = 4
+    seed: int = 1
+    seeds: int = 3
+    fleet: bool = True          # False: the same processes with no fleet, for what it costs
+    lease: float = 5.0
+
+
+def settings(case: FleetCase) -> dict[str, Any]:
+    timing = {"aim": 1800.0, "deadline": 4500.0, "late_worth": 0.0, "memory_span": 60_000.0}
+    return {"classes": [{"name": "read", "effect": "safe", "worth": 1.0, **timing}],
+            "tenants": [{"name": "t", "share": 1.0}],
+            "family_info": {"cores": case.cores, "gauges": ["core_use", "on_cores", "heap_share", "links"],
+                            "memory_kb": 60_000.0, "run_factor": 4.0, "key_kb": 1.0, "say": "floor",
+                            "callers": 8, "idle": 15_000.0},
+            "tick": 2.0, "servers": case.instances, "limits": {"retry_after": True, "max_retry_after": 5000.0},
+            "rules": {"drain_grace": 2500.0, "tip_multiple": 8.0, "cold": 0.0, "cold_from": 1.0}}
+
+
+class Node:
+    def __init__(self, rig: FleetRig, place: int) -> None:
+        self.rig, self.place, self.name = rig, place, f"n{place}"
+        self.port, self.udp = free_port(), free_udp()
+        self.process: asyncio.subprocess.Process | None = None
+        self.watched: psutil.Process | None = None
+        self.stalled = False
+
+    async def start(self) -> None:
+        rig, case = self.rig, self.rig.case
+        told = {"name": self.name, "listen": f"127.0.0.1:{self.port}", "vm": f"127.0.0.1:{rig.links[self.place]}",
+                "seed": f"{case.seed * 10_000 + self.place:x}", "stop_ms": 1000,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": settings(case)}
+        config, operator = rig.folder / f"{self.name}.json", rig.folder / f"{self.name}.kdl"
+        config.write_text(json.dumps(told))
+        names = " ".join(f'"n{place}"' for place in range(case.instances))
+        seeds = " ".join(f'"127.0.0.1:{rig.here[place]}"' for place in rig.seeds)
+        budget = (f'budgets {{\n t {{\n tenant "t"\n total {case.total}\n window {case.window}\n lease {case.lease}\n }}\n }}'
+                  if case.total else "")
+        operator.write_text(f'fleet {{\n name "rig"\n listen "127.0.0.1:{self.udp}"\n status "127.0.0.1:{self.port}"\n'
+                            f' advertise "127.0.0.1:{rig.here[self.place]}"\n seeds {seeds}\n beat {case.beat}\n'
+                            f' seats {names}\n {budget}\n}}\n' if case.fleet else "")
+        with open(rig.folder / f"{self.name}.log", "a") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-O", "-m", "mulleinhatch", "serve", "--config", str(config), "--operator", str(operator),
+                stderr=log, stdin=asyncio.subprocess.DEVNULL)
+        self.watched, self.stalled = psutil.Process(self.process.pid), False
+
+    @property
+    def up(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    async def ask(self, path: str) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        try:
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n".encode())
+            return (await asyncio.wait_for(reader.read(), LOOK_WAIT)).partition(b"\r\n\r\n")[2]
+        finally:
+            writer.close()
+
+    async def fleet(self) -> dict[str, Any] | None:
+        """What it knows of the fleet; None if it is down or does not answer."""
+        if not self.up or self.stalled:
+            return None
+        try:
+            return json.loads(await self.ask("/status/fleet"))
+        except (OSError, ValueError, TimeoutError):
+            return None
+
+    async def counters(self) -> dict[str, int]:
+        try:
+            words = (await self.ask("/status/counters")).decode()
+        except (OSError, TimeoutError):
+            return {}
+        return {name: int(count) for name, _, count in (line.partition("=") for line in words.splitlines())}
+
+    async def end(self) -> None:
+        if self.up:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
+            await self.process.wait()
+
+
+def free_udp() -> int:
+    import socket
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+        free.bind(("127.0.0.1", 0))
+        return free.getsockname()[1]
+
+
+class FleetRig:
+    """`async with FleetRig(case, folder) as rig`: all are up and in view of each other; the script's zero is `start_at`."""
+
+    def __init__(self, case: FleetCase, folder: Path) -> None:
+        self.case, self.folder = case, folder
+        self.faults = faults.read(case.script, case.instances)
+        self.here = [free_udp() for _ in range(case.instances)]
+        self.links = [free_port() for _ in range(case.instances)]
+        step = max(1, case.instances // case.seeds)
+        self.seeds = list(range(0, case.instances, step))[:case.seeds]
+        self.nodes = [Node(self, place) for place in range(case.instances)]
+        self.host: asyncio.subprocess.Process | None = None
+        self.relay: asyncio.subprocess.Process | None = None
+        self.start_at = 0.0
+        self.late = 0.0
+        self.loads: list[asyncio.subprocess.Process] = []
+        self.scripted: asyncio.Task[None] | None = None
+        self.reports: dict[str, Any] = {}
+
+    async def __aenter__(self) -> FleetRig:
+        try:
+            links = ",".join(map(str, self.links)) + ("," if len(self.links) == 1 else "")
+            self.host = await self._stand_in("interpreter", links, str(self.case.cores), "1.0", "0.0")
+            await self.host.stdout.readline()
+            for first in range(0, len(self.nodes), STARTS_AT_A_TIME):
+                await asyncio.gather(*(node.start() for node in self.nodes[first:first + STARTS_AT_A_TIME]))
+                await asyncio.gather(*(self._is_up(node) for node in self.nodes[first:first + STARTS_AT_A_TIME]))
+            self.relay = await self._stand_in("relay")
+            self.start_at = time.time() + 1.0
+            await self._tell_relay(self.start_at + 10_000.0)      # nothing goes wrong until `go`
+            return self
+        except BaseException:
+            await self.__aexit__()
+            raise
+
+    async def _stand_in(self, name: str, *told: str) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", f"mulleinhatch.standins.{name}", *told, stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE, limit=1 << 26)
+
+    async def _tell_relay(self, start_at: float) -> None:
+        told = {"here": self.here, "there": [node.udp for node in self.nodes], "script": self.case.script,
+                "start_at": start_at, "seed": self.case.seed}
+        self.relay.stdin.write(json.dumps(told).encode() + b"\n")
+        await self.relay.stdin.drain()
+        await self.relay.stdout.readline()
+
+    async def _is_up(self, node: Node) -> None:
+        until = time.monotonic() + UP_WITHIN
+        while not (await node.counters()).get("link_opened"):
+            if time.monotonic() > until or not node.up:
+                raise TimeoutError(f"{node.name} is not up: see {self.folder}")
+            await asyncio.sleep(0.1)
+
+    async def go(self) -> None:
+        """Starts the script and the stubs; a new relay takes the place of the calm one."""
+        self.relay.terminate()
+        await self.relay.communicate()
+        self.relay = await self._stand_in("relay")
+        self.start_at = time.time() + 0.5
+        await self._tell_relay(self.start_at)
+        for number, (places, rate) in enumerate(self.case.loads):
+            chosen = faults.numbers(places, self.case.instances)
+            habits = {"instances": [["127.0.0.1", self.nodes[place].port] for place in chosen],
+                      "kinds": [{"name": "read", "share": 1.0}], "start_at": self.start_at, "run_for": self.case.run_for,
+                      "rate": rate, "seed": 100 * self.case.seed + number, "first_caller": 4 * number, "patience": 4.5,
+                      "work_ms": self.case.work_ms, "connections": 24, "most_tries": 1, "tenant": "t"}
+            load = await self._stand_in("stubs")
+            load.stdin.write(json.dumps(habits).encode() + b"\n")
+            await load.stdin.drain()
+            self.loads.append(load)
+        self.scripted = asyncio.ensure_future(self._script())
+
+    def now(self) -> float:
+        return time.time() - self.start_at
+
+    async def until(self, moment: float) -> None:
+        await asyncio.sleep(max(0.0, moment - self.now()))
+
+    async def _script(self) -> None:
+        moments = [(fault.at, fault.what, fault) for fault in self.faults if fault.what not in faults.LINKS]
+        moments += [(fault.until, "mend", fault) for fault in self.faults if fault.what in faults.WORK]
+        for at, what, fault in sorted(moments, key=lambda moment: moment[0]):
+            await self.until(at)
+            self.late = max(self.late, self.now() - at)
+            await asyncio.gather(*(self._do(what, fault, self.nodes[place]) for place in fault.places))
+
+    async def _do(self, what: str, fault: faults.Fault, node: Node) -> None:
+        if what == "kill":
+            await node.end()
+            self.host.stdin.write(f"reset {node.place}\n".encode())
+        elif what == "start":
+            await node.start()
+        elif what in ("stall", "go"):
+            node.stalled = what == "stall"
+            if node.up:
+                node.process.send_signal(signal.SIGSTOP if node.stalled else signal.SIGCONT)
+        elif what == "leave" and node.up:
+            node.process.send_signal(signal.SIGTERM)
+        elif what in ("slow", "failing", "mend"):
+            usual = {"slow": 1.0, "failing": 0.0}[fault.what]
+            amount = usual if what == "mend" else fault.amount
+            self.host.stdin.write(f"{fault.what} {node.place} {amount}\n".encode())
+
+    # Looks from outside.
+
+    async def views(self, places: range | None = None) -> dict[str, dict[str, Any]]:
+        """By name, what each that answers knows of the fleet."""
+        nodes = [self.nodes[place] for place in places] if places is not None else self.nodes
+        told = await asyncio.gather(*(node.fleet() for node in nodes))
+        return {node.name: view for node, view in zip(nodes, told) if view}
+
+    async def wait_for(self, what: Callable[[dict[str, dict[str, Any]]], bool], within: float) -> float | None:
+        """Seconds until that held of all views, or None."""
+        begun = time.monotonic()
+        while time.monotonic() - begun < within:
+            if what(await self.views()):
+                return time.monotonic() - begun
+            await asyncio.sleep(0.1)
+        return None
+
+    def usage(self) -> list[tuple[float, int] | None]:
+        """CPU seconds and bytes of memory, by place."""
+        told: list[tuple[float, int] | None] = []
+        for node in self.nodes:
+            try:
+                times = node.watched.cpu_times()
+                told.append((times.user + times.system, node.watched.memory_info().rss))
+            except (psutil.Error, AttributeError):
+                told.append(None)
+        return told
+
+    async def finish(self) -> dict[str, Any]:
+        """Waits for script and stubs; what the stand-ins have to report."""
+        if self.scripted:
+            await self.scripted
+        stubs = [json.loads(out) for out, _ in await asyncio.gather(*(load.communicate() for load in self.loads))]
+        self.host.terminate()
+        ran = json.loads((await self.host.communicate())[0])
+        self.relay.terminate()
+        relayed = json.loads((await self.relay.communicate())[0])
+        late = max([self.late, relayed["late"], *(stub["late"]["99"] for stub in stubs)])
+        return {"stubs": stubs, "ran": ran, "relay": relayed, "late": late}
+
+    async def __aexit__(self, *error: object) -> None:
+        if self.scripted:
+            self.scripted.cancel()
+        for process in (self.host, self.relay, *self.loads):
+            if process and process.returncode is None:
+                process.kill()
+                await process.wait()
+        await asyncio.gather(*(node.end() for node in self.nodes))
+
+
+def whole(views: dict[str, dict[str, Any]], names: set[str]) -> bool:
+    """Whether these see each other as there, and nobody else."""
+    return set(views) >= names and all(
+        {row["name"] for row in view["members"] if row["state"] in ("alive", "self")} == names
+        and not any(row["state"] == "suspect" for row in view["members"])
+        for name, view in views.items() if name in names)
+
+
+def most_in_window(starts: list[float], window: float) -> int:
+    """The most of these moments that lie in any such stretch of time.
+
+    >>> most_in_window([0.0, 0.5, 0.9, 1.0, 1.2], 1.0)
+    4
+    """
+    most, first = 0, 0
+    starts = sorted(starts)
+    for last, moment in enumerate(starts):
+        while starts[first] <= moment - window:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- a/mulleinhatch/standins/interpreter.py
+++ b/mulleinhatch/standins/interpreter.py
@@ -1,6 +1,8 @@
 """A stand-in interpreter: cores that all running ops share, notices by number, and a count of what ran twice.
 
-Runs as `python -m mulleinhatch.standins.interpreter PORT CORES SPEED WARMING`; on SIGTERM it prints one JSON line. A
+Runs as `python -m mulleinhatch.standins.interpreter PORT CORES SPEED WARMING`; on SIGTERM it prints one JSON line. With
+several ports, by commas, it is as many interpreters, hears `reset PLACE`, `slow PLACE TIMES` and `failing PLACE SHARE` on
+standard input, and prints a list. A
 body says what an op takes and who it is, as `50.0 OP ...`: work in milliseconds on one core, then a name of the op.
 """
 from __future__ import annotations
@@ -8,6 +10,8 @@
 import asyncio
 import heapq
 import json
+import os
+import random
 import signal
 import sys
 import time
@@ -72,10 +76,24 @@
         self.late_most = self.late_before = 0.0
         self.busy_then: deque[tuple[float, float]] = deque([(self.born, 0.0)])
         self.wanted: float | None = None
+        self.slowed, self.failing = 1.0, 0.0        # by script: times as slow, share of the runs that fail
+        self.draw = random.Random(1)
+        self.starts: list[tuple[float, str]] = []   # when each run began, on the system's clock, and its op type
+        self.keep_starts = False
+
+    def reset(self) -> None:
+        """Gone with its instance and started anew: runs, notices and link; what it ran stays known to us."""
+        if self.writer:
+            self.writer.close()
+        if self.timer:
+            self.timer.cancel()
+        self.born, self.writer, self.timer, self.wanted = time.monotonic(), None, None, None
+        self.cores, self.bodies, self.notices, self.first_kept = Cores(self.cores.cores, self.speed), {}, [], 1
+        self.busy_then = deque([(self.born, 0.0)])
 
     def speed(self, now: float) -> float:
         warmed = min(1.0, (now - self.born) / self.warming) if self.warming else 1.0
-        return self.cold_speed + (1.0 - self.cold_speed) * warmed
+        return (self.cold_speed + (1.0 - self.cold_speed) * warmed) / self.slowed
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.writer:
@@ -106,6 +124,8 @@
             else:
                 self.ran[f"{told['route']} {who.decode()}"] += 1
             self.bodies[told["rid"]] = body, now
+            if self.keep_starts:
+                self.starts.append((time.time(), told["route"]))
             self.cores.start(now, told["rid"], float(work) / 1000.0)
             self.look()
 
@@ -127,7 +147,8 @@
         for ref in self.cores.ended(now):
             body, since = self.bodies.pop(ref)
             number = self.first_kept + len(self.notices)
-            self.notices.append(json.dumps({"t": "VALUE", "no": number, "rid": ref, "status": "good",
+            self.notices.append(json.dumps({"t": "VALUE", "no": number, "rid": ref,
+                                            "status": "bad" if self.draw.random() < self.failing else "good",
                                             "time_ms": 1000.0 * (now - since),
                                             "b64": b64encode(b"done " + body).decode()}).encode())
             self.say(self.notices[-1])
@@ -166,5 +187,38 @@
     print(json.dumps(interpreter.report()), flush=True)
 
 
-if __name__ == "__main__":
+async def several(ports: list[int], cores: int, speed: float, warming: float) -> None:
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    hosts = [Interpreter(cores, speed, warming) for _ in ports]
+    for host, port in zip(hosts, ports):
+        host.keep_starts = True
+        await asyncio.start_server(host.serve, "127.0.0.1", port, limit=1 << 20, backlog=64)
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+
+    def hear() -> None:
+        line = sys.stdin.readline()
+        if not line:
+            loop.remove_reader(sys.stdin.fileno())
+            return
+        word, place, *amount = line.split()
+        host = hosts[int(place)]
+        if word == "reset":
+            host.reset()
+        elif word == "slow":
+            host.cores._pass_time(time.monotonic())
+            host.slowed = float(amount[0])
+            host.look()
+        elif word == "failing":
+            host.failing = float(amount[0])
+    loop.add_reader(sys.stdin.fileno(), hear)
+    print("up", flush=True)
+    await stop.wait()
+    print(json.dumps([{**host.report(), "starts": host.starts} for host in hosts]), flush=True)
+    os._exit(0)     # the links are open still, and their readers would only complain
+
+
+if __name__ == "__main__" and "," in sys.argv[1]:
+    asyncio.run(several([int(port) for port in sys.argv[1].split(",")], int(sys.argv[2]), float(sys.argv[3]),
+                        float(sys.argv[4])))
+elif __name__ == "__main__":
     asyncio.run(main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), float(sys.argv[4])))
--- /dev/null
+++ b/mulleinhatch/standins/relay.py
@@ -0,0 +1,110 @@
+"""A relay for the datagrams of a fleet, with what is cut, lost, repeated, swapped or late by script.
+
+Runs as `python -m mulleinhatch.standins.relay`, with one JSON line on standard input: for each instance the port on which the
+others reach it here and its own, the directory's two ports if there is one, the script, and when its zero is. On SIGTERM
+it prints what passed, and how late it was itself.
+"""
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import socket
+import sys
+import time
+from typing import Any
+
+from mulleinhatch.standins import faults
+
+LATE_BEAT = 0.05
+
+
+class Relay:
+    def __init__(self, told: dict[str, Any]) -> None:
+        self.here, self.there = told["here"], told["there"]
+        self.place_of = {port: place for place, port in enumerate(self.there)}
+        self.faults = faults.read(told["script"], len(self.here))
+        self.links = [fault for fault in self.faults if fault.what in ("cut", "deaf")]
+        self.noise = [fault for fault in self.faults if fault.what in faults.LINKS and fault not in self.links]
+        self.off = [fault for fault in self.faults if fault.what == "directory"]
+        self.start_at = told["start_at"]
+        self.draw = random.Random(told.get("seed", 1))
+        self.sockets: list[socket.socket] = []
+        self.counts = {"passed": 0, "dropped": 0, "strangers": 0, "bytes": 0, "to_directory": 0}
+        self.by_sender = [[0, 0] for _ in self.here]        # datagrams and bytes
+        self.late = 0.0
+
+    def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        for place, port in enumerate(self.here):
+            self.sockets.append(self._socket(port))
+            loop.add_reader(self.sockets[-1].fileno(), self.readable, place)
+
+    @staticmethod
+    def _socket(port: int) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        sock.bind(("127.0.0.1", port))
+        return sock
+
+    def readable(self, to: int) -> None:
+        for _ in range(32):
+            try:
+                data, (_, port) = self.sockets[to].recvfrom(2048)
+            except OSError:
+                return
+            sender = self.place_of.get(port)
+            if sender is None:
+                self.counts["strangers"] += 1
+                continue
+            self.by_sender[sender][0] += 1
+            self.by_sender[sender][1] += len(data)
+            self.passes(time.time() - self.start_at, sender, to, data)
+
+    def passes(self, now: float, sender: int, to: int, data: bytes) -> None:
+        if not faults.passes(self.links, now, sender, to):
+            self.counts["dropped"] += 1
+            return
+        lossy, repeated, swapped, delayed = (
+            max(faults.amount(self.noise, what, now, place) for place in (sender, to))
+            for what in ("lossy", "repeated", "swapped", "delayed")) if self.noise else (0.0,) * 4
+        for _ in range(1 + (self.draw.random() < repeated)):
+            if self.draw.random() < lossy:
+                self.counts["dropped"] += 1
+                continue
+            late = delayed + (self.draw.uniform(0.0, 0.3) if self.draw.random() < swapped else 0.0)
+            if late:
+                asyncio.get_running_loop().call_later(late, self.send, to, data)
+            else:
+                self.send(to, data)
+
+    def send(self, to: int, data: bytes) -> None:
+        self.counts["passed"] += 1
+        self.counts["bytes"] += len(data)
+        try:
+            self.sockets[to].sendto(data, ("127.0.0.1", self.there[to]))
+        except OSError:
+            self.counts["dropped"] += 1
+
+    async def watch_itself(self) -> None:
+        while True:
+            due = time.monotonic() + LATE_BEAT
+            await asyncio.sleep(LATE_BEAT)
+            self.late = max(self.late, time.monotonic() - due)
+
+
+async def main() -> None:
+    relay, stop = Relay(json.loads(sys.stdin.readline())), asyncio.Event()
+    relay.open()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    watching = asyncio.ensure_future(relay.watch_itself())
+    print("up", flush=True)
+    await stop.wait()
+    watching.cancel()
+    print(json.dumps({**relay.counts, "by_sender": relay.by_sender, "late": round(relay.late, 4)}), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/mulleinhatch/standins/stubs.py
+++ b/mulleinhatch/standins/stubs.py
@@ -51,6 +51,7 @@
     connections: int = 900          # an instance
     alike: float = 0.0              # ops whose bodies are all the same
     steady: float = 1.0             # clients whose rank and cost stay over the tries of an op
+    tenant: str = ""
     second_copy: float = 0.0        # seconds after which a safe op is sent once more beside; 0: never
 
 
@@ -231,6 +232,7 @@
                        f"X-Request-Id: {ref}\r\nX-Request-Start: {now * 1000:.0f}\r\n"
                        f"X-Caller: {op.caller}\r\nX-Timeout-Ms: {1000.0 * wait:.0f}\r\n"
                        f"X-Cost-Ms: {cost:.2f}\r\nX-Memory-Kb: 20.0\r\nX-Rank: {rank:.4f}\r\n{again}{key}"
+                       f"{f'X-Tenant: {habits.tenant}' + chr(13) + chr(10) if habits.tenant else ''}"
                        f"Content-Length: {len(body)}\r\n\r\n").encode() + body, wait + 0.25)
 
     # What becomes of a try.
