--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -467,7 +467,8 @@
     def _over_part(self, op: Op) -> bool:
         """L_max of a tenant whose runs the fleet shares out: what its part starts in the time that this one has."""
         rate = self._part_rate(op.tenant)
-        held = sum(other.tenant == op.tenant for other in self.at[Stage.HELD].values() if other is not op)
+        held = sum(other.tenant == op.tenant and other.ref not in self.unplaced
+                   for other in self.at[Stage.HELD].values() if other is not op)
         return rate < math.inf and held >= rate * max(0.0, self._wait_allowed(op, op.aim)) and not (
             held == 0 and self._part_left(op.tenant))
 
--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -20,7 +20,7 @@
 MOST_MEMBERS = 1000
 REPORT_EVERY = 0.3      # seconds between reports of our own
 ENVELOPE = 60           # bytes of a letter beside its names and lists, at most
-RUMOURS = 560           # bytes of it for rumours, at most; reports get the rest
+RUMOURS = 780           # bytes of it for rumours, at most; reports get the rest
 JUDGE_EVERY = 0.5
 SMOOTH = 3.0            # seconds that demand is smoothed over
 
@@ -28,10 +28,10 @@
 class Local(NamedTuple):
     """What this instance says of itself, by `FIGURES`; demand by budget in units a window; its loudest tenants; opinions."""
 
-    figures: list[float] = [0.0] * len(FIGURES)
+    figures: list[int] = [0] * len(FIGURES)
     demands: tuple[float, ...] = ()
     loudest: list[tuple[str, float]] = []
-    opinions: list[tuple[str, int, int]] = []
+    opinions: list[tuple[str, int, int]] = []       # subject, percent of the evidence that is bad, pieces of it
 
 
 class Fleet:
@@ -237,5 +237,6 @@
 
     @staticmethod
     def _size(report: Report) -> int:
-        return (34 + len(report.name) + 9 * len(report.figures) + 9 * len(report.spares)
+        whole = [*report.figures, *report.spares]
+        return (34 + len(report.name) + sum(2 if figure < 128 else 3 if figure < 1 << 16 else 9 for figure in whole)
                 + sum(12 + len(name) for name, _ in report.loudest) + sum(14 + len(name) for name, *_ in report.opinions))
--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -16,10 +16,11 @@
 HEARD_LATELY = 1.0      # seconds: who spoke to us in this time is not declared gone
 OUTCOMES = 16           # of our own last probes, by which we judge whether it is we who hear nothing
 FEW_OUTCOMES = 4
-TOLD_TIMES = 1.5        # of a rumour, for each doubling of the fleet
+TOLD_TIMES = 1.0        # of a rumour, for each doubling of the fleet
 SEEDS_EVERY = 10        # beats
 MOST_NEWS = 24          # in a letter
-OUTSIDE = 0.5           # of the members: so many silent, and the view is frozen
+OUTSIDE = 0.4           # of the members: so many silent, and the view is frozen; half, less what is not known yet
+GONE_COUNTS = 10.0      # seconds that one declared gone still counts as silent: else a part would go on, one by one
 DOUBLED_FOR = 3.0       # seconds that a second instance of our name counts after a word of it
 
 
@@ -179,15 +180,17 @@
 
     def _judge_ourselves(self, now: float) -> None:
         """Silence of many is news about us: more than half of our probes, or half of the members."""
-        living, silent = 1, 0
+        living, silent, gone = 1, 0, 0
         for member in self.view.values():
             if member.state == SUSPECT and not self.heard_lately(now, member.name):
                 silent += 1
             elif member.state <= SUSPECT:
                 living += 1
+            elif member.state == GONE and now - member.since < GONE_COUNTS:
+                gone += 1
         failed = self.outcomes.count(False)
         cut = len(self.outcomes) >= FEW_OUTCOMES and failed > len(self.outcomes) / 2
-        frozen = silent > 0 and (cut or silent >= OUTSIDE * (living + silent))
+        frozen = silent > 0 and (cut or silent + gone >= OUTSIDE * (living + silent + gone))
         if frozen is not self.frozen:
             self.frozen = frozen
             self.counts["frozen" if frozen else "thawed"] += 1
@@ -195,7 +198,7 @@
         if frozen:
             for member in self.view.values():
                 if member.state == SUSPECT:
-                    member.since = max(member.since, now - 0.5 * self.bounds.suspect_for)
+                    member.since = now      # they get their whole time once we hear again
 
     def _declare(self, now: float) -> None:
         if self.frozen:
--- a/mulleinhatch/fleet/words.py
+++ b/mulleinhatch/fleet/words.py
@@ -41,7 +41,7 @@
     life: Number
     number: Number          # grows with each report of this life
     age: Age                # since it was made
-    figures: Annotated[list[Figure], Meta(max_length=16)]
+    figures: Annotated[list[Amount], Meta(max_length=16)]     # whole numbers: most of a letter is these
     spares: Annotated[list[Amount], Meta(max_length=16)] = []
     loudest: Annotated[list[tuple[Name, Figure]], Meta(max_length=4)] = []
     opinions: Annotated[list[tuple[Name, Annotated[int, Meta(ge=0, le=100)], Amount]], Meta(max_length=4)] = []
--- a/mulleinhatch/program/fleet.py
+++ b/mulleinhatch/program/fleet.py
@@ -89,11 +89,11 @@
         reducer = self.reducer
         counts, hatch = reducer.counts, reducer.hatch
         storms = reducer.storms
-        repeats = float(storms.counts["repeats_read"]) if storms else 0.0
-        reads = float(counts["ops_read"] + (storms.turned if storms else 0))
-        figures = [max(0.0, reads - repeats), repeats, float(counts["run_ok"]), float(counts["decided_nack"]),
-                   float(len(reducer.owed) - reducer.unended), float(reducer.unended),
-                   float(hatch.capacity()) if hatch else 0.0, float(reducer.healthy and hatch is not None)]
+        repeats = storms.counts["repeats_read"] if storms else 0
+        reads = counts["ops_read"] + (storms.turned if storms else 0)
+        figures = [max(0, reads - repeats), repeats, counts["run_ok"], counts["decided_nack"],
+                   max(0, len(reducer.owed) - reducer.unended), max(0, reducer.unended),
+                   round(min(1e9, hatch.capacity())) if hatch else 0, int(reducer.healthy and hatch is not None)]
         runs, errors = counts["run_ok"] + counts["run_error"], counts["run_error"]
         opinions = [(f"interpreter of {self.placement.name}"[:40], round(100 * errors / runs), runs)] if runs else []
         assert len(figures) == len(FIGURES)
--- /dev/null
+++ b/mulleinhatch/standins/directory.py
@@ -0,0 +1,79 @@
+"""A stand-in directory: reports come by UDP, lists are asked for over TCP, a while behind as those of the platform are.
+
+Runs as `python -m mulleinhatch.standins.directory UDP-PORT TCP-PORT BEHIND`. An instance is listed while it reports, and 3 s
+on; one that reports `closed` is listed as taking no work. Each line that comes over TCP is answered by one JSON list of the
+names that take work, as it was BEHIND seconds ago. On SIGTERM it prints what it heard.
+"""
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+import time
+from collections import deque
+
+LISTED_FOR = 3.0
+
+
+class Listing:
+    """
+    >>> listing = Listing(behind=1.0)
+    >>> listing.report(0.0, b"PULSE n1 open"); listing.report(0.5, b"PULSE n2 closed"); listing.report(0.5, b"?")
+    >>> listing.names(0.9), listing.names(1.0), listing.names(3.9), listing.names(4.1), listing.counts
+    ([], ['n1'], ['n1'], [], {'reports': 2, 'broken': 1})
+    """
+
+    def __init__(self, behind: float) -> None:
+        self.behind = behind
+        self.heard: deque[tuple[float, str, bool]] = deque()
+        self.last: dict[str, tuple[float, bool]] = {}       # as the lists know it: when, open
+        self.counts = {"reports": 0, "broken": 0}
+
+    def report(self, now: float, datagram: bytes) -> None:
+        words = datagram.decode("latin-1").split(" ")
+        if len(words) != 3 or words[0] != "PULSE" or words[2] not in ("open", "closed"):
+            self.counts["broken"] += 1
+            return
+        self.counts["reports"] += 1
+        self.heard.append((now, words[1], words[2] == "open"))
+
+    def names(self, now: float) -> list[str]:
+        known = now - self.behind
+        while self.heard and self.heard[0][0] <= known:
+            at, name, is_open = self.heard.popleft()
+            self.last[name] = at, is_open
+        return sorted(name for name, (at, is_open) in self.last.items() if is_open and known - at <= LISTED_FOR)
+
+
+class Reports(asyncio.DatagramProtocol):
+    def __init__(self, listing: Listing) -> None:
+        self.listing = listing
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        self.listing.report(time.monotonic(), data)
+
+
+async def main(udp: int, tcp: int, behind: float) -> None:
+    listing, stop, loop = Listing(behind), asyncio.Event(), asyncio.get_running_loop()
+
+    async def asked(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readline():
+                writer.write(json.dumps(listing.names(time.monotonic())).encode() + b"\n")
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+    await loop.create_datagram_endpoint(lambda: Reports(listing), ("127.0.0.1", udp))
+    server = await asyncio.start_server(asked, "127.0.0.1", tcp)
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    print("up", flush=True)
+    await stop.wait()
+    server.close()
+    print(json.dumps(listing.counts), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])))
--- a/mulleinhatch/standins/fleet_rig.py
+++ b/mulleinhatch/standins/fleet_rig.py
@@ -42,6 +42,7 @@
     cores: int = 4
     seed: int = 1
     seeds: int = 3
+    directory: bool = False     # stubs know the instances that it lists, a second late; else all of them
     fleet: bool = True          # False: the same processes with no fleet, for what it costs
     lease: float = 5.0
 
@@ -68,6 +69,7 @@
     async def start(self) -> None:
         rig, case = self.rig, self.rig.case
         told = {"name": self.name, "listen": f"127.0.0.1:{self.port}", "vm": f"127.0.0.1:{rig.links[self.place]}",
+                **({"lookup": f"127.0.0.1:{rig.reports[0]}"} if case.directory else {}),
                 "seed": f"{case.seed * 10_000 + self.place:x}", "stop_ms": 1000,
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": settings(case)}
         config, operator = rig.folder / f"{self.name}.json", rig.folder / f"{self.name}.kdl"
@@ -140,10 +142,12 @@
         self.case, self.folder = case, folder
         self.faults = faults.read(case.script, case.instances)
         count = case.instances
-        both, tcp = free_ports(2 * count, socket.SOCK_DGRAM), free_ports(2 * count, socket.SOCK_STREAM)
-        self.here, self.udp, self.links, self.ports = both[:count], both[count:], tcp[:count], tcp[count:]
+        udp, tcp = free_ports(2 * count + 2, socket.SOCK_DGRAM), free_ports(2 * count + 1, socket.SOCK_STREAM)
+        self.here, self.udp, self.reports = udp[:count], udp[count:2 * count], udp[2 * count:]
+        self.links, self.ports, self.lists = tcp[:count], tcp[count:2 * count], tcp[-1]
         step = max(1, case.instances // case.seeds)
         self.seeds = list(range(0, case.instances, step))[:case.seeds]
+        self.directory: asyncio.subprocess.Process | None = None
         self.nodes = [Node(self, place) for place in range(case.instances)]
         self.host: asyncio.subprocess.Process | None = None
         self.relay: asyncio.subprocess.Process | None = None
@@ -151,13 +155,15 @@
         self.late = 0.0
         self.loads: list[asyncio.subprocess.Process] = []
         self.scripted: asyncio.Task[None] | None = None
-        self.reports: dict[str, Any] = {}
 
     async def __aenter__(self) -> FleetRig:
         try:
             links = ",".join(map(str, self.links)) + ("," if len(self.links) == 1 else "")
             self.host = await self._stand_in("interpreter", links, str(self.case.cores), "1.0", "0.0")
             await self.host.stdout.readline()
+            if self.case.directory:
+                self.directory = await self._stand_in("directory", str(self.reports[1]), str(self.lists), "1.0")
+                await self.directory.stdout.readline()
             for first in range(0, len(self.nodes), STARTS_AT_A_TIME):
                 await asyncio.gather(*(node.start() for node in self.nodes[first:first + STARTS_AT_A_TIME]))
                 await asyncio.gather(*(self._is_up(node) for node in self.nodes[first:first + STARTS_AT_A_TIME]))
@@ -176,7 +182,7 @@
 
     async def _tell_relay(self, start_at: float) -> None:
         told = {"here": self.here, "there": [node.udp for node in self.nodes], "script": self.case.script,
-                "start_at": start_at, "seed": self.case.seed}
+                "start_at": start_at, "seed": self.case.seed, "directory": self.reports if self.case.directory else None}
         self.relay.stdin.write(json.dumps(told).encode() + b"\n")
         await self.relay.stdin.drain()
         await self.relay.stdout.readline()
@@ -200,7 +206,9 @@
             habits = {"instances": [["127.0.0.1", self.nodes[place].port] for place in chosen],
                       "kinds": [{"name": "read", "share": 1.0}], "start_at": self.start_at, "run_for": self.case.run_for,
                       "rate": rate, "seed": 100 * self.case.seed + number, "first_caller": 4 * number, "patience": 4.5,
-                      "work_ms": self.case.work_ms, "connections": 24, "most_tries": 1, "tenant": "t"}
+                      "work_ms": self.case.work_ms, "connections": 24, "most_tries": 1, "tenant": "t",
+                      "names": [self.nodes[place].name for place in chosen],
+                      "directory": self.lists if self.case.directory else 0}
             load = await self._stand_in("stubs")
             load.stdin.write(json.dumps(habits).encode() + b"\n")
             await load.stdin.drain()
@@ -275,13 +283,16 @@
         ran = json.loads((await self.host.communicate())[0])
         self.relay.terminate()
         relayed = json.loads((await self.relay.communicate())[0])
+        if self.directory:
+            self.directory.terminate()
+            relayed["directory"] = json.loads((await self.directory.communicate())[0])
         late = max([self.late, relayed["late"], *(stub["late"]["99"] for stub in stubs)])
         return {"stubs": stubs, "ran": ran, "relay": relayed, "late": late}
 
     async def __aexit__(self, *error: object) -> None:
         if self.scripted:
             self.scripted.cancel()
-        for process in (self.host, self.relay, *self.loads):
+        for process in (self.host, self.relay, self.directory, *self.loads):
             if process and process.returncode is None:
                 process.kill()
                 await process.wait()
--- a/mulleinhatch/standins/relay.py
+++ b/mulleinhatch/standins/relay.py
@@ -31,6 +31,7 @@
         self.start_at = told["start_at"]
         self.draw = random.Random(told.get("seed", 1))
         self.sockets: list[socket.socket] = []
+        self.directory = told.get("directory")      # the port here and its own
         self.counts = {"passed": 0, "dropped": 0, "strangers": 0, "bytes": 0, "to_directory": 0}
         self.by_sender = [[0, 0] for _ in self.here]        # datagrams and bytes
         self.late = 0.0
@@ -40,6 +41,9 @@
         for place, port in enumerate(self.here):
             self.sockets.append(self._socket(port))
             loop.add_reader(self.sockets[-1].fileno(), self.readable, place)
+        if self.directory:
+            self.reports = self._socket(self.directory[0])
+            loop.add_reader(self.reports.fileno(), self.report)
 
     @staticmethod
     def _socket(port: int) -> socket.socket:
@@ -63,6 +67,20 @@
             self.by_sender[sender][1] += len(data)
             self.passes(time.time() - self.start_at, sender, to, data)
 
+    def report(self) -> None:
+        """Of an instance to the directory; who sends it nobody needs to know."""
+        for _ in range(32):
+            try:
+                data = self.reports.recv(2048)
+            except OSError:
+                return
+            now = time.time() - self.start_at
+            if any(fault.at <= now < fault.until for fault in self.off):
+                self.counts["dropped"] += 1
+                continue
+            self.counts["to_directory"] += 1
+            self.reports.sendto(data, ("127.0.0.1", self.directory[1]))
+
     def passes(self, now: float, sender: int, to: int, data: bytes) -> None:
         if not faults.passes(self.links, now, sender, to):
             self.counts["dropped"] += 1
--- a/mulleinhatch/standins/stubs.py
+++ b/mulleinhatch/standins/stubs.py
@@ -22,6 +22,7 @@
 ANSWER = re.compile(rb"HTTP/1\.1 ([0-9]{3}) [^\r\n]*\r\n((?:[^\r\n]+\r\n)*)\r\n")
 FIELD = re.compile(rb"(?i)(content-length|retry-after-ms|x-dont-retry|connection): ([^\r\n]*)\r\n")
 BUCKET = 0.25           # seconds of a count
+LIST_EVERY = 0.5        # seconds between two lists of the directory
 
 
 class OpKind(msgspec.Struct, frozen=True):
@@ -52,6 +53,8 @@
     alike: float = 0.0              # ops whose bodies are all the same
     steady: float = 1.0             # clients whose rank and cost stay over the tries of an op
     tenant: str = ""
+    names: list[str] = []           # of the instances, as the directory has them
+    directory: int = 0              # its TCP port on loopback; 0: all instances are known, and always
     second_copy: float = 0.0        # seconds after which a safe op is sent once more beside; 0: never
 
 
@@ -144,10 +147,27 @@
         self.target = 1.8
         self.tasks: set[asyncio.Task[Any]] = set()
         self.waiting = 0
+        self.listed = list(range(len(habits.instances)))    # places that the last list named
         self.refs: dict[str, int] = {}      # by id of a try that may not run twice: its op
 
+    async def follow_lists(self) -> None:
+        """A list a while, the last one kept where none comes."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.habits.directory)
+                while True:
+                    writer.write(b"LIST\n")
+                    names = set(json.loads(await reader.readline()))
+                    listed = [place for place, name in enumerate(self.habits.names) if name in names]
+                    self.listed = listed or self.listed     # an empty list would leave nobody to ask
+                    await asyncio.sleep(LIST_EVERY)
+            except (OSError, ValueError):
+                await asyncio.sleep(LIST_EVERY)
+
     async def play(self) -> None:
         habits, loop = self.habits, asyncio.get_running_loop()
+        if habits.directory:
+            self.tasks.add(asyncio.ensure_future(self.follow_lists()))
         at = habits.start_at
         while at < habits.start_at + habits.run_for:
             at += self.draw.expovariate(habits.rate)
@@ -197,7 +217,7 @@
         self.counts["tries"] += 1
         bucket = int((now - self.habits.start_at) / BUCKET)
         self.tries[bucket] = self.tries.get(bucket, 0) + 1
-        place = op.state[2] % len(self.open)
+        place = self.listed[op.state[2] % len(self.listed)]
         if self.idle[place]:
             self.send(self.idle[place].pop(), op, now)
         elif self.open[place] < self.habits.connections:
@@ -244,7 +264,7 @@
             self.counts["nacked"] += 1
             if told:
                 self.waits.record_value(max(1, min(60_000, int(1000.0 * told))))
-            op.state[2] = place + 1
+            op.state[2] += 1
             self.again(op, max(self.habits.pause, told) if op.heeds else self.habits.pause)
         else:
             self.counts["failed"] += 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -129,10 +129,11 @@
 
 def test_no_datagram_is_too_long_whatever_is_to_be_told() -> None:
     fleet = Fleet(FleetBounds("a fleet of a long name", seeds=("h:0",)), "n" * 40, "127.0.0.100:65535", 10 ** 13, 1, 0.0)
-    fleet.beat(0.0, Local([1e9] * len(FIGURES), (), [("tenant" * 6, 1e9)] * 4, [("interpreter of x" * 2, 100, 10 ** 9)] * 4))
+    fleet.beat(0.0, Local([10 ** 9] * len(FIGURES), (), [("tenant" * 6, 1e9)] * 4,
+                          [("interpreter of x" * 2, 100, 10 ** 9)] * 4))
     for number in range(1200):
         name = f"{'m' * 30}{number}"
-        report = Report(name, 2 ** 40, number + 1, 0.1, [1e9] * len(FIGURES), [10 ** 9] * 8, [("t" * 40, 1e8)] * 4, [])
+        report = Report(name, 2 ** 40, number + 1, 0.1, [10 ** 9] * len(FIGURES), [10 ** 9] * 8, [("t" * 40, 1e8)] * 4, [])
         letter = Letter(words.VERSION, "a fleet of a long name", name, f"127.0.100.100:{number}", 2 ** 40, 3, "ping", number,
                         "", [Rumour(f"{'r' * 35}{number}", "127.0.100.1:1000", 2 ** 40, 1, 1, 0.3)], [report])
         for _, data in fleet.datagram(0.001 * number, words.encode(letter)):
@@ -167,7 +168,7 @@
     counts = Counts(100)
     for name, at in (("a", 10.0), ("b", 10.0), ("c", 4.0)):
         for number in (1, 2):
-            counts.heard(at + number - 2, Report(name, 1, number, 0.0, [0, 0, 30.0 * number, 0, 2, 3, 50, 1], [],
+            counts.heard(at + number - 2, Report(name, 1, number, 0.0, [0, 0, 30 * number, 0, 2, 3, 50, 1], [],
                                                  [("loud", 9.0), ("x", 4.0), ("y", 3.0), ("z", 2.0)]))
     acked = counts.total(10.0, "acked")
     assert (acked.least, acked.most, acked.members, acked.silent, acked.oldest) == (60.0, 110.0, 3, 1, 6.0)
@@ -237,3 +238,25 @@
     assert healed is not None and back is not None
     starts = [at for host in told["ran"] for at, _ in host["starts"]]
     assert len(starts) > 300 and most_in_window(starts, 1.0 - 4.0 * told["late"] - 0.03) <= case.total
+
+
+def test_processes_restart_while_the_directory_is_down(tmp_path: Path) -> None:
+    """Two of four are killed, and come back while no report arrives: the fleet knows them at once, the stubs keep the last
+    list, and once the directory hears again all four serve."""
+    keep_environment()
+    case = FleetCase(4, "at 1 directory off for 4\nat 1 kill 0,1 for 1", run_for=10.0, lease=1.0, loads=(("all", 60.0),),
+                     cores=8, directory=True)
+
+    async def play() -> tuple[dict, float | None]:
+        async with FleetRig(case, tmp_path) as rig:
+            names = {node.name for node in rig.nodes}
+            assert await rig.wait_for(lambda views: whole(views, names), 15.0) is not None
+            await rig.go()
+            await rig.until(2.5)
+            back = await rig.wait_for(lambda views: whole(views, names), 8.0)
+            return await rig.finish(), back
+    told, back = asyncio.run(asyncio.wait_for(play(), 60.0))
+    assert back is not None and told["relay"]["directory"]["reports"] > 20 and not told["relay"]["directory"]["broken"]
+    end = max(at for host in told["ran"] for at, _ in host["starts"])
+    late = [sum(at > end - 2.0 for at, _ in host["starts"]) for host in told["ran"]]
+    assert all(count > 5 for count in late), late
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -101,6 +101,8 @@
             hatch.call_ended(self.now, ref, get("ending", 1))
         elif what == "gone":
             hatch.op_abandoned(self.now, ref)
+        elif what == "part":
+            hatch.part_told(self.now, get("tenant", 0), get("window", 1.0), [(get("units"), get("until", 1e9))])
         elif what == "leave":
             hatch.leave_notice(self.now, get("within", 5.0))
         else:
