--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -64,6 +64,7 @@
         self.number = 0
         self.beat_at, self.started, self.beats = now, now, 0
         self.frozen = self.left = False
+        self.patient_until = -1e9       # others' ages of a suspicion tell nothing until then
         self.doubled_at, self.outlived = -1e9, False
         self.news: dict[str, int] = {}      # names that changed, and how often that was told on; the longest untold first
         self.changes: list[Change] = []
@@ -196,9 +197,11 @@
             self.counts["frozen" if frozen else "thawed"] += 1
             self.changes.append(Change(self.name, "frozen" if frozen else "thawed", f"{silent} silent of {living + silent}"))
         if frozen:
+            self.patient_until = now + 2.0 * self.bounds.suspect_for
             for member in self.view.values():
                 if member.state == SUSPECT:
-                    member.since = now      # they get their whole time once we hear again
+                    # Twice their time once we hear again: hundreds refute together then, and all that must pass on.
+                    member.since = now + self.bounds.suspect_for
 
     def _declare(self, now: float) -> None:
         if self.frozen:
@@ -283,7 +286,7 @@
                 self.changes.append(Change(rumour.name, STATES[rumour.state], "told"))
             return
         if (rumour.life, rumour.incarnation, rumour.state) <= member.rank:
-            if rumour.state == SUSPECT == member.state and rumour.incarnation == member.incarnation and not self.frozen:
+            if rumour.state == SUSPECT == member.state and rumour.incarnation == member.incarnation and now >= self.patient_until:
                 member.since = min(member.since, max(now - rumour.age, self.started))
             return
         if rumour.state == GONE and (self.frozen or self.heard_lately(now, rumour.name)):
@@ -292,7 +295,7 @@
         member.address, member.life, member.incarnation = rumour.address, rumour.life, rumour.incarnation
         member.state = rumour.state
         self.news[rumour.name] = 0
-        member.since = now - rumour.age if rumour.state == SUSPECT else now
+        member.since = now - rumour.age if rumour.state == SUSPECT and now >= self.patient_until else now
         if was != rumour.state:
             self.changes.append(Change(rumour.name, STATES[rumour.state], "told"))
 
