--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -286,7 +286,8 @@
                 self.changes.append(Change(rumour.name, STATES[rumour.state], "told"))
             return
         if (rumour.life, rumour.incarnation, rumour.state) <= member.rank:
-            if rumour.state == SUSPECT == member.state and rumour.incarnation == member.incarnation and now >= self.patient_until:
+            again = rumour.state == SUSPECT == member.state and rumour.incarnation == member.incarnation
+            if again and now >= self.patient_until:
                 member.since = min(member.since, max(now - rumour.age, self.started))
             return
         if rumour.state == GONE and (self.frozen or self.heard_lately(now, rumour.name)):
