--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -64,7 +64,7 @@
         self.number = 0
         self.beat_at, self.started, self.beats = now, now, 0
         self.frozen = self.left = False
-        self.patient_until = -1e9       # others' ages of a suspicion tell nothing until then
+        self.patient_until = -1e9       # others' suspicions tell nothing until then
         self.doubled_at, self.outlived = -1e9, False
         self.news: dict[str, int] = {}      # names that changed, and how often that was told on; the longest untold first
         self.changes: list[Change] = []
@@ -192,16 +192,17 @@
         failed = self.outcomes.count(False)
         cut = len(self.outcomes) >= FEW_OUTCOMES and failed > len(self.outcomes) / 2
         frozen = silent > 0 and (cut or silent + gone >= OUTSIDE * (living + silent + gone))
+        thaws = self.frozen and not frozen
         if frozen is not self.frozen:
             self.frozen = frozen
             self.counts["frozen" if frozen else "thawed"] += 1
             self.changes.append(Change(self.name, "frozen" if frozen else "thawed", f"{silent} silent of {living + silent}"))
         if frozen:
             self.patient_until = now + 2.0 * self.bounds.suspect_for
-            for member in self.view.values():
-                if member.state == SUSPECT:
-                    # Twice their time once we hear again: hundreds refute together then, and all that must pass on.
-                    member.since = now + self.bounds.suspect_for
+        for member in self.view.values() if frozen or thaws else ():
+            if member.state == SUSPECT:
+                # While we heard nothing we could judge nobody. Hundreds would have to refute it, each to all the others.
+                member.state, member.since = (SUSPECT, now) if frozen else (ALIVE, now)
 
     def _declare(self, now: float) -> None:
         if self.frozen:
@@ -290,6 +291,9 @@
             if again and now >= self.patient_until:
                 member.since = min(member.since, max(now - rumour.age, self.started))
             return
+        if rumour.state == SUSPECT and not self.frozen and now < self.patient_until and rumour.life == member.life and (
+                rumour.incarnation == member.incarnation):
+            return      # of the time when we heard nothing, or from one that does so still
         if rumour.state == GONE and (self.frozen or self.heard_lately(now, rumour.name)):
             return      # the part that hears nothing declares nobody, and who speaks is there
         was = member.state
