--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -17,7 +17,7 @@
 OUTCOMES = 16           # of our own last probes, by which we judge whether it is we who hear nothing
 FEW_OUTCOMES = 4
 TOLD_TIMES = 1.0        # of a rumour, for each doubling of the fleet
-SEEDS_EVERY = 10        # beats
+SEEDS_EVERY = 10        # beats, for each 16 members
 MOST_NEWS = 24          # in a letter
 OUTSIDE = 0.4           # of the members: so many silent, and the view is frozen; half, less what is not known yet
 GONE_COUNTS = 10.0      # seconds that one declared gone still counts as silent: else a part would go on, one by one
@@ -62,7 +62,7 @@
         self.rounds: list[str] = []
         self.outcomes: list[bool] = []
         self.number = 0
-        self.beat_at, self.started, self.beats = now, now, 0
+        self.beat_at, self.started, self.seed_in = now, now, SEEDS_EVERY
         self.frozen = self.left = False
         self.patient_until = -1e9       # others' suspicions tell nothing until then
         self.doubled_at, self.outlived = -1e9, False
@@ -119,9 +119,12 @@
                 self.news.pop(lost.name, None)
             elif lost.state == GONE:
                 yield lost.address, {"what": "word", "to": lost.name}
-        self.beats += 1
-        if bounds.seeds and (len(self.alive()) < 2 or self.beats % SEEDS_EVERY == 0):
-            # Not only to join: two that started together by different seeds would stay two fleets for good.
+        known = len(self.alive())
+        self.seed_in -= 1
+        if bounds.seeds and (known < 2 or self.seed_in <= 0):
+            # Not only to join: two that started together by different seeds would stay two fleets for good. The more there
+            # are the rarer each asks, or the work of a seed would grow with the fleet.
+            self.seed_in = SEEDS_EVERY * (1 + known // 16)
             seed = bounds.seeds[self.draw(len(bounds.seeds))]
             if seed != self.address:
                 yield seed, {"what": "ping", "number": 0}
