--- a/mulleinhatch/fleet/budgets.py
+++ b/mulleinhatch/fleet/budgets.py
@@ -210,10 +210,13 @@
                      for giver, have in self.borrowed.items() if giver in held or have.want}
             lacks -= sum(want - held.get(giver, 0) for giver, want in wants.items())
             chosen = [(giver, spare) for giver, spare in spares
-                      if spare > 0 and giver != self.name and wants.get(giver, 0) <= held.get(giver, 0)][:GIVERS]
+                      if spare > 0 and giver != self.name and wants.get(giver, 0) <= held.get(giver, 0)
+                      and not self._gave_nothing(now, giver)][:GIVERS]
             whole = sum(spare for _, spare in chosen)
             for giver, spare in chosen if lacks > 0 else ():
                 wants[giver] = held.get(giver, 0) + min(spare, -(-lacks * spare // whole))
+                if giver in self.borrowed:
+                    self.borrowed[giver].tries = 0      # else what it sets aside now would not be collected
         for giver, want in wants.items():
             have = self.borrowed.get(giver)
             if have and now - have.asked_at < (ASK_EVERY if have.answered else ASK_AGAIN):
@@ -222,6 +225,10 @@
                 due.append((giver, want))
         return due
 
+    def _gave_nothing(self, now: float, giver: str) -> bool:
+        have = self.borrowed.get(giver)
+        return have is not None and have.tries >= TRIES and now - have.asked_at < COLLECT
+
     def spare(self, now: float, demand: float) -> int:
         return max(0, self.own(now) - self._wished(demand, ROOM))
 
