--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -246,9 +246,10 @@
         self._pass_time(now)
         self.storm, self.first_tries = on, first_tries
 
-    def part_told(self, now: float, tenant: int, window: float, pieces: Sequence[tuple[float, float]]) -> None:
-        """From a host whose instances share totals: the runs of a tenant that this one may start in any window, as
-        pieces of units and until when each is ours. Between two words a piece may end, so each has its time."""
+    def part_told(self, now: float, tenant: int, window: float,
+                  pieces: Sequence[tuple[float, float]]) -> None:
+        """From a host whose instances share totals: the runs of a tenant that this one may start in any
+        window, as units and until when they are ours. A piece may end between two words."""
         self._pass_time(now)
         self.parts[tenant] = window, pieces
 
@@ -461,11 +462,12 @@
         if tenant not in self.parts:
             return True
         window = self.parts[tenant][0]
-        used = self.part_used[tenant] = [at for at in self.part_used.get(tenant, ()) if at > self.now - window]
+        used = [at for at in self.part_used.get(tenant, ()) if at > self.now - window]
+        self.part_used[tenant] = used
         return len(used) + 1 <= self._part_rate(tenant) * window
 
     def _over_part(self, op: Op) -> bool:
-        """L_max of a tenant whose runs the fleet shares out: what its part starts in the time that this one has."""
+        """L_max of a tenant whose runs the fleet shares out: what its part starts in this one's time."""
         rate = self._part_rate(op.tenant)
         held = sum(other.tenant == op.tenant and other.ref not in self.unplaced
                    for other in self.at[Stage.HELD].values() if other is not op)
