Reread of fleet state: dead code out, a leaving member says what it does

Need: on rereading, `fares` was called by nobody, cooling was swept twice a step, a part stripped at leaving was whole again a beat later (the line did nothing: a drain runs what it holds on its own part), and a docstring said half where 0.4 holds.

--- a/mulleinhatch/fleet/budgets.py
+++ b/mulleinhatch/fleet/budgets.py
@@ -127,7 +127,6 @@
                                                if have.amount and now < have.until)]
 
     def _pass_time(self, now: float) -> None:
-        self.cooling = [(until, amount) for until, amount in self.cooling if until > now]
         for asker, loan in list(self.loans.items()):
             if loan.aside and now > loan.ready + COLLECT:
                 loan.aside = 0      # nobody used it: it is ours again at once
--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -1,7 +1,7 @@
 """One instance's side of the fleet: a beat or a datagram goes in, datagrams and news come out. No I/O, no clock.
 
 Members, counts, budgets and judgements each keep their own state; here their words are put into letters that fit, and taken
-apart again. What is local is told at each beat as `Local`; what the module may hear is asked of `parts` and `fares`.
+apart again. What is local is told at each beat as `Local`; what the module may hear is asked of `parts`.
 """
 from __future__ import annotations
 
@@ -108,7 +108,6 @@
         """In order: what is borrowed goes back, and some are told."""
         errands = list(self.members.leave())
         for place, part in enumerate(self.parts):
-            part.stripped = True
             for giver, have in part.borrowed.items():
                 if have.amount and giver in self.members.view:
                     errands.append(self._ask(now, place, part, giver, 0))
@@ -173,15 +172,6 @@
             self.verdicts.heard(now, self.name, subject, bad / 100.0, evidence)
         self.out = self.verdicts.judge(now, {self.name, *self.members.alive()}, self.members.frozen)
 
-    def fares(self, now: float) -> tuple[float, int]:
-        """How the others fare: the share of those heard lately that serve well, and how many were."""
-        well = heard = 0
-        for row in self.known.rows.values():
-            if now - row.made_at <= FRESH:
-                heard += 1
-                well += row.report.figures[FIGURES.index("healthy")] > 0.0
-        return (well / heard if heard else 1.0), heard
-
     # Letters.
 
     def _report(self, now: float) -> None:
--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -171,7 +171,7 @@
                     self.probes[number] = probe._replace(helped=True)
                     for helper in self._some(bounds.helpers, probe.name):
                         yield helper.address, {"what": "help", "number": number, "about": probe.name, "to": helper.name}
-        for number, (_, _, about) in list(self.helping.items()):
+        for number in list(self.helping):
             if number < self.number - 64 * bounds.probes:
                 del self.helping[number]
 
@@ -183,7 +183,7 @@
         self.outcomes = [*self.outcomes[1 - OUTCOMES:], good]
 
     def _judge_ourselves(self, now: float) -> None:
-        """Silence of many is news about us: more than half of our probes, or half of the members."""
+        """Silence of many is news about us: more than half of our probes, or `OUTSIDE` of the members."""
         living, silent, gone = 1, 0, 0
         for member in self.view.values():
             if member.state == SUSPECT and not self.heard_lately(now, member.name):
@@ -205,7 +205,7 @@
         for member in self.view.values() if frozen or thaws else ():
             if member.state == SUSPECT:
                 # While we heard nothing we could judge nobody. Hundreds would have to refute it, each to all the others.
-                member.state, member.since = (SUSPECT, now) if frozen else (ALIVE, now)
+                member.state, member.since = SUSPECT if frozen else ALIVE, now
 
     def _declare(self, now: float) -> None:
         if self.frozen:
--- a/mulleinhatch/program/fleet.py
+++ b/mulleinhatch/program/fleet.py
@@ -59,7 +59,7 @@
         self.socket.close()
 
     def leave(self) -> None:
-        """The others hear it now; what is borrowed goes back, and our own part starts nothing new either."""
+        """The others hear it now; what is borrowed goes back, what we hold is run on our own part."""
         if self.core and not self.core.members.left:
             now = time.monotonic()
             self._send(self.core.leave(now))
