The module hears how others fare, and may hand a held op to a peer that offered room

Need: fleet state told the module parts of totals alone; hand-over between instances needs a verb. others_told, offers_told, came_handed, hand_ended and Verb.HAND, a running cap as a part of window 0; the reducer keeps what a peer must be told, traces record it (minor version 2). A marked retry's likeness is taken once instead of twice.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -46,6 +46,8 @@
 HEAR_ROOM, HEAR_LEAST = 0.95, 0.02    # of what can be served, in a storm: first tries and retries; retries
 STORM_BACK = 10.0       # points that a retry goes back in a storm: first tries become retries behind it
 HEAR_STEP = 0.1         # change of that rate, as a share, that is worth a word
+OTHERS_FULL = 0.05      # of what the others can serve that is free: with less nobody is to ask them either
+HAND_WAIT = 0.06        # of the shortest target latency: a longer line is worth handing over from
 PROVES_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
 
 
@@ -57,6 +59,7 @@
     PAUSED = "paused"
     STALLED = "stalled"        # needs a call
     CALLING = "calling"
+    HANDED = "handed"          # a peer has it
     __hash__ = object.__hash__    # members are single; Enum's own hash is Python code on every step
 
 
@@ -95,6 +98,7 @@
         self.arrived = self.due = self.aim = self.since = self.spent = self.call_until = 0.0
         self.stage = Stage.HELD
         self.further_try = self.hinted = self.ran = self.answered = self.kept = self.unwanted = False
+        self.handed = False     # it came from a peer, or was with one: once is the most
         self.leader: Op | None = None
         self.call_ending: int | None = None
 
@@ -122,7 +126,7 @@
         self.calls_window, self.linger = get("calls_window") or 1.0, get("call_linger", 0.0)
         self.margin = ANSWER_MARGIN + 2 * get("tick", 0.0)
         self.chance = seed % 2 ** 64
-        self.started = self.now = now
+        self.started = self.now = self.sweep_at = self.judged_at = now
         self.ops: dict[Ref, Op] = {}
         self.at: dict[Stage, dict[Ref, Op]] = {stage: {} for stage in Stage}
         self.unplaced: dict[Ref, Op] = {}
@@ -145,13 +149,14 @@
         self.longest_idle = self.idle_kept = self.told_idle = get("longest_idle", 0.0)
         self.told_healthy, self.sick_until, self.sick_for = True, now, SICK_FIRST
         self.retire_at, self.stop_at, self.drain_grace = math.inf, math.inf, get("drain_grace", 0.0)
-        self.sweep_at = self.judged_at = now
         self.armed, self.alarms = math.inf, 0
         self.storm, self.first_tries, self.told_hear = False, 0.0, math.inf
         self.parts: dict[int, tuple[float, Sequence[tuple[float, float]]]] = {}
         self.part_used: dict[int, list[float]] = {}
+        self.caps: dict[int, tuple[float, Sequence[tuple[float, float]]]] = {}
+        self.others_room, self.ill, self.wished, self.hear_most, self.offered = -1., False, 0., math.inf, 0
         self.steps = (self._forget, self._place, self._give_up, self._stop_unwanted, self._serve_call,
-                      self._follow, self._start, self._advise, self._hear, self._wake)
+                      self._follow, self._start, self._hand, self._advise, self._hear, self._wake)
 
     # Bookkeeping: what the host reports.
 
@@ -241,23 +246,46 @@
             op.due = min(op.due, self.stop_at - STOP_MARGIN)
 
     def storm_told(self, now: float, on: bool, first_tries: float) -> None:
-        """From a host that keeps storm books: whether repeats go beyond all that can be served, and first
-        tries a second. A host without them never calls."""
+        """From a host with storm books: if repeats go beyond what can be served, first tries a second."""
         self._pass_time(now)
         self.storm, self.first_tries = on, first_tries
 
     def part_told(self, now: float, tenant: int, window: float,
                   pieces: Sequence[tuple[float, float]]) -> None:
         """From a host whose instances share totals: the runs of a tenant that this one may start in any
-        window, as units and until when they are ours. A piece may end between two words."""
+        window, or have in hand where that is 0, as units and until when they are ours."""
         self._pass_time(now)
-        self.parts[tenant] = window, pieces
+        (self.parts if window else self.caps)[tenant] = window, pieces
 
-    def calls_told(self, now: float, share: float) -> None:
-        """Our part of the calls that the shared dependency bears, where the instances settle it."""
+    def calls_told(self, now: float, share: float) -> None:    # our part, where the instances settle it
         self._pass_time(now)
         self.calls_share = share
 
+    def others_told(self, now: float, room: float, ill: bool, hear_most: float, shut: float) -> None:
+        """The share of what the others can serve that is free, below 0 where not known; whether they judge us
+        ill; retries a second that are left to us; of what comes to us, the share that fits elsewhere."""
+        self._pass_time(now)
+        self.others_room, self.ill, self.hear_most, self.wished = room, ill, hear_most, shut
+
+    def offers_told(self, now: float, count: int) -> None:
+        """Ops that peers have room for just now."""
+        self._pass_time(now)
+        self.offered = count
+
+    def came_handed(self, now: float, ref: Ref) -> None:
+        self.ops[ref].handed = True
+
+    def hand_ended(self, now: float, ref: Ref, ending: int) -> None:
+        """What became of an op at a peer; if its link broke nobody knows whether it ran."""
+        self._pass_time(now)
+        if op := self.at[Stage.HANDED].get(ref):
+            op.ran = ending not in PROVES_UNRUN
+            if op.ran and (ending != Ending.INTERRUPTED or not op.row.retryable):
+                return self._close(op)
+            self._move(op, Stage.HELD)
+            if not op.ran:
+                self.unplaced[ref] = op
+
     def turned_back(self, now: float, count: int) -> None:
         """Retries that the host nacked by the last word on how many are heard."""
         self._pass_time(now)
@@ -342,7 +370,8 @@
         callers: they should go elsewhere, unless the others are full. It asks again, later each time."""
         run = self.pace * self._mean_work() * self._warmth()
         slow = run > SICK_RUN * self.shortest_target and not self._fleet_full()
-        if slow or self.errors.total(self.now) > max(self.cores, SICK_ERRORS * self.runs.total(self.now)):
+        failing = self.errors.total(self.now) > max(self.cores, SICK_ERRORS * self.runs.total(self.now))
+        if slow or failing or self.ill:
             if self.now >= self.sick_until:
                 self.sick_for = min(SICK_LONGEST, 2.0 * self.sick_for)
             self.sick_until = self.now + self.sick_for * (0.75 + 0.5 * self._draw())
@@ -459,6 +488,11 @@
         return sum(units for units, until in pieces if self.now < until) / window
 
     def _part_left(self, tenant: int) -> bool:
+        if tenant in self.caps:
+            lasts = self.now + 2.0 * self.pace * self._mean_work()
+            cap = sum(units for units, until in self.caps[tenant][1] if lasts < until)
+            if self.tenant_running[tenant] >= cap:
+                return False
         if tenant not in self.parts:
             return True
         window = self.parts[tenant][0]
@@ -550,7 +584,9 @@
         return ahead >= max(self.limit * self._mean_work(), self.mu * wait)
 
     def _turn_away(self, op: Op, cause: str) -> Decision:
-        """The final answer to what is given up: a nack only if no try of it ever ran."""
+        """The final answer to what is given up: a nack only if no try of it ever ran, no peer has room."""
+        if cause in ("bound", "memory", "drain") and self._may_hand(op):
+            return self._hand_over(op, cause)
         if op.ran or op.leader is not None and op.leader.ran:
             self._let_go(op)
             return Decision(Verb.FAIL, op.ref, cause=cause)
@@ -559,6 +595,8 @@
         return Decision(Verb.NACK, op.ref, self._hold_off(), self._fleet_full(), cause=cause)
 
     def _fleet_full(self) -> bool:
+        if self.others_room >= 0.0:
+            return self.others_room < OTHERS_FULL
         return self.retries.total(self.now) > CROWDED_RETRIES * self.reads.total(self.now)
 
     def _hold_off(self) -> float:
@@ -567,6 +605,24 @@
         wait = self.unread + self._held_wait() - CALM_WAIT * self.shortest_target
         return min(self.max_hold_off, max(0.05, wait))
 
+    def _may_hand(self, op: Op) -> bool:
+        fit = op.stage is Stage.HELD and op.leader is None and not (op.handed or op.ran or op.row.keyed)
+        return fit and self.offered > 0 and self._wait_allowed(op, op.due) > 0.0
+
+    def _hand_over(self, op: Op, cause: str) -> Decision:
+        self.unplaced.pop(op.ref, None)
+        self.offered, op.handed, op.ran = self.offered - 1, True, True
+        self._move(op, Stage.HANDED)
+        return Decision(Verb.HAND, op.ref, cause=cause)
+
+    def _hand(self) -> Decision | None:
+        """Whose turn is next starts at once at a peer with room, if the line here is worth it."""
+        able = [op for op in self.at[Stage.HELD].values() if self._may_hand(op)] if self.offered > 0 else ()
+        line = self.pace * sum(op.work for op in self.at[Stage.HELD].values()) / self.limit if able else 0.0
+        if able and (line > HAND_WAIT * self.shortest_target or self.now >= self.retire_at):
+            return self._hand_over(min(able, key=self._priority), "order")
+        return None
+
     def _give_up(self) -> Decision | None:
         """One sweep for due times and, on each beat, the bound again for all that is held."""
         if self.now >= self.sweep_at:
@@ -640,7 +696,7 @@
         in_hand = sum(len(self.at[stage]) for stage in IN_HAND)
         if self.some_must_call and self._calls_taken():
             waiting = [op for op in waiting if not op.row.must_call]
-        if self.parts:
+        if self.parts or self.caps:
             waiting = [op for op in waiting if op.stage is Stage.PAUSED or self._part_left(op.tenant)]
         if not waiting or in_hand >= self._crowd_ceiling():
             return None
@@ -649,7 +705,7 @@
         more_kb = op.held_kb * (self.run_factor - 1.0) if op.stage is Stage.HELD else 0.0
         if self.kb + more_kb > self.memory_kb and in_hand:
             return None
-        if op.tenant in self.parts and not op.ran:
+        if op.tenant in self.parts and op.stage is Stage.HELD:
             self.part_used.setdefault(op.tenant, []).append(self.now)
         op.ran = True
         self._move(op, Stage.RUNNING)
@@ -664,7 +720,8 @@
             self.told_healthy = healthy
             return Decision(Verb.HEALTH, flag=healthy)
         # Who is told a floor of 1 asks nobody else, either: while leaving, nacks send callers on.
-        shut = self.shut if healthy or self.advice is Advice.FLOOR and self.now >= self.sick_until else 1.0
+        shut = max(self.shut, self.wished)
+        shut = shut if healthy or self.advice is Advice.FLOOR and self.now >= self.sick_until else 1.0
         if self.advice is None or abs(shut - self.told_shut) < 0.02:
             return None
         self.told_shut, open_part = shut, 1.0 - shut
@@ -673,12 +730,11 @@
         return Decision(Verb.ADVISE, level=level)
 
     def _hear(self) -> Decision | None:
-        """In a storm only as many retries are heard as first tries leave room for: each of them is one that
-        the caller could not wait for, and read in full they take the time of those that still can."""
+        """In a storm as many retries are heard as first tries leave room for: in full they take its time."""
         rate = math.inf
         if self.storm:
             capacity = self.capacity()
-            rate = max(HEAR_LEAST * capacity, HEAR_ROOM * capacity - self.first_tries)
+            rate = min(self.hear_most, max(HEAR_LEAST * capacity, HEAR_ROOM * capacity - self.first_tries))
         if rate == self.told_hear or abs(rate - self.told_hear) < HEAR_STEP * self.told_hear < math.inf:
             return None
         self.told_hear = rate
--- a/mulleinhatch/interface.py
+++ b/mulleinhatch/interface.py
@@ -104,6 +104,7 @@
     TRIM = "trim"                # seconds that an idle connection is kept
     WAKE = "wake"                # seconds
     HEAR = "hear"                # level: marked retries a second that are read in full, the rest nacked
+    HAND = "hand"                # ref: to a peer that offered room
 
     __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, on every decision
 
@@ -114,4 +115,4 @@
     seconds: float = 0.0
     flag: bool = False
     level: float = 0.0
-    cause: str = ""            # for people: bound, cap, due, memory, drain, order, call, storm
+    cause: str = ""            # for people: bound, cap, due, memory, drain, order, call, storm, part
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -12,7 +12,7 @@
 from enum import Enum
 from typing import Any
 
-from mulleinhatch.decide import Hatch
+from mulleinhatch.decide import PROVES_UNRUN, Hatch
 from mulleinhatch.holds import must_hold
 from mulleinhatch.interface import Decision, Deployment, Effect, Ending, Verb
 from mulleinhatch.routing.tables import Keys, Owed
@@ -32,7 +32,7 @@
     INTERPRETER_UP = "interpreter up"    # is cold, seconds since
     LINK_OPENED = "link opened"
     LINE_BROKEN = "line broken"
-    OP_READ = "op read"          # place, ref, op type, tenant, age, wait, caller, work, kb, again, key, body, rank
+    OP_READ = "op read"          # place, ref, op type, tenant, age, wait, caller, work, kb, again, key, body, rank, from a peer
     RUN_ENDED = "run ended"      # number of the notice, ref, ending, result
     RUN_UNKNOWN = "run unknown"  # ref
     GAUGES = "gauges"            # mark, readings
@@ -42,6 +42,9 @@
     LEAVE = "leave"              # seconds until the stop
     PART = "part"                # tenant, window, pieces of units and their ends: what the fleet leaves us of a total
     CALLS = "calls"              # share
+    OTHERS = "others"            # their free share, whether they judge us ill, retries a second left to us, share wished away
+    OFFERS = "offers"            # how many ops peers have room for just now
+    HAND_ENDED = "hand ended"    # ref, ending, result: what became of an op at a peer
 
     __hash__ = object.__hash__    # members are single: Enum's own hash is Python code, often run
 
@@ -62,6 +65,7 @@
     GAUGES = "gauges"            # mark
     ALARM = "alarm"              # seconds, token
     TRIM = "trim"                # seconds that an idle connection is kept
+    HAND = "hand"                # ref, op type, tenant, body, age, seconds left, caller, work, kb, again, rank
 
     __hash__ = object.__hash__
 
@@ -87,6 +91,8 @@
         self.deployment, self.seed = deployment, seed
         hold_off = deployment.get("max_hold_off", 0.0) if deployment.get("hold_off_allowed", False) else 0.0
         self.storms = storms and Desk(storms, hold_off, seed)
+        self.may_repeat = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
+                           if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.RETRYABLE}
         self.once = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
                      if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.NON_RETRYABLE}
         self.ended_at = self.idle_until = -math.inf     # when a run last ended; when one was asked for with none in hand
@@ -112,7 +118,11 @@
         self.parked: dict[str, tuple[float, float, Owed, Likeness, tuple]] = {}     # until, since, op, likeness, told
         self.calls_share: float | None = None
         self.on_tenant: Callable[[float, str], None] | None = None      # told of each op that is read, for its demand
-        self.parts: dict[str, tuple[float, Sequence[tuple[float, float]]]] = {}     # by tenant: window, pieces
+        # By tenant, and whether it is a rate or a cap: window, pieces.
+        self.parts: dict[tuple[str, bool], tuple[float, Sequence[tuple[float, float]]]] = {}
+        self.others: tuple[float, bool, float, float] | None = None
+        self.away = 0           # ops that peers have
+        self.hands = False      # whether ops may be handed to peers: then what a peer must be told is kept
         self.errands: list[tuple] = []
         self.handlers = {happening: getattr(self, "_" + happening.name.lower()) for happening in Happening}
         self.verbs = {verb: ("decided_" + verb.name.lower(), getattr(self, "_do_" + verb.name.lower(),
@@ -145,8 +155,10 @@
                 self.hatch = self.record(self.hatch, now, cold, since)
             if self.stop_at is not None:
                 self.hatch.leave_notice(now, self.stop_at - now)
-            for tenant, part in self.parts.items():
+            for (tenant, _), part in list(self.parts.items()):
                 self._part(now, tenant, *part)
+            if self.others:
+                self._others(now, *self.others)
             if self.calls_share is not None:
                 self._calls(now, self.calls_share)
         elif now - since > self.heard_at:
@@ -172,7 +184,8 @@
             self.errands.append((Errand.RENEW,))
 
     def _op_read(self, now: float, place: int, ref: str, op_type: str, tenant: str, age: float, wait: float,
-                 caller: int, work: float, kb: float, again: bool, key: str, body: bytes, rank: float = 0.0) -> None:
+                 caller: int, work: float, kb: float, again: bool, key: str, body: bytes, rank: float = 0.0,
+                 handed: bool = False) -> None:
         self.counts["ops_read"] += 1
         if self.storms:
             self.storms.runs.asks_again(place)
@@ -188,25 +201,29 @@
             told = (op_type, tenant, age, wait, caller, work, kb, again, key, rank)
             owed = self.owed[ref] = Owed(ref, place, op_type, tenant, key, body, now + (wait or math.inf))
             self.places[place] = ref
-            if self.storms and again and op_type in self.once:
-                like = likeness(caller, op_type, tenant, key, body, rank, work, kb)
-                if self.storms.runs.doubt(now, like, self.storms.tries.figures_stay(now)):
-                    return self._park(now, owed, like, told)
-            self._take_in(now, owed, *told)
-
-    def _take_in(self, now: float, owed: Owed, op_type: str, tenant: str, age: float, wait: float, caller: int,
-                 work: float, kb: float, again: bool, key: str, rank: float) -> None:
+            if self.hands:
+                owed.told, owed.from_peer = (now - age, caller, work, kb, again, rank), handed
+                self.counts["ops_from_peers"] += handed
+            like = likeness(caller, op_type, tenant, key, body, rank, work, kb) if self.storms else None
+            if like and again and op_type in self.once and self.storms.runs.doubt(
+                    now, like, self.storms.tries.figures_stay(now)):
+                return self._park(now, owed, like, told)
+            self._take_in(now, owed, like, *told)
+
+    def _take_in(self, now: float, owed: Owed, like: Likeness | None, op_type: str, tenant: str, age: float, wait: float,
+                 caller: int, work: float, kb: float, again: bool, key: str, rank: float) -> None:
         owed.repeats = self.keys.standing(op_type, key, now)
         if self.on_tenant:
             self.on_tenant(now, tenant)
         if self.storms:
-            like = likeness(caller, op_type, tenant, key, owed.body, rank, work, kb)
             repeat, owed.looks = self.storms.tries.read(now, like, again, op_type in self.once)
             self.storms.read(now, caller, repeat, age)
             self.storms.counts["repeats_unmarked"] += repeat and not again
             again = again or repeat and self.storms.on      # unmarked, it is one more of those that crowd
         self.hatch.op_read(now, owed.ref, self.op_types[op_type], age, wait,
                            self.tenants.get(tenant, 0), owed.repeats, caller, work, kb, again)
+        if owed.from_peer:
+            self.hatch.came_handed(now, owed.ref)
 
     def _park(self, now: float, owed: Owed, like: Likeness, told: tuple) -> None:
         """A marked retry of a non-retryable op that may have run here. With the figures of that run it is its retry, and
@@ -226,7 +243,7 @@
                 del self.parked[ref]
                 self.storms.counts["retries_told_apart"] += 1
                 op_type, tenant, age, wait, *more = told
-                self._take_in(now, owed, op_type, tenant, age + now - since, wait and wait - (now - since), *more)
+                self._take_in(now, owed, like, op_type, tenant, age + now - since, wait and wait - (now - since), *more)
             elif now >= until:
                 del self.parked[ref]
                 self._may_have_run(owed, like, now)
@@ -262,6 +279,12 @@
         self.back += 1
         return desk.come_back(now, 0.0, stubborn)
 
+    def room(self) -> int:
+        """Ops that could start here at once; none where this instance should not be asked for more."""
+        if self.hatch is None or not self.healthy or self.stop_at is not None or self.storms and self.storms.on:
+            return 0
+        return max(0, int(self.hatch.limit) - len(self.owed) + self.away)
+
     def connected(self) -> None:
         """A caller's connection was accepted: counted alone, for hundreds come at once and nothing is decided by one."""
         self.storms.watch.count(connects=1)
@@ -370,7 +393,7 @@
 
     def _part(self, now: float, tenant: str, window: float, pieces: Sequence[tuple[float, float]]) -> None:
         """Before the module is there it is kept for it: a tenant with a total must never run without its part."""
-        self.parts[tenant] = window, pieces
+        self.parts[tenant, window > 0.0] = window, pieces
         if self.hatch and tenant in self.tenants:
             self.hatch.part_told(now, self.tenants[tenant], window, pieces)
 
@@ -379,8 +402,48 @@
         if self.hatch:
             self.hatch.calls_told(now, share)
 
+    def _others(self, now: float, *told: Any) -> None:
+        self.others = told
+        if self.hatch:
+            self.hatch.others_told(now, *told)
+
+    def _offers(self, now: float, count: int) -> None:
+        if self.hatch:
+            self.hatch.offers_told(now, count)
+
+    def _hand_ended(self, now: float, ref: str, ending: Ending, result: bytes) -> None:
+        """Its answer is the peer's. A nack, or a peer that was never reached, says that it did not run there; a link that
+        broke says nothing, and what may not run twice fails. What its caller no longer waits for is only closed."""
+        owed = self.owed.get(ref)
+        if owed is None or not owed.handed:
+            return
+        owed.handed = False
+        self.away -= 1
+        self.counts["hand_" + ending.name.lower()] += 1
+        unrun = ending in PROVES_UNRUN
+        if unrun and self.storms:
+            self.storms.runs.settled(ref)
+        if owed.place is None:
+            self._drop_if_done(owed)
+            return
+        self.hatch.hand_ended(now, ref, ending)
+        if not unrun and not (ending is Ending.INTERRUPTED and owed.op_type in self.may_repeat):
+            self._close_run(now, owed, ending, result)
+
     # What the module decides.
 
+    def _do_hand(self, now: float, decision: Decision) -> None:
+        owed = self.owed.get(decision.ref)
+        must_hold(owed and owed.told and owed.place is not None and not owed.running, "only an op that is held is handed over")
+        if owed:
+            owed.handed = True
+            self.away += 1
+            if self.storms and owed.op_type in self.once:
+                self.storms.runs.started(now, owed.ref, Likeness(*owed.looks), owed.due)
+            arrived, *figures = owed.told
+            left = owed.due - now if owed.due < math.inf else 0.0
+            self.errands.append((Errand.HAND, owed.ref, owed.op_type, owed.tenant, owed.body, now - arrived, left, *figures))
+
     def _do_run(self, now: float, decision: Decision) -> None:
         owed = self.owed.get(decision.ref)
         must_hold(owed and not owed.running, "only an op that is held is run")
@@ -464,6 +527,9 @@
     def _conclude(self, now: float, owed: Owed, ending: Ending, result: bytes) -> None:
         """The end of a run, its own or that of the op it repeats, for the module, the keys and the caller."""
         self.hatch.run_ended(now, owed.ref, ending)
+        self._close_run(now, owed, ending, result)
+
+    def _close_run(self, now: float, owed: Owed, ending: Ending, result: bytes) -> None:
         if ending is Ending.OK:
             self.keys.store(owed.ref, result)
             if self.storms and owed.place is not None:
@@ -487,5 +553,5 @@
             self.storms.tries.closed(owed.looks)
 
     def _drop_if_done(self, owed: Owed) -> None:
-        if owed.place is None and not owed.running:
+        if owed.place is None and not owed.running and not owed.handed:
             self.owed.pop(owed.ref, None)
--- a/mulleinhatch/routing/tables.py
+++ b/mulleinhatch/routing/tables.py
@@ -8,7 +8,7 @@
     """An op between its reading and the last that is expected of it: its answer, and the end of its run."""
 
     __slots__ = ("ref", "place", "op_type", "tenant", "key", "body", "repeats", "running",
-                 "due", "looks")
+                 "due", "looks", "handed", "from_peer", "told")
 
     def __init__(self, ref: str, place: int, op_type: str, tenant: str, key: str, body: bytes,
                  due: float) -> None:
@@ -18,6 +18,8 @@
         self.looks: tuple[bytes, ...] = ()      # what the storm books know its tries by
         self.place: int | None = place      # the connection that waits; None once answered or gone
         self.running = False
+        self.handed = self.from_peer = False    # a peer has it; it came from one
+        self.told: tuple = ()   # what a peer must be told of it, where ops are handed over: when it arrived, and its figures
 
     @property
     def same(self) -> tuple[str, str, bytes]:
--- a/mulleinhatch/traces/kinds.py
+++ b/mulleinhatch/traces/kinds.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 MAJORS = (1, 2)         # that are read; 2 adds the cause of a decision
-MINOR = 1               # 1 adds what a fleet told
+MINOR = 2               # 1 adds what a fleet told, 2 what peers have room for and what was handed over
 
 
 class Kind(NamedTuple):
@@ -51,7 +51,12 @@
 NODE = Kind(16, "node", (("node", "whole"),), since=2)     # in a merged file: whose the records that follow are
 PART = Kind(17, "part", (("tenant", "whole"), ("window", "number"), ("pieces", "numbers")))     # units and end, in turn
 CALLS = Kind(18, "calls", (("share", "number"),))
+OTHERS = Kind(19, "others", (("room", "number"), ("ill", "whole"), ("hear_most", "number"), ("shut", "number")))
+OFFERS = Kind(20, "offers", (("count", "whole"),))
+HANDED = Kind(21, "came handed", (("op", "op"),))
+HAND_ENDED = Kind(22, "hand ended", (("op", "op"), ("ending", "whole")))
 
 KINDS = {kind.code: kind for kind in (START, READ, RUN_ENDED, CALL_WANTED, CALL_ENDED, ABANDONED, LEAVE, WOKEN, TURNED_BACK,
-                                      STORM, PULLED, DECIDED, DECIDED_FOR, NOTE, GAP, NODE, PART, CALLS)}
+                                      STORM, PULLED, DECIDED, DECIDED_FOR, NOTE, GAP, NODE, PART, CALLS, OTHERS,
+                                      OFFERS, HANDED, HAND_ENDED)}
 BY_NAME = {kind.name: kind for kind in KINDS.values()}
--- a/mulleinhatch/traces/recorder.py
+++ b/mulleinhatch/traces/recorder.py
@@ -110,6 +110,30 @@
         self._add(kinds.CALLS, now, share)
         self.hatch.calls_told(now, share)
 
+    def others_told(self, now: float, room: float, ill: bool, hear_most: float, shut: float) -> None:
+        now = self._time(now)
+        self._add(kinds.OTHERS, now, room, int(ill), hear_most, shut)
+        self.hatch.others_told(now, room, ill, hear_most, shut)
+
+    def offers_told(self, now: float, count: int) -> None:
+        now = self._time(now)
+        self._add(kinds.OFFERS, now, count)
+        self.hatch.offers_told(now, count)
+
+    def came_handed(self, now: float, ref: Ref) -> None:
+        now = self._time(now)
+        self._add(kinds.HANDED, now, self.numbers.get(ref, 0))
+        self.hatch.came_handed(now, ref)
+
+    def hand_ended(self, now: float, ref: Ref, ending: int) -> None:
+        now = self._time(now)
+        self._add(kinds.HAND_ENDED, now, self.numbers.get(ref, 0), int(ending))
+        self.hatch.hand_ended(now, ref, ending)
+
+    @property
+    def limit(self) -> int:
+        return self.hatch.limit
+
     def capacity(self) -> float:
         return self.hatch.capacity()
 
--- a/mulleinhatch/traces/replay.py
+++ b/mulleinhatch/traces/replay.py
@@ -118,6 +118,15 @@
             self.hatch.part_told(now, values[0], values[1], list(zip(values[2][::2], values[2][1::2])))
         elif kind is kinds.CALLS:
             self.hatch.calls_told(now, values[0])
+        elif kind is kinds.OTHERS:
+            room, ill, hear_most, shut = values
+            self.hatch.others_told(now, room, bool(ill), hear_most, shut)
+        elif kind is kinds.OFFERS:
+            self.hatch.offers_told(now, values[0])
+        elif kind is kinds.HANDED:
+            self.hatch.came_handed(now, self._ref(values[0]))
+        elif kind is kinds.HAND_ENDED:
+            self.hatch.hand_ended(now, self._ref(values[0]), values[1])
 
     def _ref(self, op: int) -> str:
         return self.refs.get(op, "")
