Fleet state reaches the module: room elsewhere, verdicts, retries and running caps as budgets

Need: verdicts were shown and not acted on, retries heard in a storm and running caps were no shared budgets, the loudest tenants were not told, a member's address could be a name that is looked up in the loop. Change: others_told from the fleet's figures by their poor end; opinions on members from everybody's own probes; budgets of retries and of ops in hand; a fading Space-Saving sketch; numeric addresses only; two figures more in reports, older ones are read.

--- a/mulleinhatch/commands/fleet.py
+++ b/mulleinhatch/commands/fleet.py
@@ -50,7 +50,16 @@
 
 def head(told: dict[str, Any]) -> str:
     state = "FROZEN: most are silent to us, nobody is declared gone" if told["frozen"] else "as heard"
-    return f"fleet {told['fleet']}, {state}{'; ANOTHER INSTANCE HAS OUR NAME' if told['doubled'] else ''}"
+    known = told["others_free"] >= 0.0
+    free = f"{told['others_free']:.0%} of the others' places free" if known else "how the others fare is not known"
+    return (f"fleet {told['fleet']}, {state}; {free}{'; ANOTHER INSTANCE HAS OUR NAME' if told['doubled'] else ''}"
+            f"{'; THE OTHERS JUDGE US ILL' if told['judged_ill'] else ''}")
+
+
+def loudest(told: dict[str, Any]) -> list[tuple[str, ...]]:
+    return [("loudest tenant", "least a second", "most", "of", "silent"), *(
+        (name, f"{least:.1f}", f"{most:.1f}", str(count), str(silent))
+        for name, least, most, count, silent, _ in told["loudest"])]
 
 
 def sums(told: dict[str, Any]) -> list[tuple[str, ...]]:
@@ -71,7 +80,7 @@
             try:
                 told = ask(address)
                 shown = [Text(head(told))] + [Text(text(rows)) for rows in (
-                    members(told), budgets(told), sums(told), judgements(told))]
+                    members(told), budgets(told), sums(told), loudest(told), judgements(told))]
             except (OSError, ValueError) as error:
                 shown = [Text(f"{address}: {error}")]
             live.update(Group(*shown))
--- a/mulleinhatch/fleet/bounds.py
+++ b/mulleinhatch/fleet/bounds.py
@@ -13,7 +13,8 @@
     window: float = 1.0     # seconds; 0 for what is held, not used up
     lease: float = 5.0      # seconds that a borrowed part lasts without a word of its giver
     drift: float = 0.03     # by which clocks may run apart, as a share: 1% each, with room
-    tenant: str = ""        # whose runs it bounds; none: calls in hand at the shared dependency
+    tenant: str = ""        # whose runs it bounds, in a window, or in hand where that is 0
+    retries: bool = False   # heard in a storm; neither: calls in hand at the shared dependency
 
 
 class FleetBounds(NamedTuple):
--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -12,7 +12,7 @@
 from mulleinhatch.fleet import words
 from mulleinhatch.fleet.bounds import FleetBounds
 from mulleinhatch.fleet.budgets import Ask, Give, Part
-from mulleinhatch.fleet.counts import FIGURES, FRESH, Counts
+from mulleinhatch.fleet.counts import FIGURES, FRESH, MOST_LOUD, Counts
 from mulleinhatch.fleet.judgements import Verdicts
 from mulleinhatch.fleet.members import Change, Members
 from mulleinhatch.fleet.words import MOST_BYTES, Letter, Report, Trade, Unfit
@@ -22,9 +22,15 @@
 ENVELOPE = 60           # bytes of a letter beside its names and lists, at most
 RUMOURS = 780           # bytes of it for rumours, at most; reports get the rest
 JUDGE_EVERY = 0.5
+MOST_OPINIONS = 4       # in a report
 SMOOTH = 3.0            # seconds that demand is smoothed over
 
 
+def interpreter_of(name: str) -> str:
+    """The subject of opinions on a member's interpreter."""
+    return f"interpreter of {name}"[:40]
+
+
 class Local(NamedTuple):
     """What this instance says of itself, by `FIGURES`; demand by budget in units a window; its loudest tenants; opinions."""
 
@@ -36,12 +42,12 @@
 
 class Fleet:
     """
-    >>> bounds = FleetBounds("f", seeds=("h:1",), beat=0.1)
-    >>> one, two = Fleet(bounds, "a", "h:1", 7, 1, 0.0), Fleet(bounds, "b", "h:2", 8, 2, 0.0)
+    >>> bounds = FleetBounds("f", seeds=("10.0.0.1:1",), beat=0.1)
+    >>> one, two = Fleet(bounds, "a", "10.0.0.1:1", 7, 1, 0.0), Fleet(bounds, "b", "10.0.0.1:2", 8, 2, 0.0)
     >>> [(to, datagram)] = two.beat(0.1, Local()); to
-    'h:1'
+    '10.0.0.1:1'
     >>> [(to, datagram)] = one.datagram(0.1, datagram); to, one.members.alive()
-    ('h:2', ['b'])
+    ('10.0.0.1:2', ['b'])
     >>> two.datagram(0.2, datagram), two.members.alive(), two.datagram(0.2, b"?"), two.counts["unfit_garbage"]
     ([], ['a'], [], 1)
     """
@@ -57,6 +63,8 @@
         self.reported_at, self.judged_at, self.reports = -1e9, now, 0
         self.order: list[str] = []      # whose reports are passed on next
         self.out: list[str] = []
+        # Of interpreters as the host says, and of members by our own probes, as in our last report.
+        self.said: list[tuple[str, int, int]] = []
 
     # What comes in.
 
@@ -168,21 +176,30 @@
     # Judgements.
 
     def _judge(self, now: float) -> None:
-        for subject, bad, evidence in self.local.opinions:
+        for subject, bad, evidence in self.said:
             self.verdicts.heard(now, self.name, subject, bad / 100.0, evidence)
         self.out = self.verdicts.judge(now, {self.name, *self.members.alive()}, self.members.frozen)
 
+    def judged_ill(self) -> bool:
+        """Whether the others' verdict is that we, or our interpreter, should not serve. Nobody's while we hear nobody."""
+        return not self.members.frozen and (self.name in self.out or interpreter_of(self.name) in self.out)
+
+    def free(self, now: float) -> float:
+        """`Counts.free` of the others; not known while most are silent to us."""
+        return -1.0 if self.members.frozen else self.known.free(now, set(self.members.alive()))
+
     # Letters.
 
     def _report(self, now: float) -> None:
         self.reported_at = now
         self.reports += 1
+        self.said = [*self.local.opinions, *self.members.opinions(now)][:MOST_OPINIONS]
 
     def _own_report(self, now: float) -> Report:
         local = self.local
         spares = [part.spare(now, self._demand(place)) for place, part in enumerate(self.parts)]
         return Report(self.name, self.members.life, self.reports, max(0.0, now - self.reported_at),
-                      local.figures, spares, local.loudest[:4], local.opinions[:4])
+                      local.figures, spares, local.loudest[:MOST_LOUD], self.said)
 
     def _sent(self, now: float, address: str, told: dict) -> tuple[str, bytes]:
         members, to = self.members, told.get("to", "")
--- a/mulleinhatch/fleet/counts.py
+++ b/mulleinhatch/fleet/counts.py
@@ -5,13 +5,18 @@
 """
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from mulleinhatch.fleet.words import Report
 
-FIGURES = ("first_tries", "repeats", "acked", "nacked", "held", "running", "capacity", "healthy")
-COUNTED = 4             # of them the first, counted since the start of a life; the others are as they stand
+# New ones go to the end: in a fleet of two versions the older one's reports are shorter, and lack them.
+FIGURES = ("first_tries", "repeats", "acked", "nacked", "held", "running", "capacity", "healthy", "failed", "room")
+RATED = ("first_tries", "repeats", "acked", "nacked", "failed")     # counted since the start of a life; the rest as it stands
+PLACE = {figure: place for place, figure in enumerate(FIGURES)}
+OLDEST = 8              # figures of the first version
 FRESH = 2.0             # seconds: an older report is of a silent member
+MOST_LOUD = 4           # tenants that a report names
 OLD = 30.0              # and after these its row is dropped
 
 
@@ -34,12 +39,15 @@
         self.report = self.before = report
         self.made_at = self.before_at = made_at
 
-    def rates(self) -> list[float]:
-        """A second, since the report before; 0 where there is only one."""
-        span = self.made_at - self.before_at
-        if span <= 0.0:
-            return [0.0] * COUNTED
-        return [max(0.0, new - old) / span for new, old in zip(self.report.figures[:COUNTED], self.before.figures)]
+    def value(self, figure: str) -> float:
+        """A second since the report before of what is counted, as it stands of the rest; 0 of what it does not tell."""
+        place, figures = PLACE[figure], self.report.figures
+        if place >= len(figures):
+            return 0.0
+        if figure not in RATED:
+            return float(figures[place])
+        span, before = self.made_at - self.before_at, self.before.figures
+        return max(0.0, figures[place] - before[place]) / span if span > 0.0 and place < len(before) else 0.0
 
 
 class Counts:
@@ -61,7 +69,7 @@
     def heard(self, now: float, report: Report) -> bool:
         """Whether it was news."""
         row, made_at = self.rows.get(report.name), now - report.age
-        if now - made_at > OLD or len(report.figures) != len(FIGURES):
+        if now - made_at > OLD or len(report.figures) < OLDEST:
             return False
         if row is None:
             if len(self.rows) >= self.most:
@@ -84,32 +92,44 @@
 
     def total(self, now: float, figure: str) -> Range:
         """Ops a second of what is counted, as it stands of the rest."""
-        place = FIGURES.index(figure)
-        capacity = FIGURES.index("capacity")
-        least, most, silent, oldest = 0.0, 0.0, 0, 0.0
-        for row in self.rows.values():
-            age = now - row.made_at
-            oldest = max(oldest, age)
-            value = row.rates()[place] if place < COUNTED else row.report.figures[place]
-            if age <= FRESH:
-                least, most = least + value, most + value
-            else:
-                silent += 1
-                most += max(value, row.report.figures[capacity])
-        return Range(least, most, len(self.rows), silent, round(oldest, 6))
+        return self._sum(now, lambda row: (row.value(figure), row.value(figure)))
 
     def tenant(self, now: float, name: str) -> Range:
         """Ops a second of a tenant: who does not name it among its loudest has at most as much of it as of its least loud."""
+        def told(row: Row) -> tuple[float, float]:
+            loudest = row.report.loudest
+            value = next((rate for tenant, rate in loudest if tenant == name), None)
+            return value or 0.0, value if value is not None else loudest[-1][1] if len(loudest) == MOST_LOUD else 0.0
+        return self._sum(now, told)
+
+    def loudest(self, now: float, places: int) -> list[tuple[str, Range]]:
+        """Tenants over the fleet, by what is known of them."""
+        names = {tenant for row in self.rows.values() for tenant, _ in row.report.loudest}
+        return sorted(((name, self.tenant(now, name)) for name in names), key=lambda told: (-told[1].least, told[0]))[:places]
+
+    def free(self, now: float, members: set[str]) -> float:
+        """The share of the members' places that is free, by the poor end: who is silent counts as full; below 0 where more
+        than half are."""
+        free = places = 0.0
+        silent = len(members - self.rows.keys())
+        for name, row in self.rows.items():
+            if name in members:
+                room = row.value("room") if row.value("healthy") else 0.0
+                fresh = now - row.made_at <= FRESH
+                silent += not fresh
+                free += room if fresh else 0.0
+                places += row.value("room") + row.value("held") + row.value("running")
+        return -1.0 if 2 * silent > len(members) or not members else free / max(1.0, places)
+
+    def _sum(self, now: float, told: Callable[[Row], tuple[float, float]]) -> Range:
+        """`told` gives the least and the most of a row; of the silent all that they can."""
         least, most, silent, oldest = 0.0, 0.0, 0, 0.0
         for row in self.rows.values():
-            age = now - row.made_at
+            age, (low, high) = now - row.made_at, told(row)
             oldest = max(oldest, age)
-            loudest = row.report.loudest
-            value = next((rate for tenant, rate in loudest if tenant == name), None)
-            bound = value if value is not None else loudest[-1][1] if len(loudest) == 4 else 0.0
             if age <= FRESH:
-                least, most = least + (value or 0.0), most + bound
+                least, most = least + low, most + high
             else:
                 silent += 1
-                most += max(bound, row.report.figures[FIGURES.index("capacity")])
+                most += max(high, row.value("capacity"))
         return Range(least, most, len(self.rows), silent, round(oldest, 6))
--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -16,6 +16,8 @@
 HEARD_LATELY = 1.0      # seconds: who spoke to us in this time is not declared gone
 OUTCOMES = 16           # of our own last probes, by which we judge whether it is we who hear nothing
 FEW_OUTCOMES = 4
+EVIDENCE_FADES = 3.0    # seconds after which a probe's outcome counts half
+TOLD_OF = 4             # members that we tell our opinion of at a time: the worst two, and two by turns
 TOLD_TIMES = 1.0        # of a rumour, for each doubling of the fleet
 SEEDS_EVERY = 10        # beats, for each 16 members
 MOST_NEWS = 24          # in a letter
@@ -61,6 +63,8 @@
         self.helping: dict[int, tuple[str, int, str]] = {}      # number of our ping: for whom, its number, about whom
         self.rounds: list[str] = []
         self.outcomes: list[bool] = []
+        self.evidence: dict[str, list[float]] = {}      # by member: probes that failed, all, when it was faded last
+        self.told_of = 0        # whose turn it is to be told of
         self.number = 0
         self.beat_at, self.started, self.seed_in = now, now, SEEDS_EVERY
         self.frozen = self.left = False
@@ -159,7 +163,7 @@
                 del self.probes[number]
             elif now - probe.at >= bounds.probe_fails:
                 del self.probes[number]
-                self._outcome(False)
+                self._outcome(now, probe.name, False)
                 self.counts["probes_failed"] += 1
                 if member.state == ALIVE and not self.heard_lately(now, member.name):
                     self._become(now, member, SUSPECT, "no answer to us")
@@ -179,8 +183,32 @@
         able = [member for member in self.view.values() if member.state == ALIVE and member.name != but]
         return [able.pop(self.draw(len(able))) for _ in range(min(count, len(able)))]
 
-    def _outcome(self, good: bool) -> None:
+    def _outcome(self, now: float, name: str, good: bool) -> None:
         self.outcomes = [*self.outcomes[1 - OUTCOMES:], good]
+        failed, whole = self._faded(now, name)
+        self.evidence[name] = [failed + (not good), whole + 1.0, now]
+
+    def _faded(self, now: float, name: str) -> tuple[float, float]:
+        failed, whole, at = self.evidence.get(name, (0.0, 0.0, now))
+        left = 0.5 ** ((now - at) / EVIDENCE_FADES)
+        return left * failed, left * whole
+
+    def opinions(self, now: float) -> list[tuple[str, int, int]]:
+        """Of members by our own probes: name, percent that failed, probes. Not only of the bad: who hears of those alone
+        would think all ill. None while we hear little ourselves."""
+        if self.frozen:
+            return []
+        said = []
+        for name in [name for name in self.evidence if name not in self.view or self.view[name].state > SUSPECT]:
+            del self.evidence[name]
+        for name in self.evidence:
+            failed, whole = self._faded(now, name)
+            if whole >= 0.5:
+                said.append((name, round(100.0 * failed / whole), max(1, round(whole))))
+        worst = sorted(said, key=lambda told: (-told[1], told[0]))[:TOLD_OF // 2]
+        rest = [told for told in said if told not in worst]
+        self.told_of += TOLD_OF // 2
+        return worst + [rest[(self.told_of + turn) % len(rest)] for turn in range(min(len(rest), TOLD_OF - len(worst)))]
 
     def _judge_ourselves(self, now: float) -> None:
         """Silence of many is news about us: more than half of our probes, or `OUTSIDE` of the members."""
@@ -263,7 +291,7 @@
         probe = self.probes.get(number)
         if probe and probe.name == name:
             del self.probes[number]
-            self._outcome(True)
+            self._outcome(now, name, True)
 
     def _our_name(self, now: float, life: int, address: str) -> None:
         """Somebody else goes by our name. Under our own address it is our former self, whose clock ran ahead: we go on
--- a/mulleinhatch/fleet/words.py
+++ b/mulleinhatch/fleet/words.py
@@ -13,7 +13,8 @@
 VERSION = 1
 
 Name = Annotated[str, Meta(min_length=1, max_length=40)]
-Address = Annotated[str, Meta(min_length=3, max_length=60, pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+# Numbers alone: a name would be looked up by whoever sends there, and hold its loop for as long as that takes.
+Address = Annotated[str, Meta(min_length=9, max_length=21, pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
 Number = Annotated[int, Meta(ge=0, le=2 ** 62)]
 Amount = Annotated[int, Meta(ge=0, le=10 ** 12)]
 Age = Annotated[float, Meta(ge=0.0, le=86_400.0)]
--- a/mulleinhatch/program/fleet.py
+++ b/mulleinhatch/program/fleet.py
@@ -5,14 +5,16 @@
 import contextlib
 import json
 import logging
+import math
 import socket
 import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
-from mulleinhatch.fleet.core import Fleet, Local
-from mulleinhatch.fleet.counts import FIGURES
+from mulleinhatch.fleet.core import Fleet, Local, interpreter_of
+from mulleinhatch.fleet.counts import FIGURES, MOST_LOUD
+from mulleinhatch.fleet.loudest import Loudest
 from mulleinhatch.fleet.words import MOST_BYTES, STATES
 from mulleinhatch.program.placement import Placement
 from mulleinhatch.routing.reducer import Happening, Reducer
@@ -20,6 +22,7 @@
 LOG = logging.getLogger(__name__)
 A_TURN = 64             # datagrams read before others have their turn
 RECEIVE_ROOM = 1 << 18  # bytes of the socket's queue: what came while we stood still says who is there
+TENANTS_KEPT = 256      # with a count of their own
 RUN_CLOSES = 2.0        # seconds that a call may take, of a part that bounds what is in hand
 
 
@@ -33,8 +36,12 @@
         self.timer: asyncio.TimerHandle | None = None
         self.told_pieces: dict[str, list[tuple[float, float]]] = {}
         # What each tenant with a part was asked for: by window of its budget, now and before.
-        self.asked: dict[str, list[int]] = {budget.tenant: [0, 0] for budget in self.bounds.budgets if budget.tenant}
+        self.asked: dict[str, list[int]] = {budget.tenant: [0, 0] for budget in self.bounds.budgets
+                                            if budget.tenant and budget.window}
         self.window_at: dict[str, float] = {}
+        self.loudest = Loudest(TENANTS_KEPT)
+        self.hear_most, self.shut = math.inf, 0.0
+        self.told_others: tuple[float, bool, float, float] = (-1.0, False, math.inf, 0.0)
 
     def listen(self) -> None:
         self.socket.setblocking(False)
@@ -45,7 +52,7 @@
         # A life's number must grow over restarts and has no disk to stand on: the wall clock, and where that was set
         # back the others tell (`Members._our_name`).
         self.core = Fleet(self.bounds, self.placement.name, address, int(1000.0 * time.time()), self.placement.seed, now)
-        self.reducer.on_tenant = self._asked_for if self.asked else None
+        self.reducer.on_tenant = self._asked_for if self.reducer.tenants else None
         LOG.info("fleet", extra={"fields": {"fleet": self.bounds.fleet, "address": address}})
         loop = asyncio.get_running_loop()
         loop.add_reader(self.socket.fileno(), self._readable)
@@ -66,6 +73,7 @@
             self._tell_parts(now)
 
     def _asked_for(self, now: float, tenant: str) -> None:
+        self.loudest.add(now, tenant)
         if counts := self.asked.get(tenant):
             counts[0] += 1
 
@@ -73,9 +81,13 @@
         """Units a window, by budget: of the whole windows and of the one that runs, by its part."""
         demands = []
         for budget in self.bounds.budgets:
-            counts = self.asked.get(budget.tenant)
-            if not counts:
-                demands.append(float(self.reducer.unended))
+            counts = self.asked.get(budget.tenant) if budget.window else None
+            if budget.retries:
+                demands.append(self.reducer.storms.watch.repeat_rate * budget.window if self.reducer.storms else 0.0)
+                continue
+            if counts is None:      # of what is in hand: what waits for it, too
+                demands.append(float(sum(owed.tenant == budget.tenant for owed in self.reducer.owed.values())
+                                     if budget.tenant else self.reducer.unended))
                 continue
             since = self.window_at.setdefault(budget.tenant, now)
             if now - since >= budget.window:
@@ -92,12 +104,14 @@
         repeats = storms.counts["repeats_read"] if storms else 0
         reads = counts["ops_read"] + (storms.turned if storms else 0)
         figures = [max(0, reads - repeats), repeats, counts["run_ok"], counts["decided_nack"],
-                   max(0, len(reducer.owed) - reducer.unended), max(0, reducer.unended),
-                   round(min(1e9, hatch.capacity())) if hatch else 0, int(reducer.healthy and hatch is not None)]
+                   max(0, len(reducer.owed) - reducer.unended - reducer.away), max(0, reducer.unended),
+                   round(min(1e9, hatch.capacity())) if hatch else 0, int(reducer.healthy and hatch is not None),
+                   counts["run_error"], reducer.room()]
         runs, errors = counts["run_ok"] + counts["run_error"], counts["run_error"]
-        opinions = [(f"interpreter of {self.placement.name}"[:40], round(100 * errors / runs), runs)] if runs else []
+        opinions = [(interpreter_of(self.placement.name), round(100 * errors / runs), runs)] if runs else []
         assert len(figures) == len(FIGURES)
-        return Local(figures, self._demands(now), [], opinions)
+        loudest = [(loud.name[:40], round(loud.rate, 2)) for loud in self.loudest.most(now, MOST_LOUD)]
+        return Local(figures, self._demands(now), loudest, opinions)
 
     def _beat(self) -> None:
         now = time.monotonic()
@@ -105,6 +119,7 @@
         try:
             self._send(self.core.beat(now, self._local(now)))
             self._tell_parts(now)
+            self._tell_others(now)
             for change in self.core.changes():
                 LOG.info("fleet", extra={"fields": {"member": change.name, "state": change.state, "why": change.why}})
         except Exception:
@@ -135,6 +150,9 @@
     def _tell_parts(self, now: float) -> None:
         """At once when a part changes: what was lent a moment ago must not be used."""
         for budget, part in zip(self.bounds.budgets, self.core.parts):
+            if budget.retries:
+                self.hear_most = part.usable(now) / budget.window
+                continue
             if not budget.tenant:
                 share = float(part.usable(now, RUN_CLOSES))
                 if self.told_pieces.get(budget.name) != [(share, 0.0)]:
@@ -146,6 +164,15 @@
                 self.told_pieces[budget.name] = pieces
                 self.take(Happening.PART, budget.tenant, budget.window, pieces)
 
+    def _tell_others(self, now: float) -> None:
+        """How the others fare, when it changed by what is worth a word."""
+        told = (self.core.free(now), self.core.judged_ill(), self.hear_most, self.shut)
+        before = self.told_others
+        if (told[1] is not before[1] or (told[0] < 0.0) is not (before[0] < 0.0) or told[2] != before[2]
+                or abs(told[0] - before[0]) > 0.02 or abs(told[3] - before[3]) > 0.01):
+            self.told_others = told
+            self.take(Happening.OTHERS, *told)
+
     def told(self) -> bytes:
         """What the command line shows."""
         core, now = self.core, time.monotonic()
@@ -159,12 +186,16 @@
         for place, (budget, part) in enumerate(zip(self.bounds.budgets, core.parts)):
             budgets.append({
                 "name": budget.name, "total": budget.total, "window": budget.window, "tenant": budget.tenant,
+                "retries": budget.retries,
                 "home": part.home, "own": part.own(now), "usable": part.usable(now), "demand": round(core.demands[place], 1),
                 "lent": sum(loan.amount for loan in part.loans.values()),
                 "borrowed": sum(have.amount for have in part.borrowed.values() if now < have.until)})
         sums: dict[str, Any] = {figure: core.known.total(now, figure)._asdict() for figure in FIGURES}
+        loudest = [(name, *known) for name, known in core.known.loudest(now, 8)]
         return json.dumps({"fleet": self.bounds.fleet, "frozen": members.frozen, "doubled": members.doubled(now),
                            "members": rows, "budgets": budgets, "sums": sums, "out": core.out,
+                           "loudest": loudest,
+                           "judged_ill": core.judged_ill(), "others_free": round(core.free(now), 3),
                            "alone": sorted(core.verdicts.alone), "held_back": core.verdicts.held_back}).encode()
 
     def counted(self) -> dict[str, int]:
--- a/mulleinhatch/program/operator.py
+++ b/mulleinhatch/program/operator.py
@@ -20,6 +20,8 @@
 Room = Annotated[int, Meta(ge=1, le=1_000_000)]
 USUAL = StormBounds()
 HostPort = Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+# Members send to these from the loop: a name would be looked up there.
+Numbers = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
 PATH = re.compile(r"at `\$\.?([^`]*)`")
 UNKNOWN = re.compile(r"unknown field `([^`]*)`")
 
@@ -55,6 +57,7 @@
     total: Annotated[int, Meta(ge=1, le=10 ** 9)]
     tenant: str = ""
     calls: bool = False
+    retries: bool = False
     window: Annotated[float, Meta(ge=0.0, le=3600.0)] = 1.0
     lease: Seconds = 5.0
     drift: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.03
@@ -63,10 +66,10 @@
 
 class FleetFile(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
     name: Annotated[str, Meta(min_length=1, max_length=40)]
-    listen: HostPort
-    advertise: HostPort | None = None
+    listen: Numbers
+    advertise: Numbers | None = None
     status: HostPort | None = None
-    seeds: HostPort | list[HostPort] = []
+    seeds: Numbers | list[Numbers] = []
     seats: str | list[str] = []
     beat: Annotated[float, Meta(ge=0.02, le=10.0)] = 0.1
     suspect_for: Seconds = 1.95
@@ -173,12 +176,14 @@
         seats, way = several(budget.seats or told.seats), ("fleet", "budgets", name)
         wrong = ("seats: nobody has an even part" if not seats else "seats: told twice" if len(set(seats)) < len(seats) else
                  f"total: {budget.total} is less than one for each of {len(seats)} seats" if budget.total < len(seats) else
-                 "tenant: either a tenant's runs or calls" if bool(budget.tenant) is budget.calls else
-                 "window: runs are counted over a window" if budget.tenant and not budget.window else "")
+                 "tenant: either a tenant's runs, calls or retries"
+                 if bool(budget.tenant) + budget.calls + budget.retries != 1 else
+                 "window: retries are counted over a window" if budget.retries and not budget.window else "")
         if wrong:
             raise BadOperatorFile(f"{path}:{_line(text, way)}: {'.'.join(way)}.{wrong}")
         window = 0.0 if budget.calls else budget.window
-        budgets.append(BudgetBounds(name, budget.total, seats, window, budget.lease, budget.drift, budget.tenant))
+        budgets.append(BudgetBounds(name, budget.total, seats, window, budget.lease, budget.drift, budget.tenant,
+                                    budget.retries))
     host, _, port = told.listen.rpartition(":")
     return FleetBounds(told.name, (host, int(port)), told.advertise or "", several(told.seeds), told.beat,
                        status=told.status or "", suspect_for=told.suspect_for, budgets=tuple(budgets))
--- a/mulleinhatch/standins/virtual_fleet.py
+++ b/mulleinhatch/standins/virtual_fleet.py
@@ -44,7 +44,7 @@
     """One instance: its core, its clock, its meters; what waits in its socket while it is stopped."""
 
     def __init__(self, world: FleetWorld, place: int) -> None:
-        self.place, self.name, self.address = place, f"n{place}", f"h:{place}"
+        self.place, self.name, self.address = place, f"n{place}", f"10.0.0.1:{place}"
         rates = world.plan.clocks
         self.rate = rates[place % len(rates)] if rates else world.draw.uniform(0.99, 1.01)
         self.offset = world.draw.uniform(-3600.0, 3600.0)       # nobody's clock is right
@@ -64,8 +64,8 @@
         self.faults = faults.read(plan.script, plan.instances)
         names = tuple(f"n{place}" for place in range(plan.instances))
         self.budgets = tuple(BudgetBounds(name, total, names, window) for name, total, window in plan.budgets)
-        self.bounds = FleetBounds("virtual", seeds=("h:0", "h:1", f"h:{plan.instances // 2}"), beat=plan.beat,
-                                  budgets=self.budgets)
+        self.bounds = FleetBounds("virtual", seeds=("10.0.0.1:0", "10.0.0.1:1", f"10.0.0.1:{plan.instances // 2}"),
+                                  beat=plan.beat, budgets=self.budgets)
         self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.used: list[deque[float]] = [deque() for _ in self.budgets]
         self.most_used = [0] * len(self.budgets)
@@ -155,7 +155,7 @@
 
     def _send(self, node: Node, errands: list[tuple[str, bytes]]) -> None:
         for address, data in errands:
-            to = int(address[2:])
+            to = int(address.rpartition(":")[2])
             self.counts["datagrams"] += 1
             self.counts["bytes"] += len(data)
             if len(data) > 1200:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -115,20 +115,21 @@
 
 
 def test_two_of_one_name_hear_of_each_other_and_one_gives_way() -> None:
-    bounds = FleetBounds("f", seeds=("h:0",))
-    fleet = {"h:0": Fleet(bounds, "a", "h:0", 5, 1, 0.0), "h:1": Fleet(bounds, "b", "h:1", 5, 2, 0.0),
-             "h:2": Fleet(bounds, "b", "h:2", 9, 3, 0.0)}
+    bounds = FleetBounds("f", seeds=("10.0.0.1:0",))
+    fleet = {"10.0.0.1:0": Fleet(bounds, "a", "10.0.0.1:0", 5, 1, 0.0),
+             "10.0.0.1:1": Fleet(bounds, "b", "10.0.0.1:1", 5, 2, 0.0),
+             "10.0.0.1:2": Fleet(bounds, "b", "10.0.0.1:2", 9, 3, 0.0)}
     for turn in range(1, 30):
         waiting = [errand for core in fleet.values() for errand in core.beat(0.1 * turn, Local())]
         while waiting:
             address, data = waiting.pop(0)
             waiting += fleet[address].datagram(0.1 * turn, data)
-    assert fleet["h:1"].members.outlived and not fleet["h:2"].members.outlived
-    assert fleet["h:0"].members.view["b"].address == "h:2"
+    assert fleet["10.0.0.1:1"].members.outlived and not fleet["10.0.0.1:2"].members.outlived
+    assert fleet["10.0.0.1:0"].members.view["b"].address == "10.0.0.1:2"
 
 
 def test_no_datagram_is_too_long_whatever_is_to_be_told() -> None:
-    fleet = Fleet(FleetBounds("a fleet of a long name", seeds=("h:0",)), "n" * 40, "127.0.0.100:65535", 10 ** 13, 1, 0.0)
+    fleet = Fleet(FleetBounds("a fleet of a long name", seeds=("10.0.0.1:0",)), "n" * 40, "127.0.0.100:65535", 10 ** 13, 1, 0.0)
     fleet.beat(0.0, Local([10 ** 9] * len(FIGURES), (), [("tenant" * 6, 1e9)] * 4,
                           [("interpreter of x" * 2, 100, 10 ** 9)] * 4))
     for number in range(1200):
@@ -143,8 +144,9 @@
 
 
 def test_bad_datagrams_are_counted_and_dropped() -> None:
-    draw, fleet = random.Random(2), Fleet(FleetBounds("f"), "a", "h:0", 5, 1, 0.0)
-    good = words.encode(Letter(words.VERSION, "f", "b", "h:1", 7, 0, "ping", 3, "", [Rumour("c", "h:2", 4, 0, 0)]))
+    draw, fleet = random.Random(2), Fleet(FleetBounds("f"), "a", "10.0.0.1:0", 5, 1, 0.0)
+    good = words.encode(Letter(words.VERSION, "f", "b", "10.0.0.1:1", 7, 0, "ping", 3, "",
+                               [Rumour("c", "10.0.0.1:2", 4, 0, 0)]))
     assert fleet.datagram(0.1, good)
     for _ in range(3000):
         data = bytearray(good)
@@ -152,16 +154,16 @@
             data[draw.randrange(len(data))] = draw.randrange(256)
         fleet.datagram(0.1, bytes(data[:draw.randrange(1, len(data) + 1)]))
     assert fleet.counts["unfit_garbage"] > 1000
-    newer = words.encode(Letter(words.VERSION + 1, "f", "b", "h:1", 7, 0, "ping"))
+    newer = words.encode(Letter(words.VERSION + 1, "f", "b", "10.0.0.1:1", 7, 0, "ping"))
     assert fleet.datagram(0.1, newer) == [] and fleet.counts["unfit_other_version"] >= 1
     assert fleet.datagram(0.1, b"\x00" * 3000) == [] and fleet.counts["unfit_too_long"] == 1
 
 
 def test_a_datagram_of_an_earlier_life_changes_nothing() -> None:
-    fleet = Fleet(FleetBounds("f"), "a", "h:0", 5, 1, 0.0)
+    fleet = Fleet(FleetBounds("f"), "a", "10.0.0.1:0", 5, 1, 0.0)
     for life, state in ((9, 0), (7, 0)):
-        fleet.datagram(0.1, words.encode(Letter(words.VERSION, "f", "b", f"h:{life}", life, 0, "ping", 1)))
-    assert fleet.members.view["b"].address == "h:9" and fleet.members.counts["earlier_lives"] == 1
+        fleet.datagram(0.1, words.encode(Letter(words.VERSION, "f", "b", f"10.0.0.1:{life}", life, 0, "ping", 1)))
+    assert fleet.members.view["b"].address == "10.0.0.1:9" and fleet.members.counts["earlier_lives"] == 1
 
 
 def test_sums_say_what_the_silent_may_have_done() -> None:
@@ -201,11 +203,14 @@
 
 @pytest.mark.parametrize("text, complaint", [
     ('fleet {\n name "x"\n listen "nowhere"\n}', ":3: fleet.listen: Expected `str`"),
-    ('fleet {\n name "x"\n listen "h:1"\n seats "a" "b"\n budgets {\n  q total=1 tenant="t"\n }\n}',
+    ('fleet {\n name "x"\n listen "10.0.0.1:1"\n seats "a" "b"\n budgets {\n  q total=1 tenant="t"\n }\n}',
      ":6: fleet.budgets.q.total: 1 is"),
-    ('fleet {\n name "x"\n listen "h:1"\n budgets {\n  q total=9 tenant="t"\n }\n}', ":5: fleet.budgets.q.seats: nobody"),
-    ('fleet {\n name "x"\n listen "h:1"\n seats "a"\n budgets {\n  q total=9\n }\n}', ":6: fleet.budgets.q.tenant: either"),
-    ('fleet {\n name "x"\n listen "h:1"\n seats "a"\n budgets {\n  q totl=9\n }\n}', ":6: fleet.budgets.q.totl: no such key"),
+    ('fleet {\n name "x"\n listen "10.0.0.1:1"\n budgets {\n  q total=9 tenant="t"\n }\n}',
+     ":5: fleet.budgets.q.seats: nobody"),
+    ('fleet {\n name "x"\n listen "10.0.0.1:1"\n seats "a"\n budgets {\n  q total=9\n }\n}',
+     ":6: fleet.budgets.q.tenant: either"),
+    ('fleet {\n name "x"\n listen "10.0.0.1:1"\n seats "a"\n budgets {\n  q totl=9\n }\n}',
+     ":6: fleet.budgets.q.totl: no such key"),
     ('fleet {\n name "x"\n}', ":1: fleet")])
 def test_the_faulty_line_of_a_fleet_is_named(text: str, complaint: str) -> None:
     with pytest.raises(operator.BadOperatorFile) as error:
