Spread: estimates that lean on the fleet, shares, offers of room, hand-over to peers (off by default)

Need: with hundreds of instances each sees little; some idle while others hold. Pure cores in spread/: pace by shrinkage towards its like, the share wished elsewhere in bounded steps, offers never above room, taking by chance; I/O in program/spread.py and transport/peers.py; the operator's file has a spread node.

--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from mulleinhatch.fleet import words
@@ -15,14 +15,14 @@
 from mulleinhatch.fleet.counts import FIGURES, FRESH, MOST_LOUD, Counts
 from mulleinhatch.fleet.judgements import Verdicts
 from mulleinhatch.fleet.members import Change, Members
-from mulleinhatch.fleet.words import MOST_BYTES, Letter, Report, Trade, Unfit
+from mulleinhatch.fleet.words import MOST_BYTES, Letter, Offer, Report, Trade, Unfit
 
 MOST_MEMBERS = 1000
 REPORT_EVERY = 0.3      # seconds between reports of our own
-ENVELOPE = 60           # bytes of a letter beside its names and lists, at most
+ENVELOPE = 64           # bytes of a letter beside its names and lists, at most
 RUMOURS = 780           # bytes of it for rumours, at most; reports get the rest
 JUDGE_EVERY = 0.5
-MOST_OPINIONS = 4       # in a report
+MOST_OPINIONS = 3       # in a report
 SMOOTH = 3.0            # seconds that demand is smoothed over
 
 
@@ -63,6 +63,10 @@
         self.reported_at, self.judged_at, self.reports = -1e9, now, 0
         self.order: list[str] = []      # whose reports are passed on next
         self.out: list[str] = []
+        self.ops_at = ""    # where peers may send ops, if they may
+        self.want = 0       # ops that we hold and would hand over, told in each letter
+        # For who stands on us: each letter of a member's present life.
+        self.on_letter: Callable[[float, Letter], None] = lambda now, letter: None
         # Of interpreters as the host says, and of members by our own probes, as in our last report.
         self.said: list[tuple[str, int, int]] = []
 
@@ -107,6 +111,7 @@
             if report.name != self.name and report.name in self.members.view and self.known.heard(now, report):
                 for subject, bad, evidence in report.opinions:
                     self.verdicts.heard(now, report.name, subject, bad / 100.0, evidence, report.age)
+        self.on_letter(now, letter)
         answers = [answer for trade in letter.trades if (answer := self._trade(now, letter, trade))]
         if answers:
             errands.append((letter.address, {"what": "word", "to": letter.sender, "trades": answers}))
@@ -125,6 +130,11 @@
         told, self.members.changes = self.members.changes, []
         return told
 
+    def said_to(self, now: float, name: str, offers: list[Offer]) -> list[tuple[str, bytes]]:
+        """A word to a member, with offers; none to one that we do not know."""
+        member = self.members.view.get(name)
+        return [self._sent(now, member.address, {"what": "word", "to": name, "offers": offers})] if member else []
+
     # Budgets.
 
     def _asks(self, now: float, place: int, part: Part) -> Iterator[tuple[str, dict]]:
@@ -193,24 +203,25 @@
     def _report(self, now: float) -> None:
         self.reported_at = now
         self.reports += 1
-        self.said = [*self.local.opinions, *self.members.opinions(now)][:MOST_OPINIONS]
+        # In every other: they make a report half as long again, and more reports pass on in a letter without.
+        self.said = [*self.local.opinions, *self.members.opinions(now)][:MOST_OPINIONS] if self.reports % 2 else []
 
     def _own_report(self, now: float) -> Report:
         local = self.local
         spares = [part.spare(now, self._demand(place)) for place, part in enumerate(self.parts)]
         return Report(self.name, self.members.life, self.reports, max(0.0, now - self.reported_at),
-                      local.figures, spares, local.loudest[:MOST_LOUD], self.said)
+                      local.figures, spares, local.loudest[:MOST_LOUD], self.said, self.ops_at)
 
     def _sent(self, now: float, address: str, told: dict) -> tuple[str, bytes]:
         members, to = self.members, told.get("to", "")
-        trades = told.get("trades", [])
+        trades, offers = told.get("trades", []), told.get("offers", [])
         room = (MOST_BYTES - ENVELOPE - len(members.name) - len(members.address) - len(self.bounds.fleet)
-                - len(told.get("about", "")) - 40 * len(trades))
+                - len(told.get("about", "")) - 40 * len(trades) - 45 * len(offers))
         rumours = members.rumours(now, min(RUMOURS, room), to)
         room -= sum(34 + len(rumour.name) + len(rumour.address) for rumour in rumours)
         letter = Letter(words.VERSION, self.bounds.fleet, members.name, members.address, members.life, members.incarnation,
                         told["what"], told.get("number", 0), told.get("about", ""), rumours,
-                        self._passed_on(now, room), trades)
+                        self._passed_on(now, room), trades, self.want, offers)
         data = words.encode(letter)
         self.counts["datagrams_sent"] += 1
         self.counts["bytes_sent"] += len(data)
@@ -239,11 +250,12 @@
             self.order.pop()
             room -= self._size(report)
             chosen.append(Report(report.name, report.life, report.number, now - row.made_at, report.figures, report.spares,
-                                 report.loudest, report.opinions))
+                                 report.loudest, report.opinions, report.at))
         return chosen
 
     @staticmethod
     def _size(report: Report) -> int:
         whole = [*report.figures, *report.spares]
-        return (34 + len(report.name) + sum(2 if figure < 128 else 3 if figure < 1 << 16 else 9 for figure in whole)
+        return (35 + len(report.name) + len(report.at)
+                + sum(2 if figure < 128 else 3 if figure < 1 << 16 else 9 for figure in whole)
                 + sum(12 + len(name) for name, _ in report.loudest) + sum(14 + len(name) for name, *_ in report.opinions))
--- a/mulleinhatch/fleet/counts.py
+++ b/mulleinhatch/fleet/counts.py
@@ -11,7 +11,8 @@
 from mulleinhatch.fleet.words import Report
 
 # New ones go to the end: in a fleet of two versions the older one's reports are shorter, and lack them.
-FIGURES = ("first_tries", "repeats", "acked", "nacked", "held", "running", "capacity", "healthy", "failed", "room")
+FIGURES = ("first_tries", "repeats", "acked", "nacked", "held", "running", "capacity", "healthy", "failed", "room", "places",
+           "pace_runs", "pace", "load_ops", "load")     # of the last four: evidence in tenths, figures in thousandths
 RATED = ("first_tries", "repeats", "acked", "nacked", "failed")     # counted since the start of a life; the rest as it stands
 PLACE = {figure: place for place, figure in enumerate(FIGURES)}
 OLDEST = 8              # figures of the first version
--- a/mulleinhatch/fleet/words.py
+++ b/mulleinhatch/fleet/words.py
@@ -46,6 +46,7 @@
     spares: Annotated[list[Amount], Meta(max_length=16)] = []
     loudest: Annotated[list[tuple[Name, Figure]], Meta(max_length=4)] = []
     opinions: Annotated[list[tuple[Name, Annotated[int, Meta(ge=0, le=100)], Amount]], Meta(max_length=4)] = []
+    at: Annotated[str, Meta(max_length=21, pattern=r"^([0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5})?$")] = ""    # where its ops go
 
 
 class Trade(msgspec.Struct, array_like=True, frozen=True):
@@ -59,6 +60,14 @@
     life: Number = 0        # of the asker, in a give: an earlier life's answer is none of ours
 
 
+class Offer(msgspec.Struct, array_like=True, frozen=True):
+    """Room for one op, for the member it is sent to."""
+
+    number: Number          # grows with each offer of this life
+    lasts: Annotated[float, Meta(ge=0.0, le=60.0)]      # seconds
+    at: Address             # where the op goes
+
+
 class Letter(msgspec.Struct, array_like=True, frozen=True):
     version: int
     fleet: Name
@@ -72,6 +81,8 @@
     rumours: Annotated[list[Rumour], Meta(max_length=40)] = []
     reports: Annotated[list[Report], Meta(max_length=40)] = []
     trades: Annotated[list[Trade], Meta(max_length=32)] = []
+    want: Annotated[int, Meta(ge=0, le=1_000_000)] = 0      # ops that the sender holds and would hand over
+    offers: Annotated[list[Offer], Meta(max_length=16)] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -30,6 +30,7 @@
         self.leaving = False
         self.turned_back: Callable[..., float | None] | None = None
         self.level: Callable[[], float | None] = lambda: None
+        self.on_hand: Callable[[bytes], None] | None = None      # told of an op that came from a peer, by its offer
         self.fleet: Callable[[], bytes] | None = None      # what is known of the others, as JSON
 
     def request(self, place: int, method: bytes, path: bytes, fields: dict[bytes, bytes],
@@ -46,7 +47,10 @@
             if method != b"POST":
                 raise http.BadRequest("method", 405)
             *told, rank = http.op_told(path, fields, time.time())
-            self.take(Happening.OP_READ, place, *told, body, rank)
+            handed = http.HAND in fields and self.on_hand is not None
+            if handed:
+                self.on_hand(fields[http.HAND])
+            self.take(Happening.OP_READ, place, *told, body, rank, handed)
         elif path == http.HEALTH_PATH:
             self.take(Happening.CHECKED, place)
         elif path == http.COUNTERS_PATH:
--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -139,6 +139,8 @@
             self.fleet = FleetSide(self.placement, self.reducer, self.take)
             self.fleet.listen()
             self.front.fleet = self.fleet.told
+            if self.fleet.spread:
+                self.errands[Errand.HAND], self.front.on_hand = self.fleet.spread.hand, self.fleet.spread.came
         tasks = [asyncio.ensure_future(work) for work in
                  (self.interpreter.link.keep(), self._every(REPORT_EVERY, self._report),
                   self._every(SWEEP_EVERY, self._sweep))]
--- a/mulleinhatch/program/operator.py
+++ b/mulleinhatch/program/operator.py
@@ -76,16 +76,30 @@
     budgets: Annotated[dict[str, Budget], Meta(max_length=16)] = {}
 
 
+class SpreadFile(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
+    hand_over: bool = True
+    advice: bool = True
+    at: Numbers | None = None
+    offer_for: Annotated[float, Meta(ge=0.05, le=10.0)] = 0.3
+    most_offers: Annotated[int, Meta(ge=1, le=1000)] = 8
+    links: Annotated[int, Meta(ge=1, le=64)] = 4
+    guesses: bool = True
+    step: Annotated[float, Meta(gt=0.0, le=0.5)] = 0.05
+    step_every: Annotated[float, Meta(ge=0.1, le=60.0)] = 0.5
+
+
 class OperatorFile(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
     storms: Storms = msgspec.field(default_factory=Storms)
     traces: Traces | None = None
     fleet: FleetFile | None = None
+    spread: SpreadFile | None = None
 
 
 class Operator(NamedTuple):
     storms: StormBounds | None
     traces: Any = None      # the bounds of a trace's files, a `TraceBounds`
     fleet: Any = None       # of what passes between instances, a `FleetBounds`
+    spread: Any = None      # of load over them, a `SpreadBounds`
 
 
 def read(path: str) -> Operator:
@@ -132,7 +146,7 @@
         raise BadOperatorFile(f"{path}:{_line(text, ('storms', 'storm-share'))}: storms.storm-share: "
                               f"{checked.storms.storm_share:g} is below rising-share")
     return Operator(StormBounds(**storms) if enabled else None, _traces(checked.traces),
-                    checked.fleet and _fleet(checked.fleet, text, path))
+                    checked.fleet and _fleet(checked.fleet, text, path), checked.spread and _spread(checked, text, path))
 
 
 def _complaint(error: msgspec.ValidationError, above: tuple[str, ...], text: str, path: str) -> BadOperatorFile:
@@ -166,6 +180,14 @@
     return TraceBounds(**msgspec.structs.asdict(told))
 
 
+def _spread(checked: OperatorFile, text: str, path: str) -> Any:
+    from mulleinhatch.spread.bounds import SpreadBounds
+    if checked.fleet is None:
+        raise BadOperatorFile(f"{path}:{_line(text, ('spread',))}: spread: wants a fleet node: load is spread over its members")
+    told = msgspec.structs.asdict(checked.spread)
+    return SpreadBounds(**{**told, "at": told["at"] or ""})
+
+
 def _fleet(told: FleetFile, text: str, path: str) -> Any:
     from mulleinhatch.fleet.bounds import BudgetBounds, FleetBounds
 
--- a/mulleinhatch/program/placement.py
+++ b/mulleinhatch/program/placement.py
@@ -33,6 +33,7 @@
     storms: StormBounds | None = StormBounds()     # None: no storm books are kept
     traces: Any = None      # `TraceBounds` where traces are written
     fleet: Any = None       # `FleetBounds` where instances speak with each other
+    spread: Any = None      # `SpreadBounds` where load is spread over them
 
 
 def address(key: str, text: object) -> Address:
--- /dev/null
+++ b/mulleinhatch/program/spread.py
@@ -0,0 +1,120 @@
+"""The spread's I/O: ops go to peers over the callers' protocol, the core's words are carried. Imported only where it is on."""
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from mulleinhatch.fleet.core import Fleet
+from mulleinhatch.interface import Ending
+from mulleinhatch.program.placement import Placement
+from mulleinhatch.protocol import http
+from mulleinhatch.routing.reducer import Happening, Reducer
+from mulleinhatch.spread.core import Here, Spread
+from mulleinhatch.spread.offers import Offered
+from mulleinhatch.transport.peers import BrokenOff, Peers, Unreached
+
+LOG = logging.getLogger(__name__)
+ANSWER_ROOM = 0.08      # seconds that a peer's answer has to come back before ours is due
+AT_MOST = 30.0          # seconds for an op that tells no time
+UNRUN = (429, 503, 400, 404, 405, 408, 409, 411, 413, 431)     # by these it never ran there
+
+
+class SpreadSide:
+    def __init__(self, placement: Placement, fleet: Fleet, reducer: Reducer, take: Callable[..., None], returns: bool) -> None:
+        bounds = placement.spread
+        if not bounds.at:
+            bounds = bounds._replace(at=":".join(map(str, placement.listen)))
+        self.reducer, self.take = reducer, take
+        self.core = Spread(bounds, fleet, placement.seed, time.monotonic(), returns)
+        self.peers = Peers(bounds.links, http.answer_told, time.monotonic)
+        self.counts: Counter[str] = Counter()
+        self.told_count = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        fleet.ops_at = bounds.at if bounds.hand_over else ""
+        reducer.hands = True
+        reducer.on_run, reducer.on_op = self.core.ran, self.core.came
+
+    def beat(self, now: float) -> list[tuple[str, bytes]]:
+        reducer = self.reducer
+        letters = self.core.beat(now, Here(
+            reducer.room(), reducer.handable(), int(reducer.hatch.limit) if reducer.hatch else 1, reducer.stop_at is not None,
+            bool(reducer.storms and reducer.storms.on)))
+        self.peers.sweep()
+        self.tell(now)
+        return letters
+
+    def heard(self, now: float) -> list[tuple[str, bytes]]:
+        """After letters came: at once, for an offer is worth most to an op that waits now."""
+        self.core.here = self.core.here._replace(room=self.reducer.room())
+        self.tell(now)
+        return self.core.said()
+
+    def tell(self, now: float) -> None:
+        """The module counts down what it hands over, so the same number again may be news."""
+        count = self.core.offered(now) if self.reducer.owed else 0
+        if count or self.told_count:
+            self.told_count = count
+            self.take(Happening.OFFERS, count)
+
+    def came(self, number: bytes) -> None:
+        self.core.giver.came(time.monotonic(), int(number) if number.isdigit() and len(number) < 19 else 0)
+
+    # Handing over.
+
+    def hand(self, ref: str, *told: Any) -> None:
+        offer = self.core.take(time.monotonic())
+        if offer is None:
+            self.counts["hand_offers_over"] += 1
+            # Not within the errands of the happening that decided it: it would be told in the middle of another.
+            asyncio.get_running_loop().call_soon(self.take, Happening.HAND_ENDED, ref, Ending.UNREACHABLE, b"")
+            return
+        task = asyncio.ensure_future(self._hand(offer, ref, *told))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _hand(self, offer: Offered, ref: str, op_type: str, tenant: str, body: bytes, age: float, left: float,
+                    caller: int, work: float, kb: float, again: bool, rank: float) -> None:
+        wait = max(0.01, left - ANSWER_ROOM) if left else 0.0
+        pieces = http.handed(ref, op_type, tenant, body, 1000.0 * (time.time() - age), 1000.0 * (age + wait) if wait else 0.0,
+                             caller, work, kb, again, rank, offer.number, offer.at)
+        ending, result = Ending.INTERRUPTED, b""
+        try:
+            status, result = await self.peers.ask(offer.at, pieces, wait or AT_MOST)
+            ending = Ending.OK if status == 200 else Ending.FULL if status in UNRUN else Ending.ERROR
+            self.counts[f"hand_answers_{status}"] += 1
+        except Unreached:
+            ending = Ending.UNREACHABLE
+        except BrokenOff as error:
+            LOG.debug("hand-over broke off", extra={"fields": {"ref": ref, "peer": offer.giver, "error": error}})
+        except Exception:
+            self.counts["spread_errors_inside"] += 1
+            LOG.exception("error inside", extra={"fields": {"at": "hand-over"}})
+        finally:
+            now = time.monotonic()
+            self.core.ended(now, offer, ending in (Ending.ERROR, Ending.INTERRUPTED),
+                            ending in (Ending.UNREACHABLE, Ending.INTERRUPTED))
+            self.take(Happening.HAND_ENDED, ref, ending, result if ending is Ending.OK else b"")
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        self.peers.close()
+
+    def told(self, now: float) -> dict[str, Any]:
+        core = self.core
+        pace = core.estimate(now)
+        return {"room": core.here.room, "held": core.here.held, "places": core.here.places, "wish": round(core.wish, 3),
+                "load": round(core.seen.own, 3), "fleet_load": round(core.seen.fleet, 3),
+                "pace": pace and {"value": round(pace.value, 3), "least": round(pace.least, 3), "most": round(pace.most, 3),
+                                  "age": round(min(1e6, pace.age), 1)},
+                "offers_out": core.giver.outstanding(now), "offers_held": core.taker.count(now), "away": self.reducer.away,
+                "held_back": core.held_back()}
+
+    def counted(self) -> dict[str, int]:
+        core = self.core
+        return {**self.counts, **core.giver.counts, **core.taker.counts,
+                **{f"spread_{name}": count for name, count in core.counts.items()}, "ops_at_peers": self.reducer.away}
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -19,6 +19,9 @@
            429: b"Too Many Requests", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
            503: b"Service Unavailable"}
 ONLY_ONCE = (b"content-length", b"transfer-encoding", b"connection", b"host", b"idempotency-key")
+HAND = b"x-hand"        # on an op that a peer hands over: the number of the offer, 0 for none; it is handed on once at most
+MOST_RESULT = 65536     # bytes of a peer's answer
+ANSWER_LINE = re.compile(rb"HTTP/1\.1 ([0-9]{3}) [^\r\n]*\r\n")
 OP_PATH, HEALTH_PATH, COUNTERS_PATH, FLEET_PATH = b"/svc/", b"/status/live", b"/status/counters", b"/status/fleet"
 
 
@@ -226,6 +229,33 @@
             key.decode("latin-1"), number(fields, b"x-rank", below=1.0))
 
 
+def handed(ref: str, op_type: str, tenant: str, body: bytes, started_ms: float, wait_ms: float, caller: int, work: float,
+           kb: float, again: bool, rank: float, offer: int, host: str) -> list[bytes]:
+    """The request by which an op goes to a peer, in the callers' own protocol, as pieces for one gathered write."""
+    head = (f"POST /svc/{op_type} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {ref}\r\nX-Request-Start: {started_ms:.0f}\r\n"
+            f"X-Caller: {caller}\r\nX-Memory-Kb: {max(kb, 0.001):.3f}\r\nX-Rank: {min(rank, 0.9999):.4f}\r\nX-Hand: {offer}\r\n"
+            + (f"X-Timeout-Ms: {wait_ms:.0f}\r\n" if wait_ms > 0.0 else "")
+            + (f"X-Cost-Ms: {1000.0 * work:.3f}\r\n" if work else "")
+            + (f"X-Tenant: {tenant}\r\n" if tenant else "") + ("X-Retry: 1\r\n" if again else ""))
+    return [head.encode("latin-1"), b"Content-Length: %d\r\n\r\n" % len(body), body]
+
+
+def answer_told(head: bytes) -> tuple[int, int, bool]:
+    """Status, length of the body and whether the connection closes, of a peer's answer. ValueError where it is none.
+
+    >>> answer_told(b"HTTP/1.1 200 OK\\r\\nContent-Length: 5\\r\\nConnection: close\\r\\n\\r\\n")
+    (200, 5, True)
+    """
+    line = ANSWER_LINE.match(head)
+    if line is None:
+        raise BadRequest("answer line")
+    fields = {name.lower(): text.strip() for name, _, text in (field.partition(b":") for field in head.split(LINE_END)[1:])}
+    length = fields.get(b"content-length", b"")
+    if not length.isdigit() or len(length) > 9 or int(length) > MOST_RESULT:
+        raise BadRequest("answer length")
+    return int(line[1]), int(length), fields.get(b"connection", b"").lower() == b"close"
+
+
 def answer(status: int, body: bytes = b"", level: float | None = None, hold_off: float = 0.0,
            not_elsewhere: bool = False, close: bool = False) -> list[bytes]:
     """Status line, fields and body as pieces for one gathered write.
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -93,6 +93,8 @@
         self.storms = storms and Desk(storms, hold_off, seed)
         self.may_repeat = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
                            if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.RETRYABLE}
+        self.keyed = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
+                      if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.KEYED}
         self.once = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
                      if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.NON_RETRYABLE}
         self.ended_at = self.idle_until = -math.inf     # when a run last ended; when one was asked for with none in hand
@@ -117,6 +119,8 @@
         self.counts: Counter[str] = Counter()
         self.parked: dict[str, tuple[float, float, Owed, Likeness, tuple]] = {}     # until, since, op, likeness, told
         self.calls_share: float | None = None
+        self.on_run: Callable[[float, float, float, bool], None] | None = None   # told of runs: seconds, work, failed or not
+        self.on_op: Callable[[float, float], None] | None = None        # told of the work of each op of our own callers
         self.on_tenant: Callable[[float, str], None] | None = None      # told of each op that is read, for its demand
         # By tenant, and whether it is a rate or a cap: window, pieces.
         self.parts: dict[tuple[str, bool], tuple[float, Sequence[tuple[float, float]]]] = {}
@@ -215,6 +219,8 @@
         owed.repeats = self.keys.standing(op_type, key, now)
         if self.on_tenant:
             self.on_tenant(now, tenant)
+        if self.on_op and not owed.from_peer:
+            self.on_op(now, work)
         if self.storms:
             repeat, owed.looks = self.storms.tries.read(now, like, again, op_type in self.once)
             self.storms.read(now, caller, repeat, age)
@@ -285,6 +291,11 @@
             return 0
         return max(0, int(self.hatch.limit) - len(self.owed) + self.away)
 
+    def handable(self) -> int:
+        """Ops held here that might go to a peer."""
+        return sum(not (owed.running or owed.handed or owed.from_peer or owed.place is None) and owed.op_type not in self.keyed
+                   for owed in self.owed.values())
+
     def connected(self) -> None:
         """A caller's connection was accepted: counted alone, for hundreds come at once and nothing is decided by one."""
         self.storms.watch.count(connects=1)
@@ -343,6 +354,8 @@
         if ending is Ending.STOPPED and owed.place is not None:
             ending = Ending.ERROR    # nobody here stopped it, and the module would take it for paused
         self.counts[RUN_COUNTS[ending]] += 1
+        if self.on_run and ending in (Ending.OK, Ending.ERROR):
+            self.on_run(now, now - owed.started, owed.told[2] if owed.told else 0.0, ending is Ending.ERROR)
         self._conclude(now, owed, ending, result)
         for follower in self.followers.pop(ref, ()):
             if follower in self.owed:
@@ -451,7 +464,7 @@
             if not self.unended:
                 self.idle_until = now
             self.unended += 1
-            owed.running = True
+            owed.running, owed.started = True, now
             if self.storms and owed.op_type in self.once:
                 self.storms.runs.started(now, owed.ref, Likeness(*owed.looks), owed.due)
             self._ask_run(owed)
--- a/mulleinhatch/routing/tables.py
+++ b/mulleinhatch/routing/tables.py
@@ -8,7 +8,7 @@
     """An op between its reading and the last that is expected of it: its answer, and the end of its run."""
 
     __slots__ = ("ref", "place", "op_type", "tenant", "key", "body", "repeats", "running",
-                 "due", "looks", "handed", "from_peer", "told")
+                 "due", "looks", "handed", "from_peer", "told", "started")
 
     def __init__(self, ref: str, place: int, op_type: str, tenant: str, key: str, body: bytes,
                  due: float) -> None:
@@ -19,6 +19,7 @@
         self.place: int | None = place      # the connection that waits; None once answered or gone
         self.running = False
         self.handed = self.from_peer = False    # a peer has it; it came from one
+        self.started = 0.0      # when its run was asked for
         self.told: tuple = ()   # what a peer must be told of it, where ops are handed over: when it arrived, and its figures
 
     @property
