--- a/mulleinhatch/spread/core.py
+++ b/mulleinhatch/spread/core.py
@@ -2,7 +2,7 @@
 
 No I/O, no clock. Stands on `fleet/` for members, figures and letters. It falls back to what each does alone, in this order: a
 leaving instance only gives away; in a storm nothing passes (a repeat handed on is a repeat still); who hears nobody, is
-frozen or of whose fleet most look ill neither offers nor asks; without offers it may guess, by two reports that are fresh. Each is counted.
+frozen or of whose fleet most look ill neither offers nor asks; without offers it may guess by two reports. All is counted.
 """
 from __future__ import annotations
 
--- a/mulleinhatch/standins/virtual_fleet.py
+++ b/mulleinhatch/standins/virtual_fleet.py
@@ -146,13 +146,15 @@
             self.at(self.now + self.plan.beat * self.draw.uniform(0.95, 1.1), self._beat, node, life)
         if node.stalled:
             return
-        window = self.budgets[0].window if self.budgets else 1.0
-        demands = tuple(meter.demand(node.clock(self.now)) if window else 0.0 for meter in node.meters)
         gone = node.core.members.counts["declared_gone"]
-        self._send(node, node.core.beat(node.clock(self.now), Local(demands=demands)))
+        self._send(node, node.core.beat(node.clock(self.now), self.local(node)))
         if node.core.members.counts["declared_gone"] > gone:
             self._declared(node)
 
+    def local(self, node: Node) -> Local:
+        window = self.budgets[0].window if self.budgets else 1.0
+        return Local(demands=tuple(meter.demand(node.clock(self.now)) if window else 0.0 for meter in node.meters))
+
     def _send(self, node: Node, errands: list[tuple[str, bytes]]) -> None:
         for address, data in errands:
             to = int(address.rpartition(":")[2])
--- /dev/null
+++ b/mulleinhatch/standins/virtual_spread.py
@@ -0,0 +1,513 @@
+"""Load over a fleet in virtual time: real reducers, modules, fleet and spread cores; callers that know a few instances each.
+
+One seed, one history. Checked at each step: one answer an op and place, no non-retryable op run twice anywhere, offers never
+above room. `mode` says what the instances do: `alone` (today's text), `advice`, `spread`, and to compare `random` and
+`freshest` (hand-over to anybody, or to whom the last report shows the most room). `common_queue` is the limit: one line for all servers.
+"""
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from mulleinhatch.fleet.counts import FRESH
+from mulleinhatch.interface import Advice, Deployment, Effect, Ending
+from mulleinhatch.routing.reducer import Errand, Happening, Reducer
+from mulleinhatch.spread.bounds import SpreadBounds
+from mulleinhatch.spread.core import Here, Spread
+from mulleinhatch.spread.offers import Offered
+from mulleinhatch.standins import faults
+from mulleinhatch.standins.interpreter import Cores
+from mulleinhatch.standins.virtual import Broken
+from mulleinhatch.standins.virtual_fleet import LINK, FleetWorld, Node, Plan
+
+USUAL = SpreadBounds()
+MODES = ("alone", "advice", "spread", "random", "freshest")
+KINDS = (("read", Effect.RETRYABLE, 1.0, 0.85), ("signoff", Effect.NON_RETRYABLE, 5.0, 0.15))
+TARGET, TIMEOUT = 1.8, 4.5
+PAUSE = 0.05            # seconds before a caller's next try
+MOST_TRIES = 4
+LOOK = 0.05             # seconds between looks at who is idle
+CONNECT = 0.5           # seconds until a peer that does not answer counts as not there
+SETTLED = 4.0           # seconds until views and pace are known; nothing is measured before
+BAD_SPEED = 0.1         # of a run's time that one takes which fails
+
+
+class Load(NamedTuple):
+    """Callers and their ops. `load` is asked work over all that the instances can do."""
+
+    load: float = 0.9
+    cores: int = 2
+    work: float = 0.3           # seconds of a core, mean; runs scatter
+    callers: int = 12
+    listed: int = 5             # instances that a caller knows
+    one: float = 0.0            # of all ops by one caller
+    uneven: float = 1.0         # how unevenly callers ask: 0 all alike, 1 the busiest three times the idlest
+    heeding: float = 0.8
+    list_delay: float = 1.0     # seconds until callers learn who is gone or new
+    speeds: tuple[float, ...] = ()      # by place, repeated; else all 1
+    marked: bool = True
+
+
+class Op:
+    __slots__ = ("number", "kind", "born", "caller", "work", "tries", "over", "rank", "away")
+
+    def __init__(self, number: int, kind: tuple, born: float, caller: int, work: float, rank: float) -> None:
+        self.number, self.kind, self.born, self.caller, self.work, self.rank = number, kind, born, caller, work, rank
+        self.tries, self.over = 0, False
+        self.away: set[int] = set()
+
+
+class Service(Node):
+    """An instance with its reducer and its interpreter."""
+
+    def __init__(self, world: SpreadWorld, place: int) -> None:
+        super().__init__(world, place)
+        self.spread: Spread | None = None
+        self.reducer: Reducer | None = None
+        self.cores: Cores | None = None
+        self.waiting_ops: dict[int, Callable[..., None]] = {}   # by place on it: what is done with its answer
+        self.works: dict[str, tuple[float, bool, float]] = {}   # runs: work left to do, whether they fail, when they began
+        self.ends = 0
+        self.places = self.notices = 0
+        self.level = 0.0        # what callers were told last
+        self.later: list[tuple[Callable[..., None], tuple[Any, ...]]] = []      # while it is stalled
+
+
+class SpreadWorld(FleetWorld):
+    def __init__(self, plan: Plan, load: Load, mode: str = "spread", bounds: SpreadBounds = USUAL) -> None:
+        assert mode in MODES
+        self.load, self.mode, self.spread_bounds = load, mode, bounds._replace(hand_over=mode not in ("alone", "advice"))
+        super().__init__(plan._replace(budgets=()))
+        draw = self.calls = random.Random(plan.seed + 77)
+        self.nodes = [Service(self, place) for place in range(plan.instances)]
+        self.events.clear()
+        for node in self.nodes:
+            self.at(draw.uniform(0.0, plan.beat), self.start, node)
+        for fault in self.faults:
+            self.at(fault.at, self._fault, fault)
+        speeds = load.speeds or (1.0,)
+        self.speeds = [speeds[place % len(speeds)] for place in range(plan.instances)]
+        self.capacity = sum(self.speeds) * load.cores / load.work      # ops a second
+        # Each caller knows `listed` next to each other: busy callers' instances are the busy ones.
+        step = plan.instances / load.callers
+        self.lists = [[int(caller * step + turn) % plan.instances for turn in range(min(load.listed, plan.instances))]
+                      for caller in range(load.callers)]
+        weights = [1.0 + 2.0 * load.uneven * caller / max(1, load.callers - 1) for caller in range(load.callers)]
+        if load.one:
+            weights[0] = load.one / (1.0 - load.one) * sum(weights[1:])
+        self.weights = weights
+        self.known_up = [True] * plan.instances
+        self.turns = [0] * load.callers
+        self.hold_off: dict[tuple[int, int], float] = {}
+        self.ops = 0
+        self.asked = self.in_time = 0.0
+        self.latencies: list[float] = []
+        self.idle_needed = 0.0
+        self.idle_then: list[tuple[float, list[int]]] = []
+        self.arrivals: Counter[tuple[int, int]] = Counter()
+        self.ran: Counter[int] = Counter()
+        self.once: set[int] = set()     # numbers of non-retryable ops
+        self.handed = Counter[str]()
+        self.nacked_at = -1.0
+        self.busy: list[list[float]] = []       # each half second, the share of each instance's cores in use
+        self.wishes: list[list[float]] = []
+        self.at(SETTLED - 2.0, self._born)
+        self.at(SETTLED, self._look)
+
+    # Instances.
+
+    def start(self, node: Node) -> None:
+        if node.core:
+            return
+        super().start(node)
+        now, load = node.clock(self.now), self.load
+        node.spread = None
+        if self.mode != "alone":
+            bounds = self.spread_bounds._replace(at=f"10.0.0.1:{node.place}")
+            node.spread = Spread(bounds, node.core, self.draw.getrandbits(40), now, returns=node.lives > 1)
+            node.core.ops_at = bounds.at
+            if self.mode in ("random", "freshest"):
+                self._compared(node)
+        deployment: Deployment = {
+            "op_types": [{"effect": kind[1], "importance": kind[2], "target_latency": TARGET, "op_timeout": TIMEOUT}
+                         for kind in KINDS],
+            "cores": load.cores, "crowd_per_core": 8.0, "callers": load.callers, "hold_off_allowed": True,
+            "max_hold_off": 3.0, "gauges": ["core_use"], "advice": Advice.FLOOR, "drain_grace": 2.0}
+        node.reducer = Reducer(deployment, [kind[0] for kind in KINDS], [], node.place + 1)
+        node.cores, node.works, node.waiting_ops, node.later = Cores(load.cores, lambda at: 1.0), {}, {}, []
+        node.notices, node.level = 0, 0.0
+        if node.spread:
+            node.reducer.hands = self.spread_bounds.hand_over
+            node.reducer.on_run, node.reducer.on_op = node.spread.ran, node.spread.came
+        self._take(node, Happening.LINK_OPENED)
+        self._take(node, Happening.INTERPRETER_UP, False, 100.0)
+        self.at(self.now + load.list_delay, self._listed, node, node.lives, True)
+
+    def _listed(self, node: Service, life: int, up: bool) -> None:
+        if not up and node.core and node.lives > life:
+            return
+        self.known_up[node.place] = up
+
+    def _compared(self, node: Service) -> None:
+        """What others do without offers, for the same module and rules."""
+        spread = node.spread
+        spread.giver.give = lambda *told, **more: []
+
+        def choices() -> list[tuple[float, str]]:
+            now = node.clock(self.now)
+            rows = [(row.value("room"), name) for name, row in node.core.known.rows.items()
+                    if now - row.made_at <= FRESH and name in node.core.members.view]
+            return rows if self.mode == "random" else [row for row in rows if row[0] >= 1.0]
+
+        def take(now: float) -> Offered | None:
+            rows = choices()
+            if not rows:
+                return None
+            name = self.draw.choice(rows)[1] if self.mode == "random" else max(rows)[1]
+            return Offered(name, f"10.0.0.1:{name[1:]}", 0, now)
+        spread.take, spread.offered = take, lambda now: 4 if choices() else 0
+
+    def _fault(self, fault: faults.Fault) -> None:
+        before = [(self.nodes[place], self.nodes[place].core) for place in fault.places]
+        if fault.what == "leave":
+            for node, core in before:
+                if core:
+                    self._take(node, Happening.LEAVE, 2.5)
+        super()._fault(fault)
+        for node, core in before:
+            if fault.what == "kill" and core:
+                self._died(node)
+            elif fault.what == "go" and node.core:
+                later, node.later = node.later, []
+                for act, told in later:
+                    act(*told)
+            elif fault.what == "leave" and core:
+                self.at(self.now + self.load.list_delay, self._listed, node, node.lives, False)
+
+    def _gone(self, node: Node, life: int) -> None:
+        if node.lives == life and node.core:
+            super()._gone(node, life)
+            self._died(node)
+
+    def _died(self, node: Service) -> None:
+        waiting, node.waiting_ops, node.works = node.waiting_ops, {}, {}
+        self.at(self.now + self.load.list_delay, self._listed, node, node.lives, False)
+        for answered in waiting.values():
+            answered("broken", b"")
+
+    def _beat(self, node: Node, life: int, again: bool = True) -> None:
+        if node.core is None or node.lives != life:
+            return
+        if node.spread and not node.stalled:
+            now, reducer = node.clock(self.now), node.reducer
+            here = Here(reducer.room(), reducer.handable(), int(reducer.hatch.limit), reducer.stop_at is not None)
+            self._send(node, node.spread.beat(now, here))
+            self._check_offers(node, now)
+            self._offers(node)
+            told = (node.core.free(now), node.core.judged_ill(), math.inf, node.spread.wish)
+            if told != getattr(node, "told", None):
+                node.told = told
+                self._take(node, Happening.OTHERS, *told)
+        super()._beat(node, life, again)
+
+    def local(self, node: Node) -> Any:
+        """What it says of itself in its reports."""
+        now, reducer = node.clock(self.now), node.reducer
+        counts = reducer.counts
+        figures = [counts["ops_read"], 0, counts["run_ok"], counts["decided_nack"],
+                   len(reducer.owed) - reducer.unended - reducer.away, reducer.unended, round(reducer.hatch.capacity()),
+                   int(reducer.healthy), counts["run_error"], reducer.room()]
+        opinions = []
+        if node.spread:
+            figures += node.spread.figures(now)
+            opinions = node.spread.opinions(now)
+        return super().local(node)._replace(figures=figures, opinions=opinions)
+
+    def _check_offers(self, node: Service, now: float) -> None:
+        giver = node.spread.giver
+        if giver.counts["offers_given"] > getattr(node, "given", 0):
+            node.given = giver.counts["offers_given"]
+            if giver.outstanding(now) > max(0, node.spread.here.room):
+                raise Broken(f"at {self.now:.3f} {node.name} offers {len(giver.given)} with room for {node.spread.here.room}")
+
+    def _heard(self, node: Node, data: bytes) -> None:
+        if node.spread:
+            node.spread.here = node.spread.here._replace(room=node.reducer.room())
+        super()._heard(node, data)
+        if node.spread:
+            self._send(node, node.spread.said())
+            self._check_offers(node, node.clock(self.now))
+            self._offers(node)
+
+    def _offers(self, node: Service) -> None:
+        if node.reducer.owed and self.spread_bounds.hand_over:
+            self._take(node, Happening.OFFERS, node.spread.offered(node.clock(self.now)))
+
+    # What a reducer asks for.
+
+    def _take(self, node: Service, happening: Happening, *told: Any) -> None:
+        if node.core is None:
+            return
+        if node.stalled:
+            node.later.append((self._take, (node, happening, *told)))
+            return
+        for errand, *fields in node.reducer.reduce(node.clock(self.now), happening, *told):
+            self._do(node, errand, fields)
+
+    def _do(self, node: Service, errand: Errand, fields: list[Any]) -> None:
+        if errand is Errand.RUN:
+            self._run(node, fields[0], fields[2])
+        elif errand is Errand.GAUGES:
+            use = min(1.0, len(node.works) / self.load.cores)
+            self.at(self.now, self._for_life, node, node.lives, Happening.GAUGES, fields[0], [use])
+        elif errand is Errand.ALARM:
+            self.at(self.now + fields[0], self._for_life, node, node.lives, Happening.ALARM, fields[1])
+        elif errand is Errand.HAND:
+            self._hand(node, *fields)
+        elif errand in (Errand.ACK, Errand.NACK, Errand.FAIL, Errand.REFUSE):
+            answered = node.waiting_ops.pop(fields[0], None)
+            if answered is None:
+                raise Broken(f"at {self.now:.3f} {node.name} answers place {fields[0]} twice, or nobody there")
+            node.level = fields[-1] or 0.0
+            self.at(self.now + self.draw.uniform(*LINK), answered, errand.value,
+                    fields[1] if errand is Errand.ACK else fields[1:3] if errand is Errand.NACK else b"")
+
+    def _for_life(self, node: Service, life: int, happening: Happening, *told: Any) -> None:
+        if node.lives == life:
+            self._take(node, happening, *told)
+
+    def _run(self, node: Service, ref: str, body: bytes) -> None:
+        number, work = body.split()
+        if ref in node.works:
+            raise Broken(f"at {self.now:.3f} {node.name} runs {ref} twice at a time")
+        self.ran[int(number)] += 1
+        if self.ran[int(number)] > 1 and int(number) in self.once:
+            raise Broken(f"at {self.now:.3f} a non-retryable op runs a second time, on {node.name}")
+        slow = max(1.0, faults.amount(self.faults, "slow", self.now, node.place)) / self.speeds[node.place]
+        bad = self.draw.random() < faults.amount(self.faults, "failing", self.now, node.place)
+        node.works[ref] = (float(work), bad, self.now)
+        node.cores.start(self.now, ref, float(work) * slow * (BAD_SPEED if bad else 1.0))
+        self._next_end(node)
+
+    def _next_end(self, node: Service) -> None:
+        node.ends += 1
+        left = node.cores.next_end(self.now)
+        if left is not None:
+            self.at(self.now + max(0.0, left), self._ended, node, node.lives, node.ends)
+
+    def _ended(self, node: Service, life: int, number: int) -> None:
+        if node.lives != life or node.core is None or node.ends != number:
+            return
+        for ref in node.cores.ended(self.now + 1e-9):
+            _, bad, _ = node.works.pop(ref, (0.0, False, 0.0))
+            node.notices += 1
+            self._take(node, Happening.RUN_ENDED, node.notices, ref, Ending.ERROR if bad else Ending.OK, ref.encode())
+        self._next_end(node)
+
+    # Hand-over.
+
+    def _hand(self, node: Service, ref: str, op_type: str, tenant: str, body: bytes, age: float, left: float, caller: int,
+              work: float, kb: float, again: bool, rank: float) -> None:
+        offer = node.spread.take(node.clock(self.now))
+        life = node.lives
+        if offer is None:
+            self.at(self.now, self._for_life, node, life, Happening.HAND_ENDED, ref, Ending.UNREACHABLE, b"")
+            return
+        peer = self.nodes[int(offer.at.rpartition(":")[2])]
+        self.handed["to " + ("offers" if offer.number else "guesses")] += 1
+        ended = []
+
+        def over(ending: Ending, result: bytes = b"") -> None:
+            if ended:
+                return
+            ended.append(ending)
+            self.handed[ending.name.lower()] += 1
+            if node.lives == life and node.core:
+                node.spread.ended(node.clock(self.now), offer, ending in (Ending.ERROR, Ending.INTERRUPTED),
+                                  ending in (Ending.UNREACHABLE, Ending.INTERRUPTED))
+                self._take(node, Happening.HAND_ENDED, ref, ending, result)
+        there = faults.passes(self.links, self.now, node.place, peer.place) and faults.passes(
+            self.links, self.now, peer.place, node.place)
+        if not there or peer.core is None:
+            self.at(self.now + (LINK[1] if there else CONNECT), over, Ending.UNREACHABLE)
+            return
+        if left:
+            self.at(self.now + max(0.01, left - 0.08), over, Ending.INTERRUPTED)
+        self.at(self.now + self.draw.uniform(*LINK), self._arrives_handed, node, peer, peer.lives, offer, over,
+                (ref, op_type, tenant, age, max(0.01, left - 0.08) if left else 0.0, caller, work, kb, again, "", body, rank,
+                 True))
+
+    def _arrives_handed(self, node: Service, peer: Service, life: int, offer: Offered, over: Callable[..., None],
+                        told: tuple) -> None:
+        if peer.core is None or peer.lives != life:
+            over(Ending.INTERRUPTED)
+            return
+        if peer.spread:
+            peer.spread.giver.came(peer.clock(self.now), offer.number)
+
+        def answered(what: str, result: Any) -> None:
+            passes = faults.passes(self.links, self.now, peer.place, node.place)
+            if passes:
+                over({"ack": Ending.OK, "fail": Ending.ERROR, "broken": Ending.INTERRUPTED}.get(what, Ending.FULL),
+                     result if what == "ack" else b"")
+        self._read(peer, answered, told)
+
+    def _read(self, node: Service, answered: Callable[..., None], told: tuple) -> None:
+        if self.now >= SETTLED:
+            self.arrivals[node.place, int(self.now)] += 1
+        node.places += 1
+        node.waiting_ops[node.places] = answered
+        self._take(node, Happening.OP_READ, node.places, *told)
+
+    # Callers.
+
+    def _born(self) -> None:
+        load, draw = self.load, self.calls
+        if self.now >= self.plan.until - TARGET - 0.5:
+            return
+        self.at(self.now + draw.expovariate(load.load * self.capacity), self._born)
+        self.ops += 1
+        kind = draw.choices(KINDS, [kind[3] for kind in KINDS])[0]
+        caller = draw.choices(range(load.callers), self.weights)[0]
+        op = Op(self.ops, kind, self.now, caller, load.work * draw.uniform(0.4, 1.6), draw.random())
+        if kind[1] is not Effect.RETRYABLE:
+            self.once.add(op.number)
+        if self.now >= SETTLED:
+            self.asked += kind[2]
+        self._try(op)
+
+    def _try(self, op: Op) -> None:
+        load = self.load
+        wait = TIMEOUT - (self.now - op.born)
+        if op.over or op.tries >= MOST_TRIES or wait < 0.1:
+            op.over = True
+            return
+        op.tries += 1
+        heeds = (op.number * 7919 % 1000) / 1000.0 < load.heeding
+        listed = [place for place in self.lists[op.caller] if self.known_up[place]] or self.lists[op.caller]
+        self.turns[op.caller] += 1
+        start = self.turns[op.caller]
+        ordered = [listed[(start + turn) % len(listed)] for turn in range(len(listed))]
+        fresh = [place for place in ordered if place not in op.away] or ordered
+        chosen = fresh[0]
+        if heeds:
+            able = [place for place in fresh if self.hold_off.get((op.caller, place), 0.0) <= self.now]
+            chosen = next((place for place in able if op.rank >= self.nodes[place].level), able[0] if able else chosen)
+        node = self.nodes[chosen]
+        if node.core is None:
+            self._broken(op, chosen, refused=True)
+            return
+        ref = f"{self.draw.getrandbits(60):016x}"
+        life = node.lives
+
+        def answered(what: str, result: Any) -> None:
+            self._answered(op, chosen, what, result, heeds)
+        self.at(self.now + wait + 0.2, self._too_late, op)
+        self.at(self.now + self.draw.uniform(*LINK), self._reads, node, life, answered, (
+            ref, op.kind[0], "", 0.0, wait, op.caller, op.work, 1.0, op.tries > 1 and load.marked, "",
+            b"%d %.6f" % (op.number, op.work), op.rank))
+
+    def _reads(self, node: Service, life: int, answered: Callable[..., None], told: tuple) -> None:
+        if node.core is None or node.lives != life:
+            answered("broken", b"")
+        else:
+            self._read(node, answered, told)
+
+    def _too_late(self, op: Op) -> None:
+        op.over = op.over or self.now - op.born >= TIMEOUT
+
+    def _answered(self, op: Op, place: int, what: str, result: Any, heeds: bool) -> None:
+        if what == "ack":
+            if not op.over and op.born >= SETTLED:
+                self.latencies.append(self.now - op.born)
+                if self.now - op.born <= TARGET:
+                    self.in_time += op.kind[2]
+            op.over = True
+        elif what == "nack":
+            self.nacked_at = self.now
+            self.counts["nacked"] += 1
+            op.away.add(place)
+            seconds, not_elsewhere = result
+            if heeds and seconds:
+                self.hold_off[op.caller, place] = self.now + seconds
+            if not (heeds and not_elsewhere):
+                self.at(self.now + PAUSE, self._try, op)
+        elif what == "broken":
+            self._broken(op, place, refused=False)
+        else:
+            self.counts["failed"] += 1
+            if op.kind[1] is Effect.RETRYABLE:
+                self.at(self.now + PAUSE, self._try, op)
+
+    def _broken(self, op: Op, place: int, refused: bool) -> None:
+        self.counts["refused" if refused else "broken"] += 1
+        op.away.add(place)
+        if refused or op.kind[1] is Effect.RETRYABLE:
+            self.at(self.now + PAUSE, self._try, op)
+
+    # What is seen from outside.
+
+    def _look(self) -> None:
+        self.at(self.now + LOOK, self._look)
+        up = [node for node in self.nodes if node.core and not node.stalled]
+        held = {node.place: len(node.reducer.owed) - node.reducer.unended - node.reducer.away for node in up}
+        needing = sum(count > 0 for count in held.values()) > 0 or self.now - self.nacked_at < LOOK
+        if needing:
+            idle = sum(not node.works and not held[node.place] and node.reducer.stop_at is None for node in up)
+            self.idle_needed += LOOK * idle
+        if len(self.busy) < 2.0 * (self.now - SETTLED):
+            self.busy.append([min(1.0, len(node.works) / self.load.cores) if node.core else -1.0 for node in self.nodes])
+            self.wishes.append([node.spread.wish if node.spread else node.level for node in self.nodes])
+
+    def figures(self) -> dict[str, float]:
+        """Of all that was asked for after `SETTLED`."""
+        latencies = sorted(self.latencies) or [math.inf]
+        seconds = sorted({second for _, second in self.arrivals})[:-1]
+        mean = sum(self.arrivals[place, second] for place in range(self.plan.instances) for second in seconds) / max(
+            1, len(seconds) * self.plan.instances)
+        most = max((self.arrivals[place, second] for place in range(self.plan.instances) for second in seconds), default=0)
+        return {"in_time": self.in_time / max(1.0, self.asked), "idle_needed": self.idle_needed,
+                "most_over_mean": most / max(1e-9, mean), "p50": latencies[len(latencies) // 2],
+                "p99": latencies[int(0.99 * (len(latencies) - 1))], "nacked": self.counts["nacked"],
+                "handed": self.handed["to offers"] + self.handed["to guesses"], "refused by peers": self.handed["full"]}
+
+
+def common_queue(plan: Plan, load: Load) -> dict[str, float]:
+    """All servers behind one line, by importance and then by arrival, each op given up when it can't be in time: no fleet of
+    instances can do better at the same ops."""
+    draw = random.Random(plan.seed + 77)
+    speeds = load.speeds or (1.0,)
+    slots = [speeds[place % len(speeds)] for place in range(plan.instances) for _ in range(load.cores)]
+    capacity = sum(slots) / load.work
+    now, ops = SETTLED - 2.0, []
+    while now < plan.until - TARGET - 0.5:
+        kind = draw.choices(KINDS, [kind[3] for kind in KINDS])[0]
+        ops.append((now, kind[2], load.work * draw.uniform(0.4, 1.6)))
+        now += draw.expovariate(load.load * capacity)
+    free = [(0.0, -speed) for speed in slots]
+    heapq.heapify(free)
+    asked = in_time = 0.0
+    latencies, line, at = [], [], deque(ops)
+    while at or line:
+        moment, speed = heapq.heappop(free)
+        if not line and at:
+            moment = max(moment, at[0][0])
+        while at and at[0][0] <= moment:
+            born, worth, work = at.popleft()
+            asked += worth if born >= SETTLED else 0.0
+            heapq.heappush(line, (-worth, born, work))
+        if line:
+            worth, born, work = heapq.heappop(line)
+            took = moment + work / -speed - born
+            if took <= TARGET:
+                in_time += -worth if born >= SETTLED else 0.0
+                latencies.append(took)
+                moment += work / -speed
+        heapq.heappush(free, (moment, speed))
+    latencies.sort()
+    return {"in_time": in_time / max(1.0, asked), "p50": latencies[len(latencies) // 2],
+            "p99": latencies[int(0.99 * (len(latencies) - 1))]}
