--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -47,7 +47,7 @@
 STORM_BACK = 10.0       # points that a retry goes back in a storm: first tries become retries behind it
 HEAR_STEP = 0.1         # change of that rate, as a share, that is worth a word
 OTHERS_FULL = 0.05      # of what the others can serve that is free: with less nobody is to ask them either
-HAND_WAIT = 0.06        # of the shortest target latency: a longer line is worth handing over from
+HAND_WAIT = 0.03        # of the shortest target latency: a longer line is worth handing over from
 PROVES_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
 
 
--- a/mulleinhatch/program/fleet.py
+++ b/mulleinhatch/program/fleet.py
@@ -60,7 +60,7 @@
         self.core = Fleet(self.bounds, self.placement.name, address, int(1000.0 * time.time()), self.placement.seed, now)
         if self.placement.spread:
             from mulleinhatch.program.spread import SpreadSide
-            self.spread = SpreadSide(self.placement, self.core, self.reducer, self.take, returns=True)
+            self.spread = SpreadSide(self.placement, self.core, self.reducer, self.take, self._send, returns=True)
         self.reducer.on_tenant = self._asked_for if self.reducer.tenants else None
         LOG.info("fleet", extra={"fields": {"fleet": self.bounds.fleet, "address": address}})
         loop = asyncio.get_running_loop()
--- a/mulleinhatch/program/spread.py
+++ b/mulleinhatch/program/spread.py
@@ -19,16 +19,18 @@
 
 LOG = logging.getLogger(__name__)
 ANSWER_ROOM = 0.08      # seconds that a peer's answer has to come back before ours is due
+NUDGE = 0.005           # seconds until others hear of what changed here
 AT_MOST = 30.0          # seconds for an op that tells no time
 UNRUN = (429, 503, 400, 404, 405, 408, 409, 411, 413, 431)     # by these it never ran there
 
 
 class SpreadSide:
-    def __init__(self, placement: Placement, fleet: Fleet, reducer: Reducer, take: Callable[..., None], returns: bool) -> None:
+    def __init__(self, placement: Placement, fleet: Fleet, reducer: Reducer, take: Callable[..., None],
+                 send: Callable[[list[tuple[str, bytes]]], None], returns: bool) -> None:
         bounds = placement.spread
         if not bounds.at:
             bounds = bounds._replace(at=":".join(map(str, placement.listen)))
-        self.reducer, self.take = reducer, take
+        self.reducer, self.take, self.send = reducer, take, send
         self.core = Spread(bounds, fleet, placement.seed, time.monotonic(), returns)
         self.peers = Peers(bounds.links, http.answer_told, time.monotonic)
         self.counts: Counter[str] = Counter()
@@ -36,13 +38,35 @@
         self.tasks: set[asyncio.Task[None]] = set()
         fleet.ops_at = bounds.at if bounds.hand_over else ""
         reducer.hands = True
-        reducer.on_run, reducer.on_op = self.core.ran, self.core.came
+        self.nudged = False
+        reducer.on_run, reducer.on_op = self._ran, self._came
 
-    def beat(self, now: float) -> list[tuple[str, bytes]]:
+    def _ran(self, *told: Any) -> None:
+        self.core.ran(*told)
+        self._nudge()
+
+    def _came(self, *told: Any) -> None:
+        self.core.came(*told)
+        self._nudge()
+
+    def _nudge(self) -> None:
+        """Once for all that happens in a moment, after it was decided on."""
+        if not self.nudged:
+            self.nudged = True
+            asyncio.get_running_loop().call_later(NUDGE, self._nudges)
+
+    def _nudges(self) -> None:
+        self.nudged, now = False, time.monotonic()
+        self.send(self.core.nudge(now, self._here()))
+        self.tell(now)
+
+    def _here(self) -> Here:
         reducer = self.reducer
-        letters = self.core.beat(now, Here(
-            reducer.room(), reducer.handable(), int(reducer.hatch.limit) if reducer.hatch else 1, reducer.stop_at is not None,
-            bool(reducer.storms and reducer.storms.on)))
+        return Here(reducer.room(), reducer.handable(), int(reducer.hatch.limit) if reducer.hatch else 1,
+                    reducer.stop_at is not None, bool(reducer.storms and reducer.storms.on))
+
+    def beat(self, now: float) -> list[tuple[str, bytes]]:
+        letters = self.core.beat(now, self._here())
         self.peers.sweep()
         self.tell(now)
         return letters
--- a/mulleinhatch/spread/bounds.py
+++ b/mulleinhatch/spread/bounds.py
@@ -8,7 +8,7 @@
     """Times are seconds."""
 
     hand_over: bool = True          # False: advice alone, nothing passes between instances but fleet state
-    advice: bool = True             # the share of what comes that is wished elsewhere
+    advice: bool = False            # callers are told what share of what comes is wished elsewhere; beside hand-over it costs
     at: str = ""                    # host:port where peers send ops: where callers connect, unless it is told
     offer_for: float = 0.3          # how long an offer holds
     most_offers: int = 8            # given at a time; never more than there is room for
--- a/mulleinhatch/spread/core.py
+++ b/mulleinhatch/spread/core.py
@@ -89,6 +89,15 @@
         self.wish = self.share.beat(now, self.seen) if self.bounds.advice else 0.0
         return letters
 
+    def nudge(self, now: float, here: Here) -> list[tuple[str, bytes]]:
+        """An op came or a run ended between two beats: who just began to hold asks at once, who just got room offers it."""
+        before, self.here = self.here, here
+        letters = self._give(now) if here.room and self.needs else []
+        if here.held and not before.held and self.bounds.hand_over and not self.taker.count(now) and not self.held_back():
+            self.fleet.want = here.held
+            letters += [letter for name in self._to_ask(now) for letter in self.fleet.said_to(now, name, [])]
+        return letters
+
     def held_back(self) -> str:
         """Why nothing is handed over just now; empty where it may be."""
         fleet = self.fleet
--- a/mulleinhatch/standins/fleet_rig.py
+++ b/mulleinhatch/standins/fleet_rig.py
@@ -45,11 +45,16 @@
     directory: bool = False     # stubs know the instances that it lists, a second late; else all of them
     fleet: bool = True          # False: the same processes with no fleet, for what it costs
     lease: float = 5.0
+    spread: str = ""            # lines of a `spread` node; "-" for an empty one; none: load is not spread
+    signoffs: float = 0.0       # share of the ops that may not run twice
+    tries: int = 1              # of an op
+    heeding: float = 0.0
 
 
 def settings(case: FleetCase) -> dict[str, Any]:
     timing = {"aim": 1800.0, "deadline": 4500.0, "late_worth": 0.0, "memory_span": 60_000.0}
-    return {"classes": [{"name": "read", "effect": "safe", "worth": 1.0, **timing}],
+    return {"classes": [{"name": "read", "effect": "safe", "worth": 1.0, **timing},
+                        *([{"name": "signoff", "effect": "unsafe", "worth": 5.0, **timing}] if case.signoffs else [])],
             "tenants": [{"name": "t", "share": 1.0}],
             "family_info": {"cores": case.cores, "gauges": ["core_use", "on_cores", "heap_share", "links"],
                             "memory_kb": 60_000.0, "run_factor": 4.0, "key_kb": 1.0, "say": "floor",
@@ -81,6 +86,9 @@
         operator.write_text(f'fleet {{\n name "rig"\n listen "127.0.0.1:{self.udp}"\n status "127.0.0.1:{self.port}"\n'
                             f' advertise "127.0.0.1:{rig.here[self.place]}"\n seeds {seeds}\n beat {case.beat}\n'
                             f' seats {names}\n {budget}\n}}\n' if case.fleet else "")
+        if case.spread:
+            with open(operator, "a") as more:
+                more.write(f'spread {{\n at "127.0.0.1:{self.port}"\n {case.spread.strip("-")}\n}}\n')
         with open(rig.folder / f"{self.name}.log", "a") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-O", "-m", "mulleinhatch", "serve", "--config", str(config), "--operator", str(operator),
@@ -201,12 +209,15 @@
         self.relay = await self._stand_in("relay")
         self.start_at = time.time() + 0.5
         await self._tell_relay(self.start_at)
-        for number, (places, rate) in enumerate(self.case.loads):
+        case = self.case
+        for number, (places, rate) in enumerate(case.loads):
             chosen = faults.numbers(places, self.case.instances)
             habits = {"instances": [["127.0.0.1", self.nodes[place].port] for place in chosen],
-                      "kinds": [{"name": "read", "share": 1.0}], "start_at": self.start_at, "run_for": self.case.run_for,
+                      "kinds": [{"name": "read", "share": 1.0 - case.signoffs},
+                                *([{"name": "signoff", "share": case.signoffs, "repeats": "unsafe"}] if case.signoffs else [])],
+                      "heeding": case.heeding, "start_at": self.start_at, "run_for": self.case.run_for,
                       "rate": rate, "seed": 100 * self.case.seed + number, "first_caller": 4 * number, "patience": 4.5,
-                      "work_ms": self.case.work_ms, "connections": 24, "most_tries": 1, "tenant": "t",
+                      "work_ms": self.case.work_ms, "connections": 24, "most_tries": case.tries, "tenant": "t",
                       "names": [self.nodes[place].name for place in chosen],
                       "directory": self.lists if self.case.directory else 0}
             load = await self._stand_in("stubs")
--- a/mulleinhatch/standins/interpreter.py
+++ b/mulleinhatch/standins/interpreter.py
@@ -213,7 +213,9 @@
     loop.add_reader(sys.stdin.fileno(), hear)
     print("up", flush=True)
     await stop.wait()
-    print(json.dumps([{**host.report(), "starts": host.starts} for host in hosts]), flush=True)
+    print(json.dumps([{**host.report(), "starts": host.starts,
+                       "signoffs": {name: count for name, count in host.ran.items() if name.startswith("signoff ")}}
+                      for host in hosts]), flush=True)
     os._exit(0)     # the links are open still, and their readers would only complain
 
 
--- a/mulleinhatch/standins/virtual_spread.py
+++ b/mulleinhatch/standins/virtual_spread.py
@@ -2,7 +2,8 @@
 
 One seed, one history. Checked at each step: one answer an op and place, no non-retryable op run twice anywhere, offers never
 above room. `mode` says what the instances do: `alone` (today's text), `advice`, `spread`, and to compare `random` and
-`freshest` (hand-over to anybody, or to whom the last report shows the most room). `common_queue` is the limit: one line for all servers.
+`freshest` (hand-over to anybody, or to whom the last report shows the most room). `common_queue` is the
+limit: one line for all servers.
 """
 from __future__ import annotations
 
@@ -22,7 +23,7 @@
 from mulleinhatch.standins import faults
 from mulleinhatch.standins.interpreter import Cores
 from mulleinhatch.standins.virtual import Broken
-from mulleinhatch.standins.virtual_fleet import LINK, FleetWorld, Node, Plan
+from mulleinhatch.standins.virtual_fleet import GRACE, LINK, FleetWorld, Node, Plan
 
 USUAL = SpreadBounds()
 MODES = ("alone", "advice", "spread", "random", "freshest")
@@ -30,6 +31,7 @@
 TARGET, TIMEOUT = 1.8, 4.5
 PAUSE = 0.05            # seconds before a caller's next try
 MOST_TRIES = 4
+NUDGE = 0.005           # seconds from what happens to a word on it
 LOOK = 0.05             # seconds between looks at who is idle
 CONNECT = 0.5           # seconds until a peer that does not answer counts as not there
 SETTLED = 4.0           # seconds until views and pace are known; nothing is measured before
@@ -44,6 +46,7 @@
     work: float = 0.3           # seconds of a core, mean; runs scatter
     callers: int = 12
     listed: int = 5             # instances that a caller knows
+    mixed: bool = False         # lists drawn by chance; else neighbours, so that busy callers know the same few
     one: float = 0.0            # of all ops by one caller
     uneven: float = 1.0         # how unevenly callers ask: 0 all alike, 1 the busiest three times the idlest
     heeding: float = 0.8
@@ -73,6 +76,7 @@
         self.works: dict[str, tuple[float, bool, float]] = {}   # runs: work left to do, whether they fail, when they began
         self.ends = 0
         self.places = self.notices = 0
+        self.nudged = False
         self.level = 0.0        # what callers were told last
         self.later: list[tuple[Callable[..., None], tuple[Any, ...]]] = []      # while it is stalled
 
@@ -80,7 +84,8 @@
 class SpreadWorld(FleetWorld):
     def __init__(self, plan: Plan, load: Load, mode: str = "spread", bounds: SpreadBounds = USUAL) -> None:
         assert mode in MODES
-        self.load, self.mode, self.spread_bounds = load, mode, bounds._replace(hand_over=mode not in ("alone", "advice"))
+        self.load, self.mode, self.spread_bounds = load, mode, bounds._replace(hand_over=mode not in ("alone", "advice"),
+                                                                                  advice=mode == "advice" or bounds.advice)
         super().__init__(plan._replace(budgets=()))
         draw = self.calls = random.Random(plan.seed + 77)
         self.nodes = [Service(self, place) for place in range(plan.instances)]
@@ -96,6 +101,8 @@
         step = plan.instances / load.callers
         self.lists = [[int(caller * step + turn) % plan.instances for turn in range(min(load.listed, plan.instances))]
                       for caller in range(load.callers)]
+        if load.mixed:
+            self.lists = [draw.sample(range(plan.instances), min(load.listed, plan.instances)) for _ in range(load.callers)]
         weights = [1.0 + 2.0 * load.uneven * caller / max(1, load.callers - 1) for caller in range(load.callers)]
         if load.one:
             weights[0] = load.one / (1.0 - load.one) * sum(weights[1:])
@@ -176,7 +183,7 @@
         if fault.what == "leave":
             for node, core in before:
                 if core:
-                    self._take(node, Happening.LEAVE, 2.5)
+                    self._take(node, Happening.LEAVE, GRACE)
         super()._fault(fault)
         for node, core in before:
             if fault.what == "kill" and core:
@@ -203,9 +210,8 @@
         if node.core is None or node.lives != life:
             return
         if node.spread and not node.stalled:
-            now, reducer = node.clock(self.now), node.reducer
-            here = Here(reducer.room(), reducer.handable(), int(reducer.hatch.limit), reducer.stop_at is not None)
-            self._send(node, node.spread.beat(now, here))
+            now = node.clock(self.now)
+            self._send(node, node.spread.beat(now, self._here(node)))
             self._check_offers(node, now)
             self._offers(node)
             told = (node.core.free(now), node.core.judged_ill(), math.inf, node.spread.wish)
@@ -257,6 +263,22 @@
             return
         for errand, *fields in node.reducer.reduce(node.clock(self.now), happening, *told):
             self._do(node, errand, fields)
+        if (node.spread and self.spread_bounds.hand_over and not node.nudged
+                and happening in (Happening.OP_READ, Happening.RUN_ENDED)):
+            node.nudged = True
+            self.at(self.now + NUDGE, self._nudged, node, node.lives)
+
+    def _nudged(self, node: Service, life: int) -> None:
+        node.nudged = False
+        if node.lives == life and node.core and not node.stalled:
+            self._send(node, node.spread.nudge(node.clock(self.now), self._here(node)))
+            self._check_offers(node, node.clock(self.now))
+            self._offers(node)
+
+    @staticmethod
+    def _here(node: Service) -> Here:
+        reducer = node.reducer
+        return Here(reducer.room(), reducer.handable(), int(reducer.hatch.limit), reducer.stop_at is not None)
 
     def _do(self, node: Service, errand: Errand, fields: list[Any]) -> None:
         if errand is Errand.RUN:
@@ -457,7 +479,8 @@
         held = {node.place: len(node.reducer.owed) - node.reducer.unended - node.reducer.away for node in up}
         needing = sum(count > 0 for count in held.values()) > 0 or self.now - self.nacked_at < LOOK
         if needing:
-            idle = sum(not node.works and not held[node.place] and node.reducer.stop_at is None for node in up)
+            idle = sum(not node.works and not held[node.place] and node.reducer.stop_at is None
+                       and faults.amount(self.faults, "failing", self.now, node.place) < 0.5 for node in up)
             self.idle_needed += LOOK * idle
         if len(self.busy) < 2.0 * (self.now - SETTLED):
             self.busy.append([min(1.0, len(node.works) / self.load.cores) if node.core else -1.0 for node in self.nodes])
