--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -6,6 +6,7 @@
   mulleinhatch counters HOST:PORT
   mulleinhatch demo [--fault FILE] [--seconds N]
   mulleinhatch fleet (members|budgets|judgements|watch) [--operator FILE] [--at HOST:PORT]
+  mulleinhatch fleet spread [--live] [--plot FILE] [--seconds N] [--operator FILE] [--at HOST:PORT]
   mulleinhatch trace info FILE...
   mulleinhatch trace cut FILE --out FILE [--since S] [--until S] [--tenant NAME] [--op-type NAME] [--op ID]
   mulleinhatch trace merge FILE... --out FILE [--offset NODE=S]...
@@ -20,7 +21,9 @@
   --operator FILE  The operator's own file, as KDL; without one the usual bounds hold.
   --at HOST:PORT   Where the instance's callers connect; else `status` of the fleet in the operator's file.
   --fault FILE     What goes wrong in the demo, as a fault script; else a kill for 6 s.
-  --seconds N      How long the demo lasts [default: 60].
+  --seconds N      How long the demo lasts, or a plot looks [default: 60].
+  --live           The table live.
+  --plot FILE      A heat map of who was busy when, as PNG.
   --out FILE       Where a trace that is made goes; a new file.
   --offset NODE=S  Seconds to be added to a node's system clock.
   --key FILE       The key of the aliases, 16 bytes or more; the same one gives the same aliases.
--- a/mulleinhatch/commands/fleet.py
+++ b/mulleinhatch/commands/fleet.py
@@ -87,6 +87,25 @@
             time.sleep(LOOK)
 
 
+def spread_shown(told: dict[str, Any], address: str, fleet: dict[str, Any]) -> int:
+    from mulleinhatch.commands import spread
+    if not fleet.get("spread"):
+        print(f"mulleinhatch: {address}: the instance there spreads no load", file=sys.stderr)
+        return 1
+    try:
+        if told["--live"]:
+            spread.live(lambda: ask(address), text)
+        if told["--plot"]:
+            looks = spread.plot(lambda: ask(address), float(told["--seconds"]), told["--plot"])
+            print(f"{told['--plot']}: {looks} looks")
+            return 0
+    except ImportError as error:
+        print(f"mulleinhatch: {error.name} is not installed: pip install 'mulleinhatch[lab,plots]'", file=sys.stderr)
+        return 1
+    sys.stdout.write(head(fleet) + "\n" + spread.head(fleet) + "\n" + text(spread.rows(fleet)))
+    return 0
+
+
 def run(told: dict[str, Any]) -> int:
     address = told["--at"]
     try:
@@ -97,6 +116,8 @@
         if told["watch"]:
             watch(address)
         fleet = ask(address)
+        if told["spread"]:
+            return spread_shown(told, address, fleet)
     except KeyboardInterrupt:
         return 0
     except urllib.error.HTTPError:
--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -131,9 +131,12 @@
         return told
 
     def said_to(self, now: float, name: str, offers: list[Offer]) -> list[tuple[str, bytes]]:
-        """A word to a member, with offers; none to one that we do not know."""
+        """A short word to a member, with offers; none to one that we do not know. What others think and count goes along
+        with the beats: hundreds of these a second would pay for it each."""
         member = self.members.view.get(name)
-        return [self._sent(now, member.address, {"what": "word", "to": name, "offers": offers})] if member else []
+        if member is None:
+            return []
+        return [self._sent(now, member.address, {"what": "word", "to": name, "offers": offers, "short": True})]
 
     # Budgets.
 
@@ -217,11 +220,11 @@
         trades, offers = told.get("trades", []), told.get("offers", [])
         room = (MOST_BYTES - ENVELOPE - len(members.name) - len(members.address) - len(self.bounds.fleet)
                 - len(told.get("about", "")) - 40 * len(trades) - 45 * len(offers))
-        rumours = members.rumours(now, min(RUMOURS, room), to)
+        rumours = [] if "short" in told else members.rumours(now, min(RUMOURS, room), to)
         room -= sum(34 + len(rumour.name) + len(rumour.address) for rumour in rumours)
         letter = Letter(words.VERSION, self.bounds.fleet, members.name, members.address, members.life, members.incarnation,
                         told["what"], told.get("number", 0), told.get("about", ""), rumours,
-                        self._passed_on(now, room), trades, self.want, offers)
+                        [] if "short" in told else self._passed_on(now, room), trades, self.want, offers)
         data = words.encode(letter)
         self.counts["datagrams_sent"] += 1
         self.counts["bytes_sent"] += len(data)
--- a/mulleinhatch/program/operator.py
+++ b/mulleinhatch/program/operator.py
@@ -80,7 +80,7 @@
     hand_over: bool = True
     advice: bool = False
     at: Numbers | None = None
-    offer_for: Annotated[float, Meta(ge=0.05, le=10.0)] = 0.3
+    offer_for: Annotated[float, Meta(ge=0.05, le=10.0)] = 0.2
     most_offers: Annotated[int, Meta(ge=1, le=1000)] = 8
     links: Annotated[int, Meta(ge=1, le=64)] = 4
     guesses: bool = True
--- a/mulleinhatch/program/spread.py
+++ b/mulleinhatch/program/spread.py
@@ -78,9 +78,9 @@
         return self.core.said()
 
     def tell(self, now: float) -> None:
-        """The module counts down what it hands over, so the same number again may be news."""
+        """The module counts down what it hands over, and so do we (`hand`)."""
         count = self.core.offered(now) if self.reducer.owed else 0
-        if count or self.told_count:
+        if count != self.told_count:
             self.told_count = count
             self.take(Happening.OFFERS, count)
 
@@ -90,6 +90,7 @@
     # Handing over.
 
     def hand(self, ref: str, *told: Any) -> None:
+        self.told_count -= 1
         offer = self.core.take(time.monotonic())
         if offer is None:
             self.counts["hand_offers_over"] += 1
--- a/mulleinhatch/spread/offers.py
+++ b/mulleinhatch/spread/offers.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-SLACK = 0.2             # seconds that an op may be under way after its offer's end
+SLACK = 0.1             # seconds that an op may be under way after its offer's end
 MOST_HELD = 64          # offers that a taker keeps
 FADES = 5.0             # seconds after which what a peer did with our ops counts half
 BAD, BAD_ENOUGH = 0.5, 1.5      # share of bad ends from which a peer's offers are left alone, and bad ones at least
@@ -29,7 +29,7 @@
     [('a', 1), ('a', 2)]
     >>> list(giver.give(0.1, room=2, needs={"a": 5})), giver.came(0.2, 1), giver.outstanding(0.2)
     ([], True, 1)
-    >>> giver.came(0.2, 1), len(list(giver.give(0.51, room=2, needs={"a": 5})))
+    >>> giver.came(0.2, 1), len(list(giver.give(0.41, room=2, needs={"a": 5})))
     (False, 2)
     """
 
