--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -7,7 +7,9 @@
   mulleinhatch demo [--fault FILE] [--seconds N]
   mulleinhatch fleet (members|budgets|judgements|watch) [--operator FILE] [--at HOST:PORT]
   mulleinhatch fleet spread [--live] [--plot FILE] [--seconds N] [--operator FILE] [--at HOST:PORT]
-  mulleinhatch upkeep ask --for TIME --reason TEXT [--by TIME] [--emergency] [--control HOST:PORT] [--operator FILE]
+  mulleinhatch upkeep ask [NAME | --zone Z | --all] --for TIME --reason TEXT [--by TIME] [--emergency]
+                          [--control HOST:PORT] [--operator FILE]
+  mulleinhatch upkeep why NAME [--control HOST:PORT] [--operator FILE]
   mulleinhatch upkeep (cancel|order|out|history|thaw) [--control HOST:PORT] [--operator FILE]
   mulleinhatch upkeep freeze --reason TEXT [--control HOST:PORT] [--operator FILE]
   mulleinhatch upkeep release NAME --reason TEXT [--control HOST:PORT] [--operator FILE]
@@ -30,6 +32,8 @@
   --seconds N      How long the demo lasts, or a plot looks [default: 60].
   --live           The table live.
   --control HOST:PORT  Where the instance listens for upkeep; else `control` in the operator's file.
+  --zone Z         All of that zone.
+  --all            All that are there.
   --for TIME       How long it will be out: 90, 20m or 1.5h.
   --by TIME        To be done within that time.
   --reason TEXT    Why, for people and for the log.
--- a/mulleinhatch/commands/upkeep.py
+++ b/mulleinhatch/commands/upkeep.py
@@ -61,6 +61,20 @@
             f"(epoch {table['epoch']}); {told['name']} is {told['state']}{frozen}\n")
 
 
+def stands(told: dict[str, Any], name: str) -> int:
+    """Where one stands, as the instance that is asked knows it: a voter knows all that wait."""
+    permit = next((permit for permit in told["table"]["out"] if permit["name"] == name), None)
+    place = next(((at, row) for at, row in enumerate(told["order"]) if row["name"] == name), None)
+    if permit:
+        print(f"{name} is out by permit {permit['fence']}: {permit['why']}")
+    elif place:
+        print(f"{name} has place {place[0]} of {len(told['order'])}: {place[1]['why']}")
+    else:
+        known = "" if told["voter"] == "votes" else ", as far as is known here: ask a voter"
+        print(f"{name} neither is out nor waits{known}")
+    return 0 if permit or place else 1
+
+
 def run(told: dict[str, Any]) -> int:
     try:
         address = told["--control"] or (told["--operator"] and operator.read(told["--operator"]).upkeep.control)
@@ -69,7 +83,8 @@
         if told["ask"]:
             latest = time.time() + seconds(told["--by"]) if told["--by"] else 0.0
             answer = ask(address, do="ask", kind=told["--reason"], seconds=seconds(told["--for"]), latest=latest,
-                         urgency=2 if told["--emergency"] else 0)
+                         urgency=2 if told["--emergency"] else 0, names=[told["NAME"]] if told["NAME"] else None,
+                         zone=told["--zone"], all=told["--all"])
         elif told["cancel"]:
             answer = ask(address, do="cancel")
         elif told["freeze"]:
@@ -88,6 +103,8 @@
         what = "no upkeep node in the operator's file" if isinstance(error, AttributeError) else error
         print(f"mulleinhatch: {what}", file=sys.stderr)
         return 1
+    if told["why"]:
+        return stands(answer, told["NAME"])
     if told["history"]:
         for at, state, why in answer["history"]:
             print(f"{time.strftime('%Y-%m-%d %H:%M:%S', time.gmtime(at))}  {state:10} {why}")
--- a/mulleinhatch/program/operator.py
+++ b/mulleinhatch/program/operator.py
@@ -95,6 +95,9 @@
     zones: dict[str, str | list[str]] = {}
     folder: str = ""
     control: Numbers | None = None
+    freeze_after: Annotated[float, Meta(ge=0.0, le=86_400.0)] = 120.0
+    ask_when_ill: Annotated[float, Meta(ge=0.0, le=86_400.0)] = 0.0
+    ill_for: Seconds = 600.0
 
 
 class OperatorFile(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
@@ -112,6 +115,9 @@
     zones: tuple[tuple[str, str], ...]      # member and its zone
     folder: str = ""        # where a voter keeps what it promised; empty: nowhere, and it abstains after a start
     control: str = ""       # loopback host:port where people ask
+    freeze_after: float = 0.0   # seconds in which one that came back is not fit, and the rest is stopped; 0: not by itself
+    ask_when_ill: float = 0.0   # seconds of bad health after which an instance asks by itself; 0: never
+    ill_for: float = 600.0      # seconds that it then asks for
 
 
 class Operator(NamedTuple):
@@ -221,7 +227,8 @@
     if wrong:
         raise BadOperatorFile(f"{path}:{_line(text, ('upkeep',))}: upkeep.{wrong}" if ":" in wrong else
                               f"{path}:{_line(text, ('upkeep',))}: upkeep: {wrong}")
-    return UpkeepBounds(voters, told.most, told.zone_most, tuple(zones), told.folder, told.control or "")
+    return UpkeepBounds(voters, told.most, told.zone_most, tuple(zones), told.folder, told.control or "",
+                        told.freeze_after, told.ask_when_ill, told.ill_for)
 
 
 def _fleet(told: FleetFile, text: str, path: str) -> Any:
--- a/mulleinhatch/program/upkeep.py
+++ b/mulleinhatch/program/upkeep.py
@@ -19,6 +19,7 @@
 from mulleinhatch.upkeep.table import Refused, Table
 
 LOG = logging.getLogger(__name__)
+MOST_HISTORY = 1 << 20  # bytes of the file of what happened; then the older half goes
 FIT_AFTER = 2.0         # seconds of good health until one that returned counts as fit
 LONGEST_LINE = 8192
 ANSWER_WITHIN = 10.0    # seconds for a person's change to be agreed
@@ -38,12 +39,14 @@
             except (Damaged, OSError) as error:
                 raise Misplaced(f"upkeep.folder: {error}") from None
         zones = dict(told.zones)
-        self.core = Upkeep(Bounds(told.voters, told.most, told.zone_most, zones.get(placement.name, ""), told.zones), fleet,
+        bounds = Bounds(told.voters, told.most, told.zone_most, zones.get(placement.name, ""), told.zones, told.freeze_after)
+        self.core = Upkeep(bounds, fleet,
                            placement.seed + 3, time.monotonic(), kept, self.store and self.store.keep)
         self.fit_since: float | None = None
         self.left = False
         self.server: asyncio.AbstractServer | None = None
         self.history: deque[tuple[float, str, str]] = deque(maxlen=HISTORY)
+        self.ill_since: float | None = None
 
     async def listen(self) -> None:
         if self.placement.upkeep.control:
@@ -53,10 +56,47 @@
     def beat(self, now: float) -> list[tuple[str, bytes]]:
         good = self.reducer.healthy and self.reducer.hatch is not None
         self.fit_since = (self.fit_since if self.fit_since is not None else now) if good else None
+        self._ask_when_ill(now, good)
         letters = self.core.beat(now, time.time(), good and now - self.fit_since >= FIT_AFTER)
         self._tell()
         return letters
 
+    def _ask_when_ill(self, now: float, good: bool) -> None:
+        """An instance that stays ill asks by itself, where the operator wants that."""
+        after = self.placement.upkeep.ask_when_ill
+        self.ill_since = None if good or self.reducer.hatch is None else self.ill_since if self.ill_since is not None else now
+        if after and self.ill_since is not None and now - self.ill_since >= after and self.core.state is State.SERVING:
+            self.core.ask(self._request("ill", self.placement.upkeep.ill_for, ill=True))
+
+    def _request(self, kind: str, seconds: float, **more: Any) -> Request:
+        zone = dict(self.placement.upkeep.zones).get(self.placement.name, "")
+        return Request(self.placement.name, zone, kind[:40], seconds, time.time(), **more)
+
+    def _remember(self, state: str, why: str) -> None:
+        """In the folder, too, where there is one: a process that went out for work has forgotten why."""
+        self.history.append((time.time(), state, why))
+        if not self.store:
+            return
+        path = self.store.folder / "history"
+        try:
+            if path.exists() and path.stat().st_size > MOST_HISTORY:
+                lines = path.read_bytes().splitlines(keepends=True)
+                path.write_bytes(b"".join(lines[len(lines) // 2:]))
+            with open(path, "a") as file:
+                file.write(json.dumps([round(time.time(), 3), state, why]) + "\n")
+        except OSError as error:
+            LOG.warning("history not kept", extra={"fields": {"error": error}})
+
+    def _remembered(self) -> list[list[Any]]:
+        if not self.store or not (self.store.folder / "history").exists():
+            return [list(entry) for entry in self.history]
+        lines = (self.store.folder / "history").read_text().splitlines()[-HISTORY:]
+        told = []
+        for line in lines:
+            with contextlib.suppress(ValueError):       # one that a crash cut short
+                told.append(json.loads(line))
+        return told
+
     def heard(self) -> list[tuple[str, bytes]]:
         self._tell()
         return self.core.said()
@@ -65,7 +105,7 @@
         """One line a change, and leaving when the permit is there."""
         changes, self.core.changes = self.core.changes, []
         for state, why in changes:
-            self.history.append((time.time(), state, why))
+            self._remember(state, why)
             LOG.info("upkeep", extra={"fields": {"state": state, "why": why}})
         if self.core.state is State.GOING and not self.left:
             self.left = True
@@ -94,10 +134,9 @@
     async def _done(self, told: dict[str, Any]) -> dict[str, Any]:
         what, core = told["do"], self.core
         if what == "ask":
-            zone = dict(self.placement.upkeep.zones).get(self.placement.name, "")
-            core.ask(Request(self.placement.name, zone, str(told["kind"])[:40], float(told["seconds"]), time.time(),
-                             float(told.get("wished", 0.0)), float(told.get("latest", 0.0)), int(told.get("urgency", 0)),
-                             ill=bool(told.get("ill"))))
+            one = self._request(str(told["kind"]), float(told["seconds"]), wished=float(told.get("wished", 0.0)),
+                                latest=float(told.get("latest", 0.0)), urgency=int(told.get("urgency", 0)))
+            core.ask_others(time.monotonic(), self._several(one, told.get("names"), told.get("zone"), bool(told.get("all"))))
         elif what == "cancel":
             core.cancel()
         elif what == "freeze":
@@ -121,6 +160,22 @@
             raise Refused(f"no such word: {what}")
         return self.told()
 
+    def _several(self, one: Request, names: list[str] | None, zone: str | None, everybody: bool) -> list[Request]:
+        """This instance, or those named, of a zone, or all that are there."""
+        zones = dict(self.placement.upkeep.zones)
+        there = [self.placement.name, *self.core.fleet.members.alive()]
+        if names:
+            if unknown := sorted(set(names) - set(there)):
+                raise Refused(f"{unknown[0]} is not there")
+            chosen = list(names)
+        elif zone:
+            chosen = [name for name in there if zones.get(name) == zone]
+            if not chosen:
+                raise Refused(f"nobody of zone {zone} is there")
+        else:
+            chosen = there if everybody else [self.placement.name]
+        return [one._replace(name=name, zone=zones.get(name, "")) for name in chosen]
+
     @staticmethod
     def _released(table: Table, name: str) -> Table:
         permit = table.permit(name)
@@ -155,7 +210,7 @@
                            "at": going.get(place.request.name)} for place in places],
                 "places": {name: {"place": reply.place, "of": reply.waiting, "may_go": reply.may_go, "why": reply.why}
                            for name, reply in core.told_by_voters(now).items()},
-                "history": list(self.history)}
+                "history": self._remembered()}
 
     def counted(self) -> dict[str, int]:
         return {f"upkeep_{name}": count for name, count in self.core.counts.items()} | {
--- a/mulleinhatch/upkeep/core.py
+++ b/mulleinhatch/upkeep/core.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from enum import Enum
@@ -17,7 +18,7 @@
 from mulleinhatch.upkeep.order import Request, carries, order
 from mulleinhatch.upkeep.register import Kept, Round, Voter
 from mulleinhatch.upkeep.table import Refused, Table
-from mulleinhatch.upkeep.words import Answered, Asked, Query, Reply, Tell, Told, Unfit
+from mulleinhatch.upkeep.words import Answered, Asked, Please, Query, Reply, Tell, Thanks, Told, Unfit
 
 QUERY_EVERY, QUERY_FAR = 0.5, 2.0   # seconds between asks where we stand; with many before us
 FAR = 10
@@ -28,6 +29,7 @@
 REPLY_LASTS = 3.0       # seconds that a voter's word on our place counts
 REQUEST_LASTS = 6.0     # seconds that a request counts at a voter without being told again
 MOST_REQUESTS = 1000
+PLEASE_LASTS = 60.0     # seconds for which others are asked that do not answer
 MARGIN = 0.1            # of the load that the rest must be able to carry besides
 
 
@@ -46,6 +48,7 @@
     zone_most: int = 1
     zone: str = ""
     zones: tuple[tuple[str, str], ...] = ()     # of the others, by name, for those that are gone
+    freeze_after: float = 0.0       # seconds in which one that came back is not fit: then nobody else goes; 0: never by itself
 
 
 class Known(NamedTuple):
@@ -75,6 +78,9 @@
         self.round: Round | None = None
         self.round_at = self.sent_at = self.asked_at = -1e9
         self.rounds, self.number, self.next_round = 0, 0, now
+        self.please: dict[str, tuple[Request, float]] = {}      # whom a person wants asked, and until when
+        self.pleased_at = now
+        self.back_at, self.froze = math.inf, False      # since when we are back and not fit
         self.letters: list[tuple[str, bytes]] = []
         self.counts: Counter[str] = Counter()
         self.changes: list[tuple[str, str]] = []        # state and why, a line of the log each
@@ -98,6 +104,14 @@
         if self.state is State.SERVING:
             self._become(State.WAITING, request.kind)
 
+    def ask_others(self, now: float, requests: list[Request]) -> None:
+        """By name and zone of each; told again until it says that it heard."""
+        for request in requests:
+            if request.name == self.name:
+                self.ask(request)
+            else:
+                self.please[request.name] = request, now + PLEASE_LASTS
+
     def cancel(self) -> None:
         """Before it goes; who is out comes back by itself."""
         if self.state in (State.WAITING, State.ASKING):
@@ -133,6 +147,12 @@
         elif self.state is State.WAITING and now >= self.next_round and self._is_turn(now):
             self._become(State.ASKING, "its turn")
             self._begin(now, self._go)
+        elif self.state is State.CHECKING and self.bounds.freeze_after and not self.froze and (
+                now - self.back_at > self.bounds.freeze_after and now >= self.next_round):
+            # What made us ill may make the next ones ill, too.
+            self._begin(now, self._freeze)
+        if self.please and now - self.pleased_at >= QUERY_EVERY:
+            self._say_please(now)
         places = self._place(now)
         if now - self.asked_at >= (QUERY_FAR if places > FAR else QUERY_EVERY) and (
                 self.request or self.state is not State.SERVING or now - self.started < 2.0 * ABSTAINS):
@@ -143,6 +163,18 @@
         letters, self.letters = self.letters, []
         return letters
 
+    def _freeze(self, table: Table) -> Table:
+        return table if table.frozen else table.freeze(f"{self.name} came back and is not fit")
+
+    def _say_please(self, now: float) -> None:
+        self.pleased_at = now
+        for name, (request, until) in list(self.please.items()):
+            if now > until:
+                del self.please[name]
+                self.changes.append(("asking", f"{name} does not answer"))
+            else:
+                self._to(name, Please(request))
+
     def said(self) -> list[tuple[str, bytes]]:
         letters, self.letters = self.letters, []
         return letters
@@ -224,8 +256,10 @@
         if self.state is State.ASKING and permit:
             self.fence = permit.fence
             self._become(State.GOING, f"permit {permit.fence}")
+        elif self.state is State.CHECKING:
+            self.froze = bool(done.table.frozen)
         elif self.state is State.RETURNING and not permit:
-            self.fence, self.request = 0, None
+            self.fence, self.request, self.back_at, self.froze = 0, None, math.inf, False
             self._become(State.SERVING, "permit given back")
 
     # Letters.
@@ -259,6 +293,13 @@
             self._answered(now, word)
         elif isinstance(word, Told):
             self.told[sender] = word
+        elif isinstance(word, Please):
+            if self.request is None or word.request.asked > self.request.asked:
+                self.ask(word.request._replace(name=self.name, zone=self.bounds.zone))
+            self._to(sender, Thanks(word.request.asked))
+        elif isinstance(word, Thanks):
+            if sender in self.please and self.please[sender][0].asked == word.asked:
+                del self.please[sender]
         elif self.voter is None:
             self.counts["words_to_no_voter"] += 1
         elif isinstance(word, Query):
@@ -298,6 +339,7 @@
             self.voter.abstains, self.started, self.told = True, now, {}
         if reply.fence and self.state is State.SERVING:
             self.fence = max(self.fence, reply.fence)
+            self.back_at = now
             self._become(State.CHECKING, f"we hold permit {reply.fence}")
         elif reply.fence > self.fence and self.state in (State.CHECKING, State.RETURNING):
             self.fence = reply.fence
--- a/mulleinhatch/upkeep/words.py
+++ b/mulleinhatch/upkeep/words.py
@@ -58,7 +58,19 @@
     empty: bool                 # has nothing either, and does not serve as a voter
 
 
-Any_ = Query | Reply | Asked | Answered | Tell | Told
+class Please(Word):
+    """From one that a person told to ask others: go out for this. Told until it is thanked for."""
+
+    request: Request
+
+
+class Thanks(Word):
+    """For the request that was made at that time."""
+
+    asked: float
+
+
+Any_ = Query | Reply | Asked | Answered | Tell | Told | Please | Thanks
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Any_)
 
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -223,6 +223,7 @@
         self.outside: set[str] = set()      # by permit, and not back yet
         self.been: Counter[str] = Counter()
         self.asked: set[str] = set()
+        self.unfit: set[str] = set()
 
     def start(self, node: Node) -> None:
         if node.core:
@@ -240,7 +241,7 @@
             core = self.cores[node.name]
             if node.name in self.asked and not self.been[node.name] and core.state is State.SERVING:
                 core.ask(Request(node.name, "z", "kernel", self.works, 0.0))
-            self._send(node, core.beat(node.clock(self.now), self.now + node.offset, True))
+            self._send(node, core.beat(node.clock(self.now), self.now + node.offset, node.name not in self.unfit))
             if core.state is State.GOING:
                 self._goes(node)
         super()._beat(node, life, again)
@@ -357,6 +358,25 @@
     assert set(machines.been) == {"n3"}
 
 
+def test_one_person_asks_many_by_one_and_an_instance_that_stays_unfit_freezes_the_rest() -> None:
+    """Words to the others are lost on the way, and told again; the first that comes back ill stops those that wait."""
+    machines = Machines(6, "at 8 lossy all 0.5 for 4")
+    machines.permits = machines.permits._replace(freeze_after=3.0)
+    machines.unfit = {"n4"}
+    machines.play(8.0)
+    for until, names in ((14.0, ["n4"]), (40.0, ["n5", "n2"])):
+        machines.cores["n0"].ask_others(machines.nodes[0].clock(machines.now),
+                                        [Request(name, "z", "release", 1.0, 0.0) for name in names])
+        machines.play(until)
+    assert set(machines.been) == {"n4"}
+    assert machines.cores["n0"].voter.kept.table.frozen == "n4 came back and is not fit"
+    machines.unfit.clear()
+    machines.play(44.0)
+    agreed(machines, lambda table: table.freeze(""))
+    machines.play(70.0)
+    assert set(machines.been) == {"n4", "n5", "n2"}
+
+
 @pytest.mark.parametrize("lines, complaint", [
     ('voters "a" "a"', "upkeep.voters: told twice"), ('most 1', "upkeep: Object missing required field `voters`"),
     ('voters "a"\n control "10.1.1.1:5"', "upkeep.control: only on loopback"), ('voters "a"\n most 99', "upkeep.most"),
