A search for failures of the whole fleet in virtual time; two of its kind found and mended

Need: the risks lie between fleet, spread and upkeep. Change: standins/search: histories drawn in kinds that go together, real reducers, modules, fleet, spread and upkeep cores played together, checks from outside, shrinking, a report; mulleinhatch search; ten planted defects; benchmarks.search.

--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -15,6 +15,8 @@
   mulleinhatch upkeep release NAME --reason TEXT [--control HOST:PORT] [--operator FILE]
   mulleinhatch upkeep over NAME --over-the-bound TEXT [--control HOST:PORT] [--operator FILE]
   mulleinhatch upkeep voters VOTER... [--control HOST:PORT] [--operator FILE]
+  mulleinhatch search [--seconds N] [--seed N] [--out FILE]
+  mulleinhatch search replay FILE...
   mulleinhatch trace info FILE...
   mulleinhatch trace cut FILE --out FILE [--since S] [--until S] [--tenant NAME] [--op-type NAME] [--op ID]
   mulleinhatch trace merge FILE... --out FILE [--offset NODE=S]...
@@ -29,7 +31,8 @@
   --operator FILE  The operator's own file, as KDL; without one the usual bounds hold.
   --at HOST:PORT   Where the instance's callers connect; else `status` of the fleet in the operator's file.
   --fault FILE     What goes wrong in the demo, as a fault script; else a kill for 6 s.
-  --seconds N      How long the demo lasts, or a plot looks [default: 60].
+  --seconds N      How long the demo or a search lasts, or a plot looks [default: 60].
+  --seed N         The first seed of a search; else 1.
   --live           The table live.
   --control HOST:PORT  Where the instance listens for upkeep; else `control` in the operator's file.
   --zone Z         All of that zone.
@@ -65,7 +68,7 @@
 
 from docopt import docopt
 
-COMMANDS = ("serve", "check", "counters", "demo", "fleet", "trace", "upkeep", "version")
+COMMANDS = ("serve", "check", "counters", "demo", "fleet", "search", "trace", "upkeep", "version")
 
 
 def main(argv: list[str] | None = None) -> int:
--- /dev/null
+++ b/mulleinhatch/commands/search.py
@@ -0,0 +1,46 @@
+"""A search for failures of a whole fleet, in virtual time: a campaign, or one history again."""
+from __future__ import annotations
+
+import itertools
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+
+def run(told: dict[str, Any]) -> int:
+    try:
+        from mulleinhatch.standins.search import campaign, play
+    except ImportError as error:
+        print(f"mulleinhatch: {error.name} is not installed: pip install 'mulleinhatch[lab]'", file=sys.stderr)
+        return 1
+    try:
+        if told["replay"]:
+            return again(told, campaign, play)
+        done = campaign.campaign(itertools.count(int(told["--seed"] or 1)), float(told["--seconds"]), told=print)
+        print(f"{done.histories} histories in {done.seconds:.0f} s, {done.states} states, {len(done.findings)} findings")
+        if told["--out"]:
+            path = Path(told["--out"])
+            before = path.with_suffix(".json")
+            known = json.loads(before.read_text()) if before.exists() else None
+            campaign.report(done, path, known)
+            print(f"{path}")
+        for number, finding in enumerate(done.findings):
+            kept = Path(f"finding-{int(time.time())}-{number}.txt")
+            kept.write_text(campaign.as_text(finding.short))
+            print(f"{kept}: {finding.what}")
+    except (OSError, ValueError, KeyError) as error:
+        print(f"mulleinhatch: {error}", file=sys.stderr)
+        return 1
+    return 1 if done.findings else 0
+
+
+def again(told: dict[str, Any], campaign: Any, play: Any) -> int:
+    failed = 0
+    for name in told["FILE"]:
+        found = play.play(campaign.replayed(Path(name).read_text()))
+        failed += bool(found.what)
+        print(f"{name}: {found.what or 'all held'}; in time {found.before:.2f} before, {found.worst:.2f} in the worst second, "
+              f"{found.after:.2f} after")
+    return 1 if failed else 0
--- a/mulleinhatch/program/fleet.py
+++ b/mulleinhatch/program/fleet.py
@@ -121,7 +121,8 @@
         counts, hatch = reducer.counts, reducer.hatch
         storms = reducer.storms
         repeats = storms.counts["repeats_read"] if storms else 0
-        reads = counts["ops_read"] + (storms.turned if storms else 0)
+        # What peers hand over is their demand: counted twice, the fleet looks as if it could spare nobody.
+        reads = counts["ops_read"] - counts["ops_from_peers"] + (storms.turned if storms else 0)
         figures = [max(0, reads - repeats), repeats, counts["run_ok"], counts["decided_nack"],
                    max(0, len(reducer.owed) - reducer.unended - reducer.away), max(0, reducer.unended),
                    round(min(1e9, hatch.capacity())) if hatch else 0, int(reducer.healthy and hatch is not None),
--- /dev/null
+++ b/mulleinhatch/standins/search/defects.py
@@ -0,0 +1,68 @@
+"""Defects planted one at a time, to see whether the search finds them: each takes one thing out of the program."""
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+
+from mulleinhatch.decide import PROVES_UNRUN, Hatch, Stage
+from mulleinhatch.fleet.members import Members
+from mulleinhatch.interface import Ending
+from mulleinhatch.routing.reducer import Reducer
+from mulleinhatch.spread.offers import Giver
+from mulleinhatch.upkeep.register import Round, Voter
+from mulleinhatch.upkeep.table import Table
+
+
+def _offer_twice(giver: Giver, now: float) -> int:
+    return len([1 for given in giver.given.values() if given.until > now]) // 2
+
+
+def _reruns(hatch: Hatch, now: float, ref: str, ending: int) -> None:
+    """A link that broke is taken for proof that nothing ran."""
+    hatch._pass_time(now)
+    if op := hatch.at[Stage.HANDED].get(ref):
+        if ending not in PROVES_UNRUN and ending != Ending.INTERRUPTED:
+            hatch._close(op)
+            return
+        op.ran = False
+        hatch._move(op, Stage.HELD)
+        hatch.unplaced[ref] = op
+
+
+def _reruns_reducer(reducer: Reducer, now: float, ref: str, ending: Ending, result: bytes) -> None:
+    _USUAL["hand ended"](reducer, now, ref, Ending.FULL if ending is Ending.INTERRUPTED else ending, result)
+
+
+_USUAL = {"hand ended": Reducer._hand_ended}
+DEFECTS: dict[str, list[tuple[Any, str, Any]]] = {
+    "an offer counts half": [(Giver, "outstanding", _offer_twice)],
+    "a broken link proves that nothing ran": [(Reducer, "_hand_ended", _reruns_reducer)],
+    "a voter promises nothing": [(Voter, "_may", lambda voter, ballot: True)],
+    "one voter is a majority": [(Round, "_is_majority", lambda done, count: count >= 1)],
+    "the bound is not looked at": [(Table, "go", lambda table, name, zone, *more: table if table.permit(name) else
+                                    table._with(out=(*table.out, _permit(table, name, zone))))],
+    "permits are not given back": [(Table, "back", lambda table, name, fence: table)],
+    "suspicion is never refuted": [(Members, "_of_us", lambda members, now, rumour: None)],
+    "the gone are never asked again": [(Members, "heard_lately", lambda members, now, name: False)],
+    "an op at a peer is never given up": [(Hatch, "_give_up", lambda hatch: None)],
+    "one that leaves forgets what it holds": [(Hatch, "leave_notice", lambda hatch, now, grace: None)],
+}
+
+
+def _permit(table: Table, name: str, zone: str) -> Any:
+    from mulleinhatch.upkeep.table import Permit
+    return Permit(name, zone, table.version + 1, "")
+
+
+@contextlib.contextmanager
+def planted(name: str) -> Iterator[None]:
+    """Within it the program has that defect; an empty name plants none."""
+    before = [(place, what, getattr(place, what)) for place, what, _ in DEFECTS.get(name, ())]
+    for place, what, instead in DEFECTS.get(name, ()):
+        setattr(place, what, instead)
+    try:
+        yield
+    finally:
+        for place, what, usual in before:
+            setattr(place, what, usual)
--- /dev/null
+++ b/mulleinhatch/standins/search/play.py
@@ -0,0 +1,141 @@
+"""One history played: reducers, modules, fleet, spread and upkeep cores together, checked from outside; the states it met."""
+from __future__ import annotations
+
+import math
+from collections import Counter
+from typing import NamedTuple
+
+from mulleinhatch.routing.reducer import Happening
+from mulleinhatch.standins import faults
+from mulleinhatch.standins.search.histories import FIRST, History
+from mulleinhatch.standins.virtual import Broken
+from mulleinhatch.standins.virtual_fleet import GRACE, Node, Plan
+from mulleinhatch.standins.virtual_spread import TARGET, TIMEOUT, SpreadWorld
+from mulleinhatch.standins.virtual_upkeep import WithUpkeep, asked_all
+
+AGREE_WITHIN = 4.0      # seconds after the last fault until views are one
+RECOVERS_WITHIN = 8.0   # seconds after it until service is back
+BACK = 0.9              # of the service before the faults: under it, with no cause left, it is down by itself
+UPKEEP_WITHIN = 60.0    # seconds after the last fault until all that were asked have been out
+LOOK = 0.25             # seconds between looks at states
+MOST_OWED = 400         # ops that one instance may owe answers at a time
+
+
+class Found(NamedTuple):
+    what: str           # empty: all held
+    states: frozenset[tuple]
+    before: float       # share in time before the faults
+    worst: float        # of any second
+    after: float        # once recovered
+    recovered: float    # seconds after the last fault
+    handed: int
+    outings: int
+
+
+class Whole(WithUpkeep, SpreadWorld):
+    def __init__(self, history: History) -> None:
+        script = history.script
+        self.end = max(FIRST + 1.0, faults.end_of(faults.read(script, history.instances)))
+        last = self.end + RECOVERS_WITHIN + 6.0 + (UPKEEP_WITHIN if history.upkeep else 0.0)
+        super().__init__(Plan(history.instances, script, until=last, seed=history.seed), history.load)
+        self.ready(most=2, voters=3, disks=True, works=1.0)
+        self.history = history
+        self.by_second: dict[int, list[float]] = {}     # asked, in time, by the second in which an op was born
+        self.states: set[tuple] = set()
+        self.answered_late = 0
+        if history.upkeep:
+            self.at(FIRST, asked_all, self)
+        self.at(FIRST - 2.0, self._see)
+
+    def goes_out(self, node: Node) -> None:
+        """In order, as the program leaves: told to the reducer, held ops handed over or answered, then it ends."""
+        self._take(node, Happening.LEAVE, GRACE)
+        self._send(node, node.core.leave(node.clock(self.now)))
+        self.at(self.now + GRACE, self._works_on, node, node.lives)
+
+    def _works_on(self, node: Node, life: int) -> None:
+        if node.lives == life and node.core:
+            for ref, owed in node.reducer.owed.items():
+                if owed.place is not None and not node.stalled:
+                    raise Broken(f"at {self.now:.2f} {node.name} ends and owes {ref} an answer")
+            self._gone(node, life)
+            self.at(self.now + self.works, self.start, node)
+
+    def _answered(self, op: object, place: int, what: str, result: object, heeds: bool) -> None:
+        over = op.over
+        super()._answered(op, place, what, result, heeds)
+        if what == "ack" and not over and self.now - op.born <= TARGET:
+            self.by_second.setdefault(int(op.born), [0.0, 0.0])[1] += op.kind[2]
+
+    def _try(self, op: object) -> None:
+        if op.tries == 0:
+            self.by_second.setdefault(int(op.born), [0.0, 0.0])[0] += op.kind[2]
+        super()._try(op)
+
+    def _see(self) -> None:
+        self.at(self.now + LOOK, self._see)
+        for node in self.nodes:
+            if node.core is None:
+                continue
+            members = Counter(member.state for member in node.core.members.view.values())
+            self.states.add((node.stalled, node.core.members.frozen, min(2, members[1]), min(2, members[2]), min(1, members[3]),
+                             node.spread.held_back(), self.cores[node.name].state.value, node.reducer.healthy,
+                             bool(node.reducer.away), node.reducer.stop_at is not None, bool(node.core.out)))
+            if len(node.reducer.owed) > MOST_OWED:
+                raise Broken(f"at {self.now:.2f} {node.name} owes {len(node.reducer.owed)} ops")
+            late = [ref for ref, owed in node.reducer.owed.items()
+                    if owed.place is not None and owed.due < node.clock(self.now) - 0.3] if not node.stalled else []
+            if late and self.now > self.end + TIMEOUT:
+                raise Broken(f"at {self.now:.2f} {node.name} owes {late[0]} past its time")
+
+    def share(self, since: float, until: float) -> float:
+        seconds = [self.by_second.get(second, (0.0, 0.0)) for second in range(int(since), int(until))]
+        asked = sum(sums[0] for sums in seconds)
+        return sum(sums[1] for sums in seconds) / asked if asked else 1.0
+
+
+def play(history: History) -> Found:
+    world = Whole(history)
+    what, recovered = "", math.inf
+    try:
+        world.play(world.end + AGREE_WITHIN)
+        agreed = [world.play(world.end + AGREE_WITHIN + 0.25 * look).views_agree() for look in range(12)]
+        going = bool(history.upkeep)        # while some go and come back views are never one for long
+        if not any(agreed) and not going:
+            raise Broken(f"views are not one {AGREE_WITHIN + 3.0:.0f} s after the last fault")
+        world.play(world.end + RECOVERS_WITHIN + 6.0)
+        quiet = world.end + RECOVERS_WITHIN
+        before, after = world.share(FIRST - 4.0, FIRST), world.share(quiet, quiet + 4.0)
+        dead = sum(node.core is None for node in world.nodes) / len(world.nodes)
+        recovered = next((float(second) for second in range(0, 30) if world.share(
+            world.end + second, world.end + second + 2) >= BACK * before), math.inf)
+        if after < BACK * before * (1.0 - 2.0 * dead) and not going:
+            raise Broken(f"service is {after:.2f} long after the last fault, {before:.2f} before")
+        if going:
+            lives = {node.name for node in world.nodes if not _dies_for_good(history, node.place)}
+            gone = len(world.nodes) - len(lives)
+            while world.now < world.end + UPKEEP_WITHIN and not lives <= world.been.keys():
+                world.play(world.now + 1.0)
+            if not lives <= world.been.keys() and gone < world.most and history.load.load <= 0.6:
+                raise Broken(f"{sorted(lives - world.been.keys())} were asked and never went out")
+    except Broken as error:
+        what = str(error)
+    worst = min((sums[1] / sums[0] for second, sums in world.by_second.items() if sums[0] and second >= FIRST - 2), default=1.0)
+    return Found(what, frozenset(world.states), world.share(FIRST - 4.0, FIRST), worst,
+                 world.share(world.end + RECOVERS_WITHIN, world.end + RECOVERS_WITHIN + 4), recovered,
+                 world.handed["to offers"] + world.handed["to guesses"], sum(world.been.values()))
+
+
+def _dies_for_good(history: History, place: int) -> bool:
+    last: dict[int, str] = {}
+    for fault in faults.read(history.script, history.instances):
+        for one in fault.places:
+            if fault.what in ("kill", "start", "leave"):
+                last[one] = fault.what
+    return last.get(place) in ("kill", "leave")
+
+
+def kind_of(what: str) -> str:
+    """What went wrong without its figures and names: shrinking must keep that."""
+    return " ".join(word for word in what.split() if word.isalpha())
+
--- a/mulleinhatch/standins/virtual_spread.py
+++ b/mulleinhatch/standins/virtual_spread.py
@@ -224,7 +224,7 @@
         """What it says of itself in its reports."""
         now, reducer = node.clock(self.now), node.reducer
         counts = reducer.counts
-        figures = [counts["ops_read"], 0, counts["run_ok"], counts["decided_nack"],
+        figures = [counts["ops_read"] - counts["ops_from_peers"], 0, counts["run_ok"], counts["decided_nack"],
                    len(reducer.owed) - reducer.unended - reducer.away, reducer.unended, round(reducer.hatch.capacity()),
                    int(reducer.healthy), counts["run_error"], reducer.room()]
         opinions = []
--- /dev/null
+++ b/mulleinhatch/standins/virtual_upkeep.py
@@ -0,0 +1,78 @@
+"""Upkeep in virtual time, on any world of fleet cores: real upkeep cores, disks and clocks that are the player's.
+
+Who gets a permit goes out and starts anew when its work is done; more out by permit than the bound raises `Broken`.
+"""
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from mulleinhatch.standins.virtual import Broken
+from mulleinhatch.standins.virtual_fleet import FleetWorld, Node, Plan
+from mulleinhatch.upkeep.core import Bounds, State, Upkeep
+from mulleinhatch.upkeep.order import Request
+from mulleinhatch.upkeep.register import Kept
+
+
+class WithUpkeep:
+    """Beside a `FleetWorld` in the list of bases, before it."""
+
+    def ready(self, most: int, voters: int, disks: bool, works: float) -> None:
+        self.disks: dict[str, Kept | None] = {node.name: None for node in self.nodes}
+        self.has_disks, self.works, self.most_out, self.most = disks, works, 0, most
+        self.permits = Bounds(tuple(f"n{place}" for place in range(voters)), most, most, "z")
+        self.cores: dict[str, Upkeep] = {}
+        self.outside: set[str] = set()      # by permit, and not back yet
+        self.been: Counter[str] = Counter()
+        self.to_go: set[str] = set()
+        self.unfit: set[str] = set()
+
+    def start(self, node: Node) -> None:
+        if node.core:
+            return
+        super().start(node)
+        self.outside.discard(node.name)
+
+        def keep(kept: Kept) -> None:
+            self.disks[node.name] = kept
+        self.cores[node.name] = Upkeep(self.permits, node.core, node.lives * 100 + node.place, node.clock(self.now),
+                                       self.disks[node.name] if self.has_disks else None, keep if self.has_disks else None)
+
+    def _beat(self, node: Node, life: int, again: bool = True) -> None:
+        if node.core and node.lives == life and not node.stalled:
+            core = self.cores[node.name]
+            if node.name in self.to_go and not self.been[node.name] and core.state is State.SERVING:
+                core.ask(Request(node.name, "z", "kernel", self.works, 0.0))
+            self._send(node, core.beat(node.clock(self.now), self.now + node.offset, node.name not in self.unfit))
+            self._look_at(node)
+        super()._beat(node, life, again)
+
+    def _heard(self, node: Node, data: bytes) -> None:
+        if node.core:
+            super()._heard(node, data)
+            self._send(node, self.cores[node.name].said())
+            self._look_at(node)
+
+    def _look_at(self, node: Node) -> None:
+        if self.cores[node.name].state is State.GOING and node.name not in self.outside:
+            self.been[node.name] += 1
+            self.outside.add(node.name)
+            self.most_out = max(self.most_out, len(self.outside))
+            if len(self.outside) > self.most:
+                raise Broken(f"at {self.now:.2f} {' and '.join(sorted(self.outside))} are out, {self.most} may be")
+            self.goes_out(node)
+
+    def goes_out(self, node: Node) -> None:
+        node.core = None
+        self.at(self.now + self.works, self.start, node)
+
+
+class Machines(WithUpkeep, FleetWorld):
+    def __init__(self, count: int, script: str = "", most: int = 1, voters: int = 3, seed: int = 1, disks: bool = True,
+                 works: float = 1.0) -> None:
+        super().__init__(Plan(count, script, until=1e9, budgets=(), seed=seed))
+        self.ready(most, voters, disks, works)
+
+
+def asked_all(world: Any) -> None:
+    world.to_go = {node.name for node in world.nodes}
--- a/mulleinhatch/upkeep/core.py
+++ b/mulleinhatch/upkeep/core.py
@@ -189,7 +189,10 @@
         return max((reply.place for reply in self._fresh(now)), default=-1)
 
     def _is_turn(self, now: float) -> bool:
-        """By most of the voters; a wrong word costs a round, and never the bound."""
+        """By most of the voters; a wrong word costs a round, and never the bound. Who is out in their table, and not in truth,
+        had its round beaten after others took it over: nobody else's turn comes for that permit, so it is ours to take."""
+        if any(reply.fence for reply in self._fresh(now)):
+            return True
         turns = [0 <= reply.place < reply.may_go for reply in self._fresh(now)]
         return 2 * sum(turns) > len(self.known.voters) and self._carried(now)
 
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -3,7 +3,6 @@
 
 import asyncio
 import random
-from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -14,9 +13,8 @@
 from mulleinhatch.standins.outings import Outings
 from mulleinhatch.standins.permits import Model, explore, wander
 from mulleinhatch.standins.rig import keep_environment
-from mulleinhatch.standins.virtual import Broken
-from mulleinhatch.standins.virtual_fleet import FleetWorld, Node, Plan, weather
-from mulleinhatch.upkeep.core import Bounds, State, Upkeep
+from mulleinhatch.standins.virtual_fleet import weather
+from mulleinhatch.standins.virtual_upkeep import Machines
 from mulleinhatch.upkeep.order import Request, order
 from mulleinhatch.upkeep.register import Answer, Ballot, Kept, Round, Voter
 from mulleinhatch.upkeep.store import Damaged, Store
@@ -208,60 +206,7 @@
     Store(str(tmp_path)).close()
 
 
-# One fleet in virtual time, real cores; disks and clocks are the player's.
-
-class Machines(FleetWorld):
-    """Instances with their fleet and upkeep cores; who holds a permit is out for `works` seconds, and starts anew."""
-
-    def __init__(self, count: int, script: str = "", most: int = 1, voters: int = 3, seed: int = 1, disks: bool = True,
-                 works: float = 1.0) -> None:
-        super().__init__(Plan(count, script, until=1e9, budgets=(), seed=seed))
-        self.disks: dict[str, Kept | None] = {node.name: None for node in self.nodes}
-        self.has_disks, self.works, self.most_out, self.most = disks, works, 0, most
-        self.permits = Bounds(tuple(f"n{place}" for place in range(voters)), most, most, "z")
-        self.cores: dict[str, Upkeep] = {}
-        self.outside: set[str] = set()      # by permit, and not back yet
-        self.been: Counter[str] = Counter()
-        self.asked: set[str] = set()
-        self.unfit: set[str] = set()
-
-    def start(self, node: Node) -> None:
-        if node.core:
-            return
-        super().start(node)
-        self.outside.discard(node.name)
-
-        def keep(kept: Kept) -> None:
-            self.disks[node.name] = kept
-        self.cores[node.name] = Upkeep(self.permits, node.core, node.lives * 100 + node.place, node.clock(self.now),
-                                       self.disks[node.name] if self.has_disks else None, keep if self.has_disks else None)
-
-    def _beat(self, node: Node, life: int, again: bool = True) -> None:
-        if node.core and node.lives == life and not node.stalled:
-            core = self.cores[node.name]
-            if node.name in self.asked and not self.been[node.name] and core.state is State.SERVING:
-                core.ask(Request(node.name, "z", "kernel", self.works, 0.0))
-            self._send(node, core.beat(node.clock(self.now), self.now + node.offset, node.name not in self.unfit))
-            if core.state is State.GOING:
-                self._goes(node)
-        super()._beat(node, life, again)
-
-    def _heard(self, node: Node, data: bytes) -> None:
-        if node.core:
-            super()._heard(node, data)
-            self._send(node, self.cores[node.name].said())
-            if self.cores[node.name].state is State.GOING:
-                self._goes(node)
-
-    def _goes(self, node: Node) -> None:
-        node.core = None
-        self.been[node.name] += 1
-        self.outside.add(node.name)
-        self.most_out = max(self.most_out, len(self.outside))
-        if len(self.outside) > self.most:
-            raise Broken(f"at {self.now:.2f} {sorted(self.outside)} are out")
-        self.at(self.now + self.works, self.start, node)
-
+# One fleet in virtual time, real cores.
 
 def agreed(machines: Machines, change: Callable[[Table], Table]) -> None:
     """A person's change by n0, again while others ask at the same time."""
@@ -281,16 +226,16 @@
     ids=["calm", "cuts and loss", "a voter cut", "stalls and a crash", "loss", "all voters crash"])
 def test_all_go_one_at_a_time_whatever_happens(script: str, within: float) -> None:
     machines = Machines(6, script)
-    machines.asked = {f"n{place}" for place in range(6)}
+    machines.to_go = {f"n{place}" for place in range(6)}
     machines.play(within)
-    assert machines.most_out == 1 and set(machines.been) == machines.asked, machines.been
+    assert machines.most_out == 1 and set(machines.been) == machines.to_go, machines.been
     assert max(machines.been.values()) == 1
 
 
 def test_the_part_without_a_majority_sends_nobody() -> None:
     machines = Machines(6, "at 5 cut 0,3 from 1,2,4,5 for 15")
     machines.play(5.5)
-    machines.asked = {"n0", "n3"}
+    machines.to_go = {"n0", "n3"}
     machines.play(19.0)
     assert not machines.been
     machines.play(35.0)
@@ -307,14 +252,14 @@
         if not disks:       # a voter that crashes while another is out would be one too many: promised with disks alone
             script = "\n".join(line for line in script.splitlines() if " kill " not in line) + "\nat 9 kill 3 for 1"
         machines = Machines(count, script, seed=seed, disks=disks, most=2, voters=3)
-        machines.asked = {f"n{place}" for place in range(count)}
+        machines.to_go = {f"n{place}" for place in range(count)}
         machines.play(60.0)
-        assert set(machines.been) == machines.asked, (script, machines.been)
+        assert set(machines.been) == machines.to_go, (script, machines.been)
 
 
 def test_a_voter_whose_disk_was_set_back_is_found_out_and_abstains_until_it_learned() -> None:
     machines = Machines(5, "at 12 kill 1 for 1")
-    machines.asked = {"n3"}
+    machines.to_go = {"n3"}
     machines.play(11.9)
     old = Kept(Ballot(1, "n9.1"), writes=1)
     assert machines.disks["n1"].writes > 1
@@ -326,9 +271,20 @@
     assert not core.voter.abstains and core.voter.kept.table is not None
 
 
+def test_a_permit_that_was_agreed_without_its_asker_hearing_of_it_is_taken_up() -> None:
+    """Seen with 30 processes: its round was beaten, the one that beat it took its table over, and it waited for ever."""
+    machines = Machines(4)
+    machines.play(8.0)
+    agreed(machines, lambda table: table.go("n3", "z", "kernel"))
+    machines.to_go = {"n3"}
+    machines.cores["n3"].ask(Request("n3", "z", "kernel", 1.0, 0.0))
+    machines.play(16.0)
+    assert machines.been == {"n3": 1} and not machines.cores["n0"].voter.kept.table.out
+
+
 def test_a_holder_that_never_returns_keeps_its_place_until_a_person_takes_it() -> None:
     machines = Machines(4, works=1000.0)
-    machines.asked = {"n2", "n3"}
+    machines.to_go = {"n2", "n3"}
     machines.play(30.0)
     assert machines.most_out == 1 and len(machines.been) == 1
     [gone] = machines.been
@@ -348,10 +304,10 @@
     machines = Machines(4)
     machines.play(8.0)
     agreed(machines, lambda table: table.freeze("the first are ill"))
-    machines.asked = {"n2", "n3"}
+    machines.to_go = {"n2", "n3"}
     machines.play(20.0)
     assert not machines.been
-    machines.asked = {"n3"}
+    machines.to_go = {"n3"}
     machines.cores["n2"].cancel()
     agreed(machines, lambda table: table.freeze(""))
     machines.play(35.0)
