--- a/mulleinhatch/standins/search/play.py
+++ b/mulleinhatch/standins/search/play.py
@@ -114,6 +114,9 @@
         if going:
             lives = {node.name for node in world.nodes if not _dies_for_good(history, node.place)}
             gone = len(world.nodes) - len(lives)
+            voters = set(world.permits.voters)
+            if voters - lives:
+                lives -= voters     # with one dead for good the others stay: a majority of the voters must
             while world.now < world.end + UPKEEP_WITHIN and not lives <= world.been.keys():
                 world.play(world.now + 1.0)
             if not lives <= world.been.keys() and gone < world.most and history.load.load <= 0.6:
