Reread: one chance for pure modules, one short word, no state that nobody reads

Need: the reread found a generator of chance written anew four times in spread and upkeep beside that of members, two methods for one short word, two asks and two ways to give a permit back, a mean of work that nobody read, the pace of the like reckoned twice a look, a parameter with one value. Change: chance.py, drawn the same as before (members too); Fleet.word_to, Spread._ask, Upkeep._give_back. storms/desk keeps its own: it is in run.

--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -15,7 +15,7 @@
 from mulleinhatch.fleet.counts import FIGURES, FRESH, MOST_LOUD, Counts
 from mulleinhatch.fleet.judgements import Verdicts
 from mulleinhatch.fleet.members import Change, Members
-from mulleinhatch.fleet.words import MOST_BYTES, Letter, Offer, Report, Trade, Unfit
+from mulleinhatch.fleet.words import MOST_BYTES, Letter, Report, Trade, Unfit
 
 MOST_MEMBERS = 1000
 REPORT_EVERY = 0.3      # seconds between reports of our own
@@ -131,18 +131,11 @@
         told, self.members.changes = self.members.changes, []
         return told
 
-    def said_to(self, now: float, name: str, offers: list[Offer]) -> list[tuple[str, bytes]]:
-        """A short word to a member, with offers; none to one that we do not know. What others think and count goes along
-        with the beats: hundreds of these a second would pay for it each."""
+    def word_to(self, now: float, name: str, **told: object) -> list[tuple[str, bytes]]:
+        """A short word to a member, with `offers` or `more`; none to one that we do not know. What others think and count goes
+        along with the beats: hundreds of these a second would pay for it each."""
         member = self.members.view.get(name)
-        if member is None:
-            return []
-        return [self._sent(now, member.address, {"what": "word", "to": name, "offers": offers, "short": True})]
-
-    def more_to(self, now: float, name: str, more: bytes) -> list[tuple[str, bytes]]:
-        """A short word with what is not the fleet's own."""
-        member = self.members.view.get(name)
-        return [self._sent(now, member.address, {"what": "word", "to": name, "more": more, "short": True})] if member else []
+        return [self._sent(now, member.address, {"what": "word", "to": name, "short": True, **told})] if member else []
 
     # Budgets.
 
--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -10,6 +10,7 @@
 from itertools import islice
 from typing import NamedTuple
 
+from mulleinhatch.chance import Chance
 from mulleinhatch.fleet.bounds import FleetBounds
 from mulleinhatch.fleet.words import ALIVE, GONE, LEFT, STATES, SUSPECT, Letter, Rumour
 
@@ -57,7 +58,7 @@
 
     def __init__(self, name: str, address: str, life: int, bounds: FleetBounds, seed: int, now: float) -> None:
         self.name, self.address, self.life, self.incarnation = name, address, life, 0
-        self.bounds, self.chance = bounds, seed % 2 ** 64
+        self.bounds, self.draw = bounds, Chance(seed).below
         self.view: dict[str, Member] = {}       # of the others
         self.probes: dict[int, Probe] = {}
         self.helping: dict[int, tuple[str, int, str]] = {}      # number of our ping: for whom, its number, about whom
@@ -89,10 +90,6 @@
         """Whether another instance goes by our name, and was there first or is there still."""
         return self.outlived or now - self.doubled_at < DOUBLED_FOR
 
-    def draw(self, below: int) -> int:
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % 2 ** 64
-        return (self.chance >> 33) % below
-
     # The beat.
 
     def beat(self, now: float) -> Iterator[tuple[str, dict]]:
--- a/mulleinhatch/program/fleet.py
+++ b/mulleinhatch/program/fleet.py
@@ -63,7 +63,7 @@
         self.core = Fleet(self.bounds, self.placement.name, address, int(1000.0 * time.time()), self.placement.seed, now)
         if self.placement.spread:
             from mulleinhatch.program.spread import SpreadSide
-            self.spread = SpreadSide(self.placement, self.core, self.reducer, self.take, self._send, returns=True)
+            self.spread = SpreadSide(self.placement, self.core, self.reducer, self.take, self._send)
         if self.placement.upkeep:
             from mulleinhatch.program.upkeep import UpkeepSide
             self.upkeep = UpkeepSide(self.placement, self.core, self.reducer, self._send, self.leaves)
--- a/mulleinhatch/program/spread.py
+++ b/mulleinhatch/program/spread.py
@@ -26,12 +26,12 @@
 
 class SpreadSide:
     def __init__(self, placement: Placement, fleet: Fleet, reducer: Reducer, take: Callable[..., None],
-                 send: Callable[[list[tuple[str, bytes]]], None], returns: bool) -> None:
+                 send: Callable[[list[tuple[str, bytes]]], None]) -> None:
         bounds = placement.spread
         if not bounds.at:
             bounds = bounds._replace(at=":".join(map(str, placement.listen)))
         self.reducer, self.take, self.send = reducer, take, send
-        self.core = Spread(bounds, fleet, placement.seed, time.monotonic(), returns)
+        self.core = Spread(bounds, fleet, placement.seed, time.monotonic(), returns=True)
         self.peers = Peers(bounds.links, http.answer_told, time.monotonic)
         self.counts: Counter[str] = Counter()
         self.told_count = 0
--- a/mulleinhatch/spread/core.py
+++ b/mulleinhatch/spread/core.py
@@ -55,14 +55,12 @@
         self.wish = 0.0
         self.letters: list[tuple[str, bytes]] = []      # to be sent since the last beat
         self.guessed_at = now
-        self.mean_work = 0.0
         fleet.listeners.append(self._letter)
 
     # What happens here.
 
     def came(self, now: float, work: float) -> None:
         """An op of our own callers: by its work, or as one where none is told."""
-        self.mean_work += 0.05 * ((work or 1.0) - self.mean_work) if self.mean_work else (work or 1.0)
         self.loads.add(now, work or 1.0)
 
     def ran(self, now: float, seconds: float, work: float, failed: bool) -> None:
@@ -81,7 +79,7 @@
             self.counts["held_back_" + held_back] += 1
         self.fleet.want = here.held if self.bounds.hand_over and not held_back else 0
         if self.fleet.want and not self.taker.count(now):
-            letters += [letter for name in self._to_ask(now) for letter in self.fleet.said_to(now, name, [])]
+            letters += self._ask(now)
         letters += self._give(now)
         if now - self.evened_at >= EVEN_EVERY:
             self.evened_at = now
@@ -95,7 +93,7 @@
         letters = self._give(now) if here.room and self.needs else []
         if here.held and not before.held and self.bounds.hand_over and not self.taker.count(now) and not self.held_back():
             self.fleet.want = here.held
-            letters += [letter for name in self._to_ask(now) for letter in self.fleet.said_to(now, name, [])]
+            letters += self._ask(now)
         return letters
 
     def held_back(self) -> str:
@@ -138,7 +136,7 @@
         offers: dict[str, list[Offer]] = {}
         for to, number in self.giver.give(now, self.here.room, {name: need for name, (need, _) in self.needs.items()}):
             offers.setdefault(to, []).append(Offer(number, self.bounds.offer_for, self.bounds.at))
-        return [letter for to, several in offers.items() for letter in self.fleet.said_to(now, to, several)]
+        return [letter for to, several in offers.items() for letter in self.fleet.word_to(now, to, offers=several)]
 
     def _fails(self, now: float) -> bool:
         failed = self.failed.evidence(now)
@@ -146,8 +144,12 @@
         self.counts["held_back_failing"] += fails
         return fails
 
+    def _ask(self, now: float) -> list[tuple[str, bytes]]:
+        """What we want, which stands in each letter, to some that are not written to anyway."""
+        return [letter for name in self._to_ask(now) for letter in self.fleet.word_to(now, name)]
+
     def _to_ask(self, now: float) -> list[str]:
-        """Those that told of room lately, by chance, and one of all."""
+        """Those that told of room lately, by chance; others where too few did."""
         fleet = self.fleet
         there = fleet.members.alive()
         with_room = [name for name, row in fleet.known.rows.items()
@@ -208,7 +210,9 @@
 
     def estimate(self, now: float) -> Estimate | None:
         """Our pace, drawn towards that of our like."""
-        mean, differ = self._like(now)
+        return self._drawn_to(now, *self._like(now))
+
+    def _drawn_to(self, now: float, mean: float, differ: float) -> Estimate | None:
         return drawn(now, self.pace.evidence(now), self.pace.scatter(), mean, differ)
 
     def _like(self, now: float) -> tuple[float, float]:
@@ -240,5 +244,6 @@
         loads = [self._evidence(row, "load_ops", "load") for row in rows]
         mean, differ = usual(loads, 1.0)
         own = drawn(now, self._own_load(now), 1.0, mean, differ)
-        pace, like = self.estimate(now), self._like(now)[0]
+        like, apart = self._like(now)
+        pace = self._drawn_to(now, like, apart)
         self.seen = Seen(own.value if own else 0.0, mean, pace.value / like if pace and like else 0.0)
--- a/mulleinhatch/spread/offers.py
+++ b/mulleinhatch/spread/offers.py
@@ -9,6 +9,8 @@
 
 from typing import NamedTuple
 
+from mulleinhatch.chance import Chance
+
 SLACK = 0.1             # seconds that an op may be under way after its offer's end
 MOST_HELD = 64          # offers that a taker keeps
 FADES = 5.0             # seconds after which what a peer did with our ops counts half
@@ -34,15 +36,11 @@
     """
 
     def __init__(self, offer_for: float, most: int, seed: int) -> None:
-        self.offer_for, self.most, self.chance = offer_for, most, seed % 2 ** 64
+        self.offer_for, self.most, self.draw = offer_for, most, Chance(seed).below
         self.given: dict[int, Given] = {}
         self.number = 0
         self.counts = dict.fromkeys(("offers_given", "offers_used", "offers_over"), 0)
 
-    def draw(self, below: int) -> int:
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % 2 ** 64
-        return (self.chance >> 33) % below
-
     def outstanding(self, now: float) -> int:
         for number in [number for number, given in self.given.items() if given.until <= now]:
             del self.given[number]
@@ -117,17 +115,13 @@
     """
 
     def __init__(self, seed: int) -> None:
-        self.chance = seed % 2 ** 64
+        self.draw = Chance(seed).below
         self.offers: list[Offered] = []
         self.deeds: dict[str, Deeds] = {}
         self.last: dict[str, int] = {}      # by giver: the highest number heard; a repeated datagram brings nothing new
         self.shunned: set[str] = set()      # by the fleet's verdict
         self.counts = dict.fromkeys(("offers_heard", "offers_unused", "offers_shunned"), 0)
 
-    def draw(self, below: int) -> int:
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % 2 ** 64
-        return (self.chance >> 33) % below
-
     def heard(self, now: float, giver: str, at: str, number: int, lasts: float) -> None:
         if number <= self.last.get(giver, 0):
             return
--- a/mulleinhatch/spread/shares.py
+++ b/mulleinhatch/spread/shares.py
@@ -8,6 +8,8 @@
 
 from typing import NamedTuple
 
+from mulleinhatch.chance import Chance
+
 LEAST_LOAD = 0.5        # under it nothing is wished elsewhere
 DEAD_BAND = 0.05        # of the fleet's load: chance alone is more than that
 MOST = 0.8              # wished elsewhere at most: who sent all away would never learn that it has room
@@ -37,15 +39,11 @@
     """
 
     def __init__(self, step: float, every: float, seed: int, now: float, returns: bool) -> None:
-        self.step, self.every, self.chance = step, every, seed % 2 ** 64
+        self.step, self.every, self._draw = step, every, Chance(seed).part
         self.wish = RETURNING if returns else 0.0
         self.warming = returns
         self.due = now + every * self._draw()
 
-    def _draw(self) -> float:
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % 2 ** 64
-        return (self.chance >> 33) / 2 ** 31
-
     def beat(self, now: float, seen: Seen) -> float:
         if now < self.due:
             return self.wish
--- a/mulleinhatch/upkeep/core.py
+++ b/mulleinhatch/upkeep/core.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from mulleinhatch.chance import Chance
 from mulleinhatch.fleet import words as fleet_words
 from mulleinhatch.fleet.core import Fleet
 from mulleinhatch.fleet.words import Letter
@@ -61,7 +62,7 @@
                  keep: Callable[[Kept], None] | None = None) -> None:
         """`kept`: what a voter's disk held, None where it held nothing; `keep` writes it, None where there is no disk."""
         self.bounds, self.fleet, self.name = bounds, fleet, fleet.name
-        self.chance = seed % 2 ** 64
+        self._draw = Chance(seed).part
         self.first = Table(tuple(sorted(bounds.voters)), bounds.most, bounds.zone_most)
         self.known = self.first
         self.voter = Voter(self.name, kept or Kept(), abstains=kept is None) if self.name in bounds.voters else None
@@ -88,10 +89,6 @@
         self.now_heard = now
         fleet.listeners.append(self._letter)
 
-    def _draw(self) -> float:
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % 2 ** 64
-        return (self.chance >> 33) / 2 ** 31
-
     def _become(self, state: State, why: str) -> None:
         if state is not self.state:
             self.state = state
@@ -138,12 +135,10 @@
         if self.round:
             self._go_on(now)
         elif self.state is State.CHECKING and fit and not (self.voter and self.voter.abstains) and now >= self.next_round:
-            fence = self.fence
             self._become(State.RETURNING, "fit")
-            self._begin(now, lambda table: table.back(self.name, fence))
+            self._give_back(now)
         elif self.state is State.RETURNING and now >= self.next_round:
-            fence = self.fence
-            self._begin(now, lambda table: table.back(self.name, fence))
+            self._give_back(now)
         elif self.state is State.WAITING and now >= self.next_round and self._is_turn(now):
             self._become(State.ASKING, "its turn")
             self._begin(now, self._go)
@@ -163,6 +158,10 @@
         letters, self.letters = self.letters, []
         return letters
 
+    def _give_back(self, now: float) -> None:
+        fence = self.fence
+        self._begin(now, lambda table: table.back(self.name, fence))
+
     def _freeze(self, table: Table) -> Table:
         return table if table.frozen else table.freeze(f"{self.name} came back and is not fit")
 
@@ -272,7 +271,7 @@
             self._word(self.now_heard, name, word)
             return
         try:
-            self.letters += self.fleet.more_to(self.now_heard, name, words.encode(word))
+            self.letters += self.fleet.word_to(self.now_heard, name, more=words.encode(word))
         except Unfit as error:
             self.counts[f"words_{error}".replace(" ", "_")] += 1
 
