A keyed request runs once: one heir of a held one, windows by arrival, a key's body told

Causes and lines: decide.py, Hatch._close let every follower stand on its own: now the first takes the place and the others follow that one. tables.py, Keys: an entry ended by the clock at reading, though the window counts to when the repeat reached the machine; now it outlives that by the op timeout, and the arrival decides. A repeat of one not run yet may become its heir, so its own window counts from its arrival. The key did not know its body or tenant: another body is 422, another tenant's key another key. The id of an op that ran and was answered is known for 10 to 20 s: on a new connection it has its result (keyed, the same body) or fails, and is not run again. ANSWER_FROM looks for the heir's result too.

--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -395,7 +395,7 @@
         op.stage, op.since = stage, self.now
 
     def _close(self, op: Op) -> None:
-        """Its memory is back; repeats that waited for it as it was held stand on their own again."""
+        """Its memory is back; repeats that waited for it as it was held go on without it."""
         del self.ops[op.ref], self.at[op.stage][op.ref]
         self.unplaced.pop(op.ref, None)
         in_hand = op.stage in IN_HAND
@@ -403,11 +403,13 @@
         self.tenant_running[op.tenant] -= in_hand
         if op.kept and not op.ran:
             self.to_forget.append(op.ref)
-        if not op.ran:
+        if not op.ran:    # one may run: the first stands in its place, the others wait for that one
+            heir = None
             for follower in [other for other in self.at[Stage.FOLLOWING].values() if other.leader is op]:
-                follower.leader = None
-                self._move(follower, Stage.HELD)
-                self.unplaced[follower.ref] = follower
+                follower.leader, heir = heir, heir or follower
+                if follower is heir:
+                    self._move(heir, Stage.HELD)
+                    self.unplaced[heir.ref] = heir
 
     def _let_go(self, op: Op) -> None:
         """Nobody waits for it any more; what runs or is at a call still fills its place until it ends."""
@@ -496,8 +498,7 @@
         if tenant not in self.parts:
             return True
         window = self.parts[tenant][0]
-        used = [at for at in self.part_used.get(tenant, ()) if at > self.now - window]
-        self.part_used[tenant] = used
+        used = self.part_used[tenant] = [at for at in self.part_used.get(tenant, ()) if at > self.now - window]
         return len(used) + 1 <= self._part_rate(tenant) * window
 
     def _over_part(self, op: Op) -> bool:
@@ -528,11 +529,10 @@
         return None
 
     def _forget(self) -> Decision | None:
-        if not self.to_forget:
-            return None
-        ref = self.to_forget.pop()
-        self._drop_key(ref)
-        return Decision(Verb.FORGET, ref)
+        if self.to_forget:
+            self._drop_key(ref := self.to_forget.pop())
+            return Decision(Verb.FORGET, ref)
+        return None
 
     def _place(self) -> Decision | None:
         """What becomes of an op on reading: a repeat, nacked, or held."""
--- a/mulleinhatch/program/front.py
+++ b/mulleinhatch/program/front.py
@@ -16,7 +16,7 @@
 from mulleinhatch.transport.connections import Connections
 
 LOG = logging.getLogger(__name__)
-UNFIT = {"tenant": 400, "id in use": 409}    # the status of what is no op for us, 404 for all else
+UNFIT = {"tenant": 400, "id in use": 409, "key in use": 422}    # the status of what is no op for us, 404 for all else
 
 
 class HttpFront:
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -16,7 +16,7 @@
 from mulleinhatch.holds import must_hold
 from mulleinhatch.interface import Decision, Deployment, Effect, Ending, Verb
 from mulleinhatch.routing.tables import Keys, Owed
-from mulleinhatch.storms.books import fingerprint
+from mulleinhatch.storms.books import Lately, fingerprint
 from mulleinhatch.storms.bounds import StormBounds
 from mulleinhatch.storms.desk import Desk
 from mulleinhatch.storms.twins import Likeness, finer, likeness
@@ -25,6 +25,8 @@
 RUN_GAP = 1.0           # seconds in which no run ended, though some were asked for: the interpreter stood still
 PARKED_MOST = 1.0       # seconds that a retry waits for a word on its twin: a run and the next request of its caller
 PARKED_MARGIN = 0.5     # and no longer than leaves the module time to decide on it
+LINGER = 10.0           # seconds after its arrival in which a try may be read, where the op type names no time
+ENDED_SPAN, ENDED_ROOM = 10.0, 8192     # seconds for which the id of an op that ran is known, and at most so many in each
 RUN_COUNTS = {ending: "run_" + ending.name.lower() for ending in Ending}
 
 
@@ -106,7 +108,11 @@
         self.owed: dict[str, Owed] = {}
         self.places: dict[int, str] = {}
         self.followers: dict[str, list[str]] = {}
+        # By op type, of keyed ones: the window of a repeat, and how long after its arrival one may be read.
+        self.windows = {name: (op_type.get("repeat_window", 0.0), op_type.get("op_timeout") or LINGER)
+                        for name, op_type in zip(op_types, deployment.get("op_types", [])) if name in self.keyed}
         self.keys = Keys()
+        self.ended = Lately(ENDED_SPAN, ENDED_ROOM)     # ids of ops that may not run twice, and may have run
         self.healthy, self.level = True, None
         self.readings: Sequence[float] = ()
         self.read_at = -math.inf
@@ -201,9 +207,13 @@
             self._sent_again(place, ref, op_type, tenant, body)
         elif self.hatch is None:
             self.errands.append((Errand.NACK, place, 0.0, False, self.level))
+        elif self.ended.seen(now, ref):
+            self._came_again(place, ref, fingerprint(0, op_type, tenant, key, body))
+        elif self._key_in_use(now, now - age, op_type, tenant, key, body):
+            self.errands.append((Errand.REFUSE, place, "key in use"))
         else:
             told = (op_type, tenant, age, wait, caller, work, kb, again, key, rank)
-            owed = self.owed[ref] = Owed(ref, place, op_type, tenant, key, body, now + (wait or math.inf))
+            owed = self.owed[ref] = Owed(ref, place, op_type, tenant, key, body, now - age, now + (wait or math.inf))
             self.places[place] = ref
             if self.hands:
                 owed.told, owed.from_peer = (now - age, caller, work, kb, again, rank), handed
@@ -216,7 +226,8 @@
 
     def _take_in(self, now: float, owed: Owed, like: Likeness | None, op_type: str, tenant: str, age: float, wait: float,
                  caller: int, work: float, kb: float, again: bool, key: str, rank: float) -> None:
-        owed.repeats = self.keys.standing(op_type, key, now)
+        if op_type in self.windows:
+            owed.repeats = self._standing(now, owed)
         if self.on_tenant:
             self.on_tenant(now, tenant)
         if self.on_op and not owed.from_peer:
@@ -254,10 +265,39 @@
                 del self.parked[ref]
                 self._may_have_run(owed, like, now)
 
+    def _key_in_use(self, now: float, arrived: float, op_type: str, tenant: str, key: str, body: bytes) -> bool:
+        """A keyed op that comes with the key of another one is nobody's repeat: answered from that one's result it would
+        have what no run made for it, and run it might have an effect twice."""
+        place = op_type, tenant, key
+        if op_type not in self.windows or not self.keys.known(place):
+            return False
+        ref = self.keys.standing(place, arrived, now)
+        return bool(ref) and not self.keys.like(ref, fingerprint(0, op_type, tenant, key, body))
+
+    def _standing(self, now: float, owed: Owed) -> str:
+        """The op that a keyed one repeats. One that has not run yet may be given up, and this one stand in its place: a
+        later repeat must find it, so that one's time counts from here."""
+        if not owed.key or not (ref := self.keys.standing(owed.key_place, owed.arrived, now)):
+            return ""
+        leader = self.owed.get(ref)
+        if leader and not leader.may_have_run:
+            self.keys.repeated(ref, owed.arrived + self.windows[owed.op_type][0])
+        return ref
+
+    def _came_again(self, place: int, ref: str, looks: bytes) -> None:
+        """The id of an op that ran and was answered: its caller did not get the answer, and must not have it run again. A
+        stranger that uses the id must not have its result."""
+        self.counts["ops_sent_again"] += 1
+        result = self.keys.result(ref)
+        if result is None or not self.keys.like(ref, looks):
+            self.errands.append((Errand.FAIL, place, self.level))
+        else:
+            self.errands.append((Errand.ACK, place, result, self.level))
+
     def _may_have_run(self, owed: Owed, like: Likeness, now: float) -> None:
         self.counts["repeats_of_run"] += 1
         self.storms.counts["repeats_of_run_alike"] += self.storms.tries.shared.seen(now, like.plain)   # perhaps a twin's
-        self._answer(owed, Errand.FAIL)
+        self._answer(now, owed, Errand.FAIL)
 
     def turned_back(self, now: float, ref: str, op_type: str, tenant: str, caller: int, again: bool, key: str,
                     body: bytes, punctual: bool, stubborn: bool, place: int = -1,
@@ -267,7 +307,7 @@
         that may have run here or is under way. It counts as read, and is no op: it never comes to the module. `figures`
         gives its rank, cost and memory, which few need: to read them costs."""
         desk = self.storms
-        if ref in self.owed or op_type not in self.op_types or key and self.keys.standing(op_type, key, now):
+        if ref in self.owed or op_type not in self.op_types or key and self.keys.known((op_type, tenant, key)):
             return None
         plain, once = b"", op_type in self.once
         if not again or once:    # else its likeness tells nothing new, and costs
@@ -339,7 +379,9 @@
             if owed.place is not None:
                 self.errands.append((Errand.REFUSE, owed.place, "op id"))
                 self._left(owed)
+            owed.may_have_run = False
             self._end_run(now, ref, Ending.MOOT, b"")
+            self.keys.forget(ref)   # nothing ran for its key
 
     def _end_run(self, now: float, ref: str, ending: Ending, result: bytes) -> None:
         owed = self.owed.get(ref)
@@ -359,7 +401,7 @@
         self._conclude(now, owed, ending, result)
         for follower in self.followers.pop(ref, ()):
             if follower in self.owed:
-                self._answer_from(now, self.owed[follower], ref)
+                self._answer_from(now, self.owed[follower])
 
     def _gauges(self, now: float, mark: int, readings: Sequence[float]) -> None:
         """A run that was asked for before gauges that have come is with the interpreter, unless a link was
@@ -394,7 +436,7 @@
         owed = self.owed[ref]
         self._left(owed)
         self.hatch.op_abandoned(now, ref)
-        self._drop_if_done(owed)
+        self._drop_if_done(now, owed)
 
     def _leave(self, now: float, grace: float) -> None:
         if self.stop_at is not None:
@@ -434,10 +476,11 @@
         self.away -= 1
         self.counts["hand_" + ending.name.lower()] += 1
         unrun = ending in PROVES_UNRUN
+        owed.may_have_run = owed.may_have_run and not unrun
         if unrun and self.storms:
             self.storms.runs.settled(ref)
         if owed.place is None:
-            self._drop_if_done(owed)
+            self._drop_if_done(now, owed)
             return
         self.hatch.hand_ended(now, ref, ending)
         if not unrun and not (ending is Ending.INTERRUPTED and owed.op_type in self.may_repeat):
@@ -449,7 +492,7 @@
         owed = self.owed.get(decision.ref)
         must_hold(owed and owed.told and owed.place is not None and not owed.running, "only an op that is held is handed over")
         if owed:
-            owed.handed = True
+            owed.handed = owed.may_have_run = True
             self.away += 1
             if self.storms and owed.op_type in self.once:
                 self.storms.runs.started(now, owed.ref, Likeness(*owed.looks), owed.due)
@@ -464,7 +507,7 @@
             if not self.unended:
                 self.idle_until = now
             self.unended += 1
-            owed.running, owed.started = True, now
+            owed.running, owed.started, owed.may_have_run = True, now, True
             if self.storms and owed.op_type in self.once:
                 self.storms.runs.started(now, owed.ref, Likeness(*owed.looks), owed.due)
             self._ask_run(owed)
@@ -478,24 +521,25 @@
                 self.storms.tries.nacked(now, owed.looks)
                 if seconds > 0.0:
                     seconds = self.storms.come_back(now, seconds, False)
-            self._answer(owed, Errand.NACK, seconds, decision.flag)
+            self._answer(now, owed, Errand.NACK, seconds, decision.flag)
 
     def _do_fail(self, now: float, decision: Decision) -> None:
         owed = self.owed.get(decision.ref)
         must_hold(owed and owed.place is not None, "only an op that is owed an answer fails")
         if owed:
-            self._answer(owed, Errand.FAIL)
+            self._answer(now, owed, Errand.FAIL)
 
     def _do_keep(self, now: float, decision: Decision) -> None:
-        if owed := self.owed.get(decision.ref):
-            self.keys.keep(owed.op_type, owed.key, owed.ref, now + decision.seconds)
+        if (owed := self.owed.get(decision.ref)) and owed.key:
+            looks = fingerprint(0, owed.op_type, owed.tenant, owed.key, owed.body)
+            self.keys.keep(owed.key_place, owed.ref, looks, now + decision.seconds, self.windows[owed.op_type][1])
 
     def _do_forget(self, now: float, decision: Decision) -> None:
         self.keys.forget(decision.ref)
 
     def _do_answer_from(self, now: float, decision: Decision) -> None:
         if owed := self.owed.get(decision.ref):
-            self._answer_from(now, owed, owed.repeats)
+            self._answer_from(now, owed)
 
     def _do_health(self, now: float, decision: Decision) -> None:
         self.healthy = decision.flag
@@ -529,13 +573,18 @@
         self.marks += 1
         self.errands.append((Errand.GAUGES, self.marks))
 
-    def _answer_from(self, now: float, owed: Owed, leader: str) -> None:
-        """By the result of the op that it repeats, at once or when that has run."""
-        result = self.keys.result(leader)
-        if result is None and leader in self.owed and self.owed[leader].running:
-            self.followers.setdefault(leader, []).append(owed.ref)
-            return
-        self._conclude(now, owed, Ending.ERROR if result is None else Ending.OK, result or b"")
+    def _answer_from(self, now: float, owed: Owed) -> None:
+        """By the result of the op that it repeats, at once or when that has run. Where that one was given up unrun, another
+        repeat of it may stand in its place."""
+        leaders = (owed.repeats, self.keys.standing(owed.key_place, owed.arrived, now))
+        for leader in leaders:
+            if (result := self.keys.result(leader)) is not None:
+                return self._conclude(now, owed, Ending.OK, result)
+        for leader in leaders:
+            if leader in self.owed and self.owed[leader].running:
+                self.followers.setdefault(leader, []).append(owed.ref)
+                return
+        self._conclude(now, owed, Ending.ERROR, b"")
 
     def _conclude(self, now: float, owed: Owed, ending: Ending, result: bytes) -> None:
         """The end of a run, its own or that of the op it repeats, for the module, the keys and the caller."""
@@ -548,15 +597,15 @@
             if self.storms and owed.place is not None:
                 self.storms.tries.acked(now, owed.looks)
                 self.storms.runs.acked(now, owed.ref, owed.place)
-            self._answer(owed, Errand.ACK, result)
+            self._answer(now, owed, Errand.ACK, result)
         else:
-            self._answer(owed, Errand.FAIL)
+            self._answer(now, owed, Errand.FAIL)
 
-    def _answer(self, owed: Owed, errand: Errand, *told: object) -> None:
+    def _answer(self, now: float, owed: Owed, errand: Errand, *told: object) -> None:
         if owed.place is not None:
             self.errands.append((errand, owed.place, *told, self.level))
             self._left(owed)
-        self._drop_if_done(owed)
+        self._drop_if_done(now, owed)
 
     def _left(self, owed: Owed) -> None:
         """Nobody waits for it any more."""
@@ -565,6 +614,8 @@
         if self.storms:
             self.storms.tries.closed(owed.looks)
 
-    def _drop_if_done(self, owed: Owed) -> None:
+    def _drop_if_done(self, now: float, owed: Owed) -> None:
         if owed.place is None and not owed.running and not owed.handed:
             self.owed.pop(owed.ref, None)
+            if owed.may_have_run and owed.op_type not in self.may_repeat:
+                self.ended.add(now, owed.ref)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -255,10 +255,12 @@
 
     async def caller_sends(self, who: str, ref: str, op_type: str, *more: str) -> None:
         """An op with the body `in-REF`, or `body=...`; `more` are further fields, or others in place of the usual
-        ones, and perhaps `and-ends`: the end of the caller's side in the same moment."""
-        fields = {"X-Request-Id": op_id(ref), "X-Request-Start": f"{time.time() * 1000:.0f}", "X-Caller": "1",
-                  "X-Timeout-Ms": "1500", "X-Cost-Ms": "20", "X-Memory-Kb": "10",
-                  **dict(word.split("=", 1) for word in more if "=" in word)}
+        ones, and perhaps `and-ends`: the end of the caller's side in the same moment. `ago=MS`: it came so long ago, and
+        is read only now."""
+        told = dict(word.split("=", 1) for word in more if "=" in word)
+        arrived = time.time() * 1000 - float(told.pop("ago", 0))
+        fields = {"X-Request-Id": op_id(ref), "X-Request-Start": f"{arrived:.0f}", "X-Caller": "1",
+                  "X-Timeout-Ms": "1500", "X-Cost-Ms": "20", "X-Memory-Kb": "10", **told}
         body = fields.pop("body", f"in-{ref}").encode()
         head = "".join(f"{name}: {text}\r\n" for name, text in fields.items())
         await self.write(who, f"POST /svc/{op_type} HTTP/1.1\r\nHost: origin.svc\r\n{head}"
