One way to end a connection: our side is shut, what still comes is read and never run

Found by reading, then forced on real connections, each seen to fail on the text before: - connections.py, _end_idle, _make_room, abandon: a look for unread bytes, then close(). Bytes that come between the two make it a reset; they may be a whole request. Now only one whose read is pending is idle. - _end_late: the write side was shut while the answer lay partly in the send buffer: it was cut. Now the end follows what was written. - _take: at the bound, with all owed an answer, a new connection was accepted and closed: its request was lost. Now the listener pauses; one in sixteen of the places is kept free, since an ended connection holds its own until its peer closes. - _accept: ENOBUFS and ENOMEM made the loop spin on the listener. Now it pauses as without descriptors. - a bound lowered by a reload left the connections above it open for good. - bad senders that send ahead on all places kept good ones out: a look always found something unread.

--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -2,6 +2,10 @@
 
 What a peer may cost is bounded here: how long it may keep silent, trickle or leave an answer unread, how much is
 read for it in a turn of the loop, and who makes room when descriptors run out.
+
+There is one way to end a connection that is owed nothing (`_end`): our side is shut, and what still comes is read to its
+end and thrown away. A look for unread bytes and then a close leaves a moment between the two in which a request may come:
+the close is then a reset, and the answer before it may go with it. `docs/design/crossings.md` has the table.
 """
 from __future__ import annotations
 
@@ -24,7 +28,10 @@
 
 LOG = logging.getLogger(__name__)
 BACKLOG = 256           # what is not accepted yet may hold a whole request already, and its time runs
-ACCEPT_RETRY = 0.05     # seconds until a listener without descriptors looks again
+ACCEPT_RETRY = 0.06     # seconds until a listener without descriptors looks again: more than `CROSSING`
+ACCEPT_ENDS = (errno.EAGAIN, errno.ECONNABORTED, errno.EINTR, errno.EPROTO)     # none is left, or it went while it waited
+CROSSING = 0.05         # seconds in which a request may cross the end of its connection; its caller sends it once more
+ROOM_PART = 16          # of the places, one in so many is kept free: an ended connection holds its own until the peer closes
 ACCEPTS_A_TURN = 16     # a flood of new connections must not keep the loop from those it has
 NEW_WAIT, SHEDS_A_TURN = 0.2, 256     # seconds that new ones may have to wait before they are closed unheard
 FIRST_WAIT = 2.0        # seconds in which a new connection is to bring its first message
@@ -55,12 +62,14 @@
         self.heard = False       # a message was taken from it
         self.again = False       # more than one
         self.blamed = 0          # bad requests
+        self.ended_at = math.inf     # when our side of it ended
         self.settled = asyncio.Event()
         self.shelf: dict[int, Connection] = {}
         self.back_at = 0.0       # when its caller was told to come back
 
     def is_idle(self) -> bool:
-        return not self.owing and not self.last and not self.reader.started()
+        """Waits for its peer, and nothing was read for it, not even in this turn of the loop."""
+        return not self.owing and not self.last and not self.reader.started() and self.stream.reading()
 
     def spare_rank(self) -> int:
         """Who makes room first: the answered, those that never said a whole thing, those that asked once or
@@ -70,8 +79,10 @@
         return 0 if self.last else 1 if not self.heard else 2 if self.blamed or not self.again else 3
 
     def is_spare(self) -> bool:
-        """Whether nothing of a caller's is lost by closing it. What came to a new one was never run."""
-        return self.last or not (self.heard and self.reader.started() or self.stream.has_unread())
+        """Whether nothing of a caller's is lost by ending it. What came to a new one was never run, and who sent many
+        bad requests has sent another one."""
+        begun = self.heard and self.reader.started() or self.stream.has_unread()
+        return self.stream.reading() and not begun or self.blamed >= BLAMED_MOST
 
 
 class Connections:
@@ -89,23 +100,28 @@
         self.on_connected: Callable[[], None] | None = None
         self.waiting_since = math.inf    # from then on there were always more new ones than could be taken
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.listeners: list[socket.socket] = []
+        self.closing = False     # `shut`: each answer is the last one of its connection
 
     def listen(self, host: str, port: int) -> int:
         """Starts listening; the port that was bound."""
-        sockets = netutil.bind_sockets(port, host, backlog=BACKLOG)
-        for sock in sockets:
+        self.listeners = netutil.bind_sockets(port, host, backlog=BACKLOG)
+        for sock in self.listeners:
             IOLoop.current().add_handler(sock, self._accept, IOLoop.READ)
-        return sockets[0].getsockname()[1]
+        return self.listeners[0].getsockname()[1]
 
     def _accept(self, listener: socket.socket, _: int) -> None:
         now = self.clock()
         self.waiting_since = min(self.waiting_since, now)
         late = now - self.waiting_since > NEW_WAIT
         for _ in range(SHEDS_A_TURN if late else ACCEPTS_A_TURN):
+            if len(self.open) > self.most and not self._make_room():
+                self._pause_listening(listener)     # taken and closed it would be lost; here it may come in time
+                return
             try:
                 sock = listener.accept()[0]
-            except OSError as error:    # none is left, it went while it waited, or no descriptor is free
-                if error.errno in (errno.EMFILE, errno.ENFILE) and not self._make_room():
+            except OSError as error:
+                if error.errno not in ACCEPT_ENDS and not (error.errno in (errno.EMFILE, errno.ENFILE) and self._make_room()):
                     self._pause_listening(listener)
                 self.waiting_since = math.inf
                 return
@@ -119,15 +135,15 @@
     def _pause_listening(self, listener: socket.socket) -> None:
         """With nothing to accept into, the loop would do nothing but look at the listener."""
         self.count("accepts_paused")
-        loop = IOLoop.current()
-        loop.remove_handler(listener)
-        loop.call_later(ACCEPT_RETRY, loop.add_handler, listener, self._accept, IOLoop.READ)
+        self.waiting_since = math.inf
+        IOLoop.current().remove_handler(listener)
+        IOLoop.current().call_later(ACCEPT_RETRY, self._resume_listening, listener)
+
+    def _resume_listening(self, listener: socket.socket) -> None:
+        if listener in self.listeners:
+            IOLoop.current().add_handler(listener, self._accept, IOLoop.READ)
 
     def _take(self, sock: socket.socket) -> None:
-        if len(self.open) >= self.most and not self._make_room():
-            self.count("connections_refused")
-            sock.close()
-            return
         sock.setblocking(False)
         self.accepted += 1
         self.count("connections_accepted")
@@ -140,17 +156,28 @@
         task = asyncio.ensure_future(self._converse(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        if self.most - self.most // ROOM_PART < len(self.open) <= self.most:
+            self._end_spare()
 
     def _make_room(self) -> bool:
-        """At the bound of descriptors one that is owed nothing makes room, and nothing unread is closed: it may
-        be a whole request. The new one might carry a whole request already."""
-        for shelf in self.shelves[:OWED]:
+        """Whether one of those above the bound made room: one whose side of ours ended a while ago, so that no request
+        can cross it any more. If there is none, one is ended for the next look."""
+        ended = next(iter(self.shelves[0].values()), None)
+        if ended and self.clock() >= ended.ended_at + CROSSING:
+            self._drop(ended)
+            return True
+        self._end_spare()
+        return False
+
+    def _end_spare(self) -> None:
+        """One that is owed nothing makes room, and none with something unread: it may be a whole request."""
+        if len(self.shelves[0]) > self.most // ROOM_PART:
+            return      # enough are on their way out
+        for shelf in self.shelves[1:OWED]:
             for spare in islice(shelf.values(), LOOKS):
                 if spare.is_spare():
-                    self.count("connections_evicted")
-                    self._drop(spare)
-                    return True
-        return False
+                    self._end(spare, "connections_evicted")
+                    return
 
     def _shelve(self, connection: Connection) -> None:
         """On each change of what it does: the newest of its rank."""
@@ -160,7 +187,7 @@
 
     async def _converse(self, connection: Connection) -> None:
         try:
-            # Dropped with a request just read: it crossed the close, and its caller sends it once more.
+            # What comes after our side ended is never run: its answer could not be written any more.
             while not connection.last and connection.number in self.open:
                 await self._exchange(connection)
             await self._linger(connection)
@@ -207,8 +234,7 @@
     async def _linger(self, connection: Connection) -> None:
         """After the last answer the peer's side is read to its end and thrown away: a close with something
         unread is a reset, which would wipe out the answer of one that is still sending."""
-        connection.due = self.clock() + LINGER
-        await connection.stream.write(b"")    # done when all before it has left
+        connection.due = min(connection.due, self.clock() + LINGER)
         connection.stream.end_writing()
         left = LINGER_BYTES
         while left > 0 and connection.number in self.open:
@@ -257,7 +283,9 @@
         if connection is None:
             return False
         must_hold(connection.owing, "an answer is written where one is owed")
-        connection.owing, connection.last, connection.quiet_since = False, last, self.clock()
+        now, last = self.clock(), last or self.closing
+        connection.owing, connection.last, connection.quiet_since = False, last, now
+        connection.ended_at = now if last else math.inf
         self._shelve(connection)
         try:
             connection.stream.write_gathered(pieces)
@@ -273,10 +301,11 @@
             connection.blamed += 1
 
     def abandon(self, number: int) -> None:
-        """Closes a connection whose answer goes elsewhere."""
+        """Ends a connection whose answer goes elsewhere."""
         if connection := self.open.get(number):
             connection.owing = False
-            self._drop(connection)
+            self._end(connection, "connections_abandoned")
+            connection.settled.set()
 
     def sweep(self, longest_idle: float) -> None:
         """Ends what peers let wait too long, and finds callers that went: parked streams hear of no reset."""
@@ -289,18 +318,51 @@
                 self._end_late(connection)
             elif connection.is_idle() and connection.quiet_since < now - longest_idle:
                 self._end_idle(connection, "connections_trimmed")
+        for _ in range(len(self.open) - self.most):     # the bound was lowered
+            self._end_spare()
 
     def _end_late(self, connection: Connection) -> None:
         if connection.last or connection.stream.writing():
             self._drop(connection)
         elif not connection.reader.started():
             self._end_idle(connection, "connections_silent")
-        elif not connection.stream.has_unread():    # else it is we who are late
-            connection.owing, connection.due = True, self.clock() + LINGER    # the answer shelves it
-            self.on_late(connection.number)
-            connection.stream.end_writing()
+        elif connection.stream.reading() and not connection.stream.has_unread():    # else it is we who are late
+            self._end_begun(connection)
+
+    def _end_begun(self, connection: Connection) -> None:
+        """Half a request gets an answer, too: the rest of it may come in this moment."""
+        connection.owing = True     # the answer shelves it
+        self.on_late(connection.number)
+        connection.stream.end_writing()
 
     def _end_idle(self, connection: Connection, cause: str) -> None:
-        if not connection.stream.has_unread():
-            self.count(cause)
-            self._drop(connection)
+        if connection.is_idle() and not connection.stream.has_unread():
+            self._end(connection, cause)
+
+    def _end(self, connection: Connection, cause: str) -> None:
+        """Our side ends; the coroutine reads what still comes to its end, and throws it away."""
+        self.count(cause)
+        connection.last, connection.ended_at = True, self.clock()
+        connection.due = connection.ended_at + LINGER
+        self._shelve(connection)
+        connection.stream.end_writing()
+
+    def shut(self) -> None:
+        """Before the process is stopped: nobody comes any more, and who rests here is told so. What lies in the backlog is
+        taken first, as it would be lost with the listener. Called again until the end, for those that were not idle."""
+        for listener in self.listeners:
+            IOLoop.current().remove_handler(listener)
+            for _ in range(2 * BACKLOG):
+                try:
+                    self._take(listener.accept()[0])
+                except OSError:
+                    break
+            listener.close()
+        self.listeners, self.closing = [], True
+        for connection in list(self.open.values()):
+            if connection.owing or connection.last or not connection.stream.reading() or connection.stream.has_unread():
+                continue    # it has an answer coming, and that is the last one
+            if connection.reader.started():
+                self._end_begun(connection)
+            else:
+                self._end(connection, "connections_shut")
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -65,10 +65,15 @@
             return False
 
     def end_writing(self) -> None:
-        """The peer sees an end behind the last answer, while what it still sends can be read."""
-        if not self.closed():
-            with contextlib.suppress(OSError):
-                self.socket.shutdown(socket.SHUT_WR)
+        """The peer sees an end behind the last answer, while what it still sends can be read. What the socket had no
+        room for yet leaves before: an end in the middle of an answer would cut it."""
+        if self.closed():
+            return
+        if self.writing():
+            self.write(b"").add_done_callback(lambda done: done.exception() or self.end_writing())
+            return
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
 
     def write_at_once(self, words: bytes) -> None:
         """A short answer to one that waits, on a stream that writes nothing else; its end is no error of ours."""
