--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -66,7 +66,11 @@
 import sys
 from importlib import import_module
 
-from docopt import docopt
+if sys.argv[1:2] == ["serve"]:      # what is imported below takes its time, in which a signal may come
+    from mulleinhatch.program import signals
+    signals.heard_early()
+
+from docopt import docopt  # noqa: E402
 
 COMMANDS = ("serve", "check", "counters", "demo", "fleet", "search", "trace", "upkeep", "version")
 
--- a/mulleinhatch/commands/serve.py
+++ b/mulleinhatch/commands/serve.py
@@ -3,18 +3,17 @@
 
 import asyncio
 import os
-import signal
 import sys
 from typing import Any
 
+from mulleinhatch.program import signals
 from mulleinhatch.program.instance import Instance
 from mulleinhatch.program.logs import start_logging
 from mulleinhatch.program.placement import Misplaced, Placement, placement
 
 
 def run(told: dict[str, Any]) -> int:
-    for early in (signal.SIGHUP, signal.SIGUSR1):    # their default would end us before we can hear them
-        signal.signal(early, signal.SIG_IGN)
+    signals.heard_early()
     start_logging(told["--log"])
 
     def placed() -> Placement:
--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -5,16 +5,17 @@
 import logging
 import math
 import resource
-import signal
 import time
 from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from mulleinhatch.holds import BROKEN
+from mulleinhatch.program import signals
 from mulleinhatch.program.front import HttpFront
 from mulleinhatch.program.interpreter import Interpreter
 from mulleinhatch.program.placement import Misplaced, Placement
+from mulleinhatch.program.tasks import Tasks
 from mulleinhatch.protocol import reports
 from mulleinhatch.routing.reducer import Errand, Happening, Reducer
 from mulleinhatch.transport.datagrams import Datagrams
@@ -27,7 +28,9 @@
 
 LOG = logging.getLogger(__name__)
 DESCRIPTORS_KEPT = 16       # of the limit, for all that is no client connection
-LISTEN_TRIES, LISTEN_RETRY = 20, 0.1    # a predecessor killed a moment ago may still hold the address
+LISTEN_FOR = 15.0           # seconds: a predecessor killed a moment ago may still hold the address
+LISTEN_RETRY, LISTEN_RETRY_MOST = 0.02, 0.25    # seconds between tries, doubled in between, drawn by half
+SHUT_BEFORE, SHUT_EVERY = 0.12, 0.02    # seconds before the stop: later than the module's last answers; until all have heard it
 OUTLIVE_STOP = 0.5          # seconds: whoever stops us does it at the time told; to end first would lose ops
 REPORT_EVERY = reports.LISTED_FOR / 6
 SWEEP_EVERY = 0.25
@@ -53,6 +56,7 @@
             front.connections.on_connected = self.reducer.connected
         self.interpreter = interpreter = Interpreter(*placement.interpreter, self.take, self.count)
         self.datagrams = Datagrams()
+        self.tasks = Tasks(self.count, placement.seed)
         self.port = 0
         self.listed_open: bool | None = None    # not reported until the interpreter is up
         # Callers close their own before: what outlives that was left by one that asks no more.
@@ -111,12 +115,20 @@
         self.idle_kept = seconds
 
     def _leave(self, seconds: float) -> None:
-        """It listens to the end and past it: what lies in the backlog of a closed socket is lost."""
+        """It serves until shortly before the stop, then takes what lies in the backlog, listens no more, and ends what rests:
+        a request that came in the moment of the stop would be lost, one that finds nobody is sent elsewhere."""
         self.front.leaving = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(max(0.0, seconds - SHUT_BEFORE), self._shut)
+        loop.call_later(seconds + OUTLIVE_STOP, self.stopped.set)
         if self.fleet:
             self.fleet.leave()
         self.log_counters("leaving")
-        asyncio.get_running_loop().call_later(seconds + OUTLIVE_STOP, self.stopped.set)
+
+    def _shut(self) -> None:
+        if not self.stopped.is_set():
+            asyncio.get_running_loop().call_later(SHUT_EVERY, self._shut)
+            self.front.connections.shut()
 
     def _report(self) -> None:
         directory = self.placement.directory
@@ -128,10 +140,8 @@
 
     async def serve(self) -> None:
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-        loop.add_signal_handler(signal.SIGTERM, self.leave)
-        loop.add_signal_handler(signal.SIGINT, self.leave)
-        loop.add_signal_handler(signal.SIGUSR1, self.log_counters, "counters")
+        loop.set_exception_handler(self.tasks.loop_failed)
+        signals.handled(loop, hangup=self.reload, end=self.leave, counters=lambda: self.log_counters("counters"))
         self.port = await self._listen()
         LOG.info("listening", extra={"fields": {"name": self.placement.name, "port": self.port}})
         if self.placement.fleet:
@@ -143,32 +153,28 @@
                 await self.fleet.upkeep.listen()
             if self.fleet.spread:
                 self.errands[Errand.HAND], self.front.on_hand = self.fleet.spread.hand, self.fleet.spread.came
-        tasks = [asyncio.ensure_future(work) for work in
-                 (self.interpreter.link.keep(), self._every(REPORT_EVERY, self._report),
-                  self._every(SWEEP_EVERY, self._sweep))]
+        self.tasks.keep("link", self.interpreter.link.keep)
+        self.tasks.every("reports", REPORT_EVERY, self._report)
+        self.tasks.every("sweep", SWEEP_EVERY, self._sweep)
         await self.stopped.wait()
         if self.fleet:
             self.fleet.close()
         if self.tracing:
             self.tracing.close()
-        for task in tasks:
-            task.cancel()
+        self.tasks.cancel()
         self.log_counters("stopped")
 
     async def _listen(self) -> int:
-        for _ in range(LISTEN_TRIES - 1):
+        until, pause = time.monotonic() + LISTEN_FOR, LISTEN_RETRY
+        while True:
             try:
                 return self.front.connections.listen(*self.placement.listen)
             except OSError as error:
+                if time.monotonic() >= until:
+                    raise
                 LOG.info("can't listen yet", extra={"fields": {"error": error}})
-                await asyncio.sleep(LISTEN_RETRY)
-        return self.front.connections.listen(*self.placement.listen)
-
-    @staticmethod
-    async def _every(seconds: float, work: Callable[[], None]) -> None:
-        while True:
-            work()
-            await asyncio.sleep(seconds)
+            await asyncio.sleep(pause * (0.5 + self.tasks.draw(1000) / 1000.0))
+            pause = min(LISTEN_RETRY_MOST, 2.0 * pause)
 
     def _sweep(self) -> None:
         if self.tracing:
--- a/mulleinhatch/program/interpreter.py
+++ b/mulleinhatch/program/interpreter.py
@@ -10,26 +10,44 @@
 from mulleinhatch.transport.link import Link
 
 LOG = logging.getLogger(__name__)
+SPOILT_MOST = 1000
 
 
 class Interpreter:
     def __init__(self, host: str, port: int, take: Callable[..., None], count: Callable[[str], None]) -> None:
         self.take, self.count = take, count
         self.complained: set[str] = set()
+        self.spoilt: set[str] = set()       # runs whose end came spoilt once
         self.link = Link(host, port, on_open=lambda: take(Happening.LINK_OPENED), on_line=self.line,
                          count=count)
 
     def line(self, line: bytes) -> None:
         try:
             told = link.notice(line)
-        except ValueError:
+        except (ValueError, RecursionError):
             self._complain("lines_broken", {"line": line[:80]})
             self.take(Happening.LINE_BROKEN)
             return
         try:
             self._notice(told)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             self._complain("notices_broken", {"error": repr(error)})
+            self._spoilt(told)
+
+    def _spoilt(self, told: dict) -> None:
+        """It comes again, perhaps whole, when the link is made anew. An end that is spoilt again is an end still: its run
+        fails, whose result nobody can know, and does not keep its place for good."""
+        ref = told.get("rid")
+        if told.get("t") != "VALUE" or not isinstance(ref, str):
+            return
+        if ref in self.spoilt:
+            self.spoilt.discard(ref)
+            self.take(Happening.RUN_SPOILT, ref)
+            return
+        if len(self.spoilt) >= SPOILT_MOST:
+            self.spoilt.clear()
+        self.spoilt.add(ref)
+        self.take(Happening.LINE_BROKEN)
 
     def _complain(self, what: str, fields: dict) -> None:
         """Counted each time and logged once: a fault of the other side must not fill the log."""
@@ -41,17 +59,19 @@
     def _notice(self, told: dict) -> None:
         what, status = told.get("t"), told.get("status")
         if what == "VALUE":
-            self.take(Happening.RUN_ENDED, int(told["no"]), told["rid"],
-                      link.ENDINGS.get(status, Ending.ERROR), link.result(told))
+            ending = link.ENDINGS.get(status, Ending.ERROR)
+            self.take(Happening.RUN_ENDED, link.whole(told["no"]), link.text(told["rid"]), ending,
+                      link.result(told, ending is Ending.OK))
         elif what == "TOPS":
-            self.take(Happening.GAUGES, int(told["mark"]), list(told["v"]))
+            self.take(Happening.GAUGES, link.whole(told["mark"]), link.readings(told["v"]))
         elif what == "BANNER":
+            since = link.figure(told["time_ms"]) / 1000.0
             LOG.info("interpreter up", extra={"fields": {"status": status, "ms": told["time_ms"]}})
-            self.take(Happening.INTERPRETER_UP, status == "new", told["time_ms"] / 1000.0)
+            self.take(Happening.INTERPRETER_UP, status == "new", since)
         elif what == "ERROR":
             self._complain("interpreter_errors", {"command": status, "ref": told.get("rid")})
             if status == "APPLY":
-                self.take(Happening.RUN_UNKNOWN, told["rid"])
+                self.take(Happening.RUN_UNKNOWN, link.text(told["rid"]))
         elif what != "TRACE":
             self._complain("notices_unknown", {"t": what})
 
--- a/mulleinhatch/program/placement.py
+++ b/mulleinhatch/program/placement.py
@@ -1,8 +1,10 @@
 """Where an instance is placed: all it is told at start is read, checked and given defaults here alone."""
 from __future__ import annotations
 
+import ipaddress
 import json
 import logging
+import math
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -38,21 +40,26 @@
 
 
 def address(key: str, text: object) -> Address:
-    """
+    """An IPv4 address with its port: there is no DNS, and a name would be looked up, and waited for, at each report.
+
     >>> address("listen", "127.0.0.4:8080")
     ('127.0.0.4', 8080)
     >>> address("vm", "127.0.0.4")
     Traceback (most recent call last):
-    mulleinhatch.program.placement.Misplaced: vm: '127.0.0.4' is no host:port
+    mulleinhatch.program.placement.Misplaced: vm: '127.0.0.4' is no host:port of IPv4 numbers
     """
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise Misplaced(f"{key}: {text!r} is no host:port")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        host = ""
+    if not host or not port.isascii() or not port.isdigit() or len(port) > 5 or int(port) > 65535:
+        raise Misplaced(f"{key}: {text!r} is no host:port of IPv4 numbers")
     return host, int(port)
 
 
 def number(key: str, value: object, least: float) -> float:
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < least:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < math.inf:
         raise Misplaced(f"{key}: {value!r} is no number of {least:g} or more")
     return value
 
@@ -67,7 +74,10 @@
 def names(key: str, items: object) -> list[str]:
     if not isinstance(items, list) or not all(isinstance(item, dict) and "name" in item for item in items):
         raise Misplaced(f"{key}: a list of objects with a name each is wanted")
-    return [str(item["name"]) for item in items]
+    found = [str(item["name"]) for item in items]
+    if len(set(found)) < len(found):
+        raise Misplaced(f"{key}: a name comes twice")
+    return found
 
 
 def facts(settings: Any) -> Deployment:
@@ -87,6 +97,8 @@
         told = json.loads(Path(path).read_text())
     except (OSError, ValueError) as error:
         raise Misplaced(f"NODE_CONFIG: {path} can't be read: {error}") from None
+    except RecursionError:
+        raise Misplaced(f"NODE_CONFIG: {path} can't be read: nested too deep") from None
     if not isinstance(told, dict):
         raise Misplaced("NODE_CONFIG: an object is wanted")
     for key in ("name", "listen"):
@@ -121,6 +133,8 @@
         if key not in told:
             raise Misplaced(f"{key}: missing")
     settings, limits = told["settings"], told.get("limits", {})
+    if not isinstance(limits, dict):
+        raise Misplaced("limits: an object is wanted")
     deployment_facts = facts(settings)
     return Placement(
         name=str(told["name"]), listen=address("listen", told["listen"]),
--- a/mulleinhatch/protocol/link.py
+++ b/mulleinhatch/protocol/link.py
@@ -34,5 +34,43 @@
     return told
 
 
-def result(told: dict) -> bytes:
-    return b64decode(told.get("b64") or "")
+def result(told: dict, wanted: bool) -> bytes:
+    """ValueError where there is none though one is wanted, and for one that is no base64 to the last character: decoded as far
+    as it goes, a spoilt result would be served.
+
+    >>> result({"b64": "aGk="}, True), result({}, False)
+    (b'hi', b'')
+    """
+    encoded = told["b64"] if wanted else told.get("b64") or ""
+    return b64decode(text(encoded), validate=True)
+
+
+def text(value: object) -> str:
+    if not isinstance(value, str):
+        raise ValueError("no text")
+    return value
+
+
+def whole(value: object) -> int:
+    """A number of the link, as one or as its digits; 0 or more.
+
+    >>> whole(7), whole("12")
+    (7, 12)
+    """
+    if isinstance(value, bool) or not isinstance(value, int | str) or isinstance(value, str) and not value.isdecimal():
+        raise ValueError("no whole number")
+    if int(value) < 0:
+        raise ValueError("below zero")
+    return int(value)
+
+
+def figure(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0.0 <= value < float("inf"):
+        raise ValueError("no figure")
+    return float(value)
+
+
+def readings(values: object) -> list[float]:
+    if not isinstance(values, list):
+        raise ValueError("no list")
+    return [figure(value) for value in values]
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -25,6 +25,7 @@
 RUN_GAP = 1.0           # seconds in which no run ended, though some were asked for: the interpreter stood still
 PARKED_MOST = 1.0       # seconds that a retry waits for a word on its twin: a run and the next request of its caller
 PARKED_MARGIN = 0.5     # and no longer than leaves the module time to decide on it
+NOTICES_KEPT = 4000     # by the interpreter: a number further on than that is no next one
 LINGER = 10.0           # seconds after its arrival in which a try may be read, where the op type names no time
 ENDED_SPAN, ENDED_ROOM = 10.0, 8192     # seconds for which the id of an op that ran is known, and at most so many in each
 RUN_COUNTS = {ending: "run_" + ending.name.lower() for ending in Ending}
@@ -37,6 +38,7 @@
     OP_READ = "op read"          # place, ref, op type, tenant, age, wait, caller, work, kb, again, key, body, rank, from a peer
     RUN_ENDED = "run ended"      # number of the notice, ref, ending, result
     RUN_UNKNOWN = "run unknown"  # ref
+    RUN_SPOILT = "run spoilt"    # ref: it ended, and how can't be read
     GAUGES = "gauges"            # mark, readings
     ALARM = "alarm"              # token
     CHECKED = "checked"          # place
@@ -173,7 +175,10 @@
                 self._calls(now, self.calls_share)
         elif now - since > self.heard_at:
             # It began after the last word of the one before: it is another interpreter.
-            self.last_notice, self.renewed_at = 0, -1
+            if self.last_notice:
+                # The greeting named a notice of the one before: this one keeps to itself what it says up to that number.
+                self.errands.append((Errand.RENEW,))
+            self.last_notice, self.renewed_at, self.heard_at = 0, -1, now
             for owed in [owed for owed in self.owed.values() if owed.running]:
                 self._end_run(now, owed.ref, Ending.ERROR, b"")
         self.errands.append((Errand.LISTING, self.healthy))
@@ -366,12 +371,24 @@
         if number <= self.last_notice:
             self.counts["notices_repeated"] += 1
             return
+        if number > self.last_notice + NOTICES_KEPT and ref not in self.owed:
+            # Taken at its word, no notice would be believed any more.
+            self.counts["notices_strange"] += 1
+            return
         if self.storms and now - max(self.ended_at, self.idle_until) > RUN_GAP:
             self.storms.watch.outage(now)
         self.ended_at = now
-        self.last_notice, self.heard_at = number, now
+        self.heard_at = now
+        if number <= self.last_notice + NOTICES_KEPT:
+            self.last_notice = number
+        else:
+            self.counts["notices_strange"] += 1
         self._end_run(now, ref, ending, result)
 
+    def _run_spoilt(self, now: float, ref: str) -> None:
+        self.counts["runs_spoilt"] += 1
+        self._end_run(now, ref, Ending.ERROR, b"")
+
     def _run_unknown(self, now: float, ref: str) -> None:
         """No op that came to the machine: its sender is refused, and nothing that ran is measured by it."""
         self.counts["runs_unknown"] += 1
@@ -406,6 +423,9 @@
     def _gauges(self, now: float, mark: int, readings: Sequence[float]) -> None:
         """A run that was asked for before gauges that have come is with the interpreter, unless a link was
         lost between: behind the mark set then, it never arrived."""
+        if mark > self.marks:
+            self.counts["notices_strange"] += 1     # nobody asked for these: what it would confirm may be under way
+            return
         self.readings, self.read_at, self.heard_at = readings, now, now
         before = [ref for ref, asked in self.unconfirmed.items() if asked < mark]
         if mark < self.resync:
--- a/mulleinhatch/start.py
+++ b/mulleinhatch/start.py
@@ -1,6 +1,7 @@
 """What an instance is told at start, in the words of `interface.Deployment`. What is not there stays out."""
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -98,8 +99,11 @@
 
 def value(read: Callable[[str], Any], text: str, path: str) -> Any:
     try:
-        return read(text)
-    except ValueError:
+        found = read(text)
+        if isinstance(found, float) and not math.isfinite(found):
+            raise ValueError
+        return found
+    except (ValueError, OverflowError):
         raise ValueError(f"{path}: {text!r} can't be read") from None
 
 
--- a/mulleinhatch/transport/link.py
+++ b/mulleinhatch/transport/link.py
@@ -2,7 +2,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import random
 import socket
 from collections.abc import Callable, Sequence
 
@@ -11,55 +13,71 @@
 from mulleinhatch.transport.stream import GatheringStream
 
 LOG = logging.getLogger(__name__)
-FIRST_RETRY, LAST_RETRY = 0.02, 0.5     # seconds between tries to connect, doubled in between
+FIRST_RETRY, LAST_RETRY = 0.02, 0.5     # seconds between tries to connect, doubled in between, drawn by half
 CONNECT_WAIT = 1.0      # seconds for one try: an address that is gone may not answer at all
-LONGEST_LINE = 65536
+LONGEST_LINE = 1 << 20  # bytes: far beyond any notice, so that one that is spoilt is read and passed over, not come back to
 
 
 class Link:
+    """Always to the address told last: a move ends the try, the pause or the successor that was on its way elsewhere."""
+
     def __init__(self, host: str, port: int, on_open: Callable[[], None], on_line: Callable[[bytes], None],
                  count: Callable[[str], None]) -> None:
         self.address, self.on_open, self.on_line, self.count = (host, port), on_open, on_line, count
         self.stream: GatheringStream | None = None
-        self.successor: asyncio.Task[GatheringStream] | None = None
+        self.successor: asyncio.Task[tuple[tuple[str, int], GatheringStream]] | None = None
+        self.connecting: GatheringStream | None = None
         self.retry = FIRST_RETRY
+        self.moved = asyncio.Event()
 
     async def keep(self) -> None:
         try:
             while True:
                 try:
-                    await self._once(await (self.successor or self._connected()))
+                    await self._once(*await (self.successor or self._connected()))
                 except (OSError, UnsatisfiableReadError) as error:    # a closed stream is an OSError
                     LOG.debug("link ended", extra={"fields": {"error": error}})
         finally:
             if self.successor:
                 self.successor.cancel()
+                self.successor = None
 
-    async def _connected(self) -> GatheringStream:
-        """A new stream to the address that is in force when it stands."""
+    async def _connected(self) -> tuple[tuple[str, int], GatheringStream]:
+        """A new stream, to the address that is in force when it stands."""
         while True:
-            address, stream = self.address, GatheringStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            address, stream = self.address, None
+            self.moved.clear()
             try:
+                # Without a descriptor there is no socket: that, too, must wait and not spin.
+                stream = self.connecting = GatheringStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
                 await asyncio.wait_for(stream.connect(address), CONNECT_WAIT)
                 if address == self.address:
-                    return stream
+                    return address, stream
             except (TimeoutError, OSError) as error:
                 LOG.debug("no link yet", extra={"fields": {"error": error}})
             except BaseException:
-                stream.close()
+                if stream:
+                    stream.close()
                 raise
-            stream.close()
-            await self._pause()
+            finally:
+                self.connecting = None
+            if stream:
+                stream.close()
+            if address == self.address:
+                await self._pause()
 
     async def _pause(self) -> None:
-        await asyncio.sleep(self.retry)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.moved.wait(), self.retry * random.uniform(0.5, 1.0))
         self.retry = min(LAST_RETRY, 2.0 * self.retry)
 
-    async def _once(self, stream: GatheringStream) -> None:
+    async def _once(self, address: tuple[str, int], stream: GatheringStream) -> None:
         self.stream, self.successor = stream, None
         self.count("link_opened")
         try:
             self.on_open()
+            if address != self.address:     # moved between its connecting and now
+                self._succeed()
             while True:
                 self.on_line(await stream.read_until(b"\n", max_bytes=LONGEST_LINE))
                 self.retry = FIRST_RETRY
@@ -72,10 +90,18 @@
 
     def move(self, host: str, port: int) -> None:
         """To another address: the old link serves until the new one stands."""
+        if (host, port) == self.address:
+            return
         self.address, self.retry = (host, port), FIRST_RETRY
+        self.moved.set()
+        if self.connecting:
+            self.connecting.close()
         if self.stream is not None and self.successor is None:
-            self.successor = asyncio.ensure_future(self._connected())
-            self.successor.add_done_callback(lambda done: done.cancelled() or self.renew())
+            self._succeed()
+
+    def _succeed(self) -> None:
+        self.successor = asyncio.ensure_future(self._connected())
+        self.successor.add_done_callback(lambda done: done.cancelled() or self.renew())
 
     def renew(self) -> None:
         if self.stream is not None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -198,6 +198,19 @@
     async def interpreter_ends(self, ref: str, status: str, text: str = "") -> None:
         self.interpreter.ended(op_id(ref), status, text)
 
+    async def interpreter_forgets(self) -> None:
+        """It is started anew: its notices are numbered from 1 again, and a CONNECT names the one it sends on from."""
+        self.interpreter.notices = []
+
+    async def interpreter_notes(self, ref: str, status: str, text: str) -> None:
+        """A notice that is kept, and comes with the next greeting alone."""
+        writer, self.interpreter.writer = self.interpreter.writer, None
+        self.interpreter.ended(op_id(ref), status, text)
+        self.interpreter.writer = writer
+
+    async def interpreter_nests(self, depth: str) -> None:
+        self.interpreter.writer.write(int(depth) * b"[" + b"\n")
+
     async def interpreter_says(self, *words: str) -> None:
         text = re.sub('"(r[0-9]+)"', lambda ref: f'"{op_id(ref[1])}"', " ".join(words))
         self.interpreter.writer.write(text.encode() + b"\n")
@@ -296,6 +309,13 @@
         for name, _, wanted in (word.partition("=") for word in more):
             assert name in fields and wanted in ("", fields[name]), fields
 
+    async def caller_is_refused(self, who: str) -> None:
+        try:
+            await self.caller_opens(who)
+        except ConnectionRefusedError:
+            return
+        raise AssertionError("it was let in")
+
     async def caller_half_closes(self, who: str) -> None:
         self.callers[who].writer.write_eof()
 
@@ -303,7 +323,9 @@
         self.callers[who].reset()
 
     async def caller_is_closed(self, who: str) -> None:
+        """By an end, never by a reset; then it closes its side."""
         try:
             assert await self.callers[who].reader.read() == b""
         except ConnectionResetError:
-            pass
+            raise AssertionError("it was reset") from None
+        self.callers[who].writer.close()
