Runs that wait for a call have it made on sockets too, as another customer's settings need

Two classes of three served nothing. Checked: the configuration there names a dependency (db), the link says AWAIT, which was counted as an unknown notice (trial with all notices logged); such a run waited until its time was over. The module decides calls and does so on the simulator's wire; the reducer had no word for them.

What a run was told is kept until gauges confirm it: lost with a link it would wait for ever.

--- a/mulleinhatch/program/instance.py
+++ b/mulleinhatch/program/instance.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mulleinhatch.holds import BROKEN
+from mulleinhatch.interface import Ending
 from mulleinhatch.program import signals
 from mulleinhatch.program.front import HttpFront
 from mulleinhatch.program.interpreter import Interpreter
@@ -22,24 +23,27 @@
 
 if TYPE_CHECKING:
     from mulleinhatch.decide import Hatch
+    from mulleinhatch.program.calls import Dependency
     from mulleinhatch.program.fleet import FleetSide
     from mulleinhatch.program.tracing import Tracing
     from mulleinhatch.traces.recorder import Recorder
 
 LOG = logging.getLogger(__name__)
 DESCRIPTORS_KEPT = 16       # of the limit, for all that is no client connection
+LINKS_KEPT = 64             # and for calls of a dependency
 LISTEN_FOR = 15.0           # seconds: a predecessor killed a moment ago may still hold the address
 LISTEN_RETRY, LISTEN_RETRY_MOST = 0.02, 0.25    # seconds between tries, doubled in between, drawn by half
 SHUT_BEFORE, SHUT_EVERY = 0.12, 0.02    # seconds before the stop: later than the module's last answers; until all have heard it
 OUTLIVE_STOP = 0.5          # seconds: whoever stops us does it at the time told; to end first would lose ops
 REPORT_EVERY = reports.LISTED_FOR / 6
 SWEEP_EVERY = 0.25
-TAKEN_OVER = ("interpreter", "directory", "stop_after", "descriptors")     # by a reload, of the placement
+TAKEN_OVER = ("interpreter", "directory", "dependency", "stop_after", "descriptors")     # by a reload, of the placement
 
 
 def connections_held(placement: Placement) -> int:
     descriptors = min(placement.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-    return max(1, descriptors - min(DESCRIPTORS_KEPT, descriptors // 2))
+    kept = DESCRIPTORS_KEPT + (LINKS_KEPT if placement.dependency else 0)
+    return max(1, descriptors - min(kept, descriptors // 2))
 
 
 class Instance:
@@ -57,6 +61,10 @@
         self.interpreter = interpreter = Interpreter(*placement.interpreter, self.take, self.count)
         self.datagrams = Datagrams()
         self.tasks = Tasks(self.count, placement.seed)
+        self.dependency: Dependency | None = None
+        if placement.dependency:
+            from mulleinhatch.program.calls import Dependency
+            self.dependency = Dependency(*placement.dependency, self.take, self.count)
         self.port = 0
         self.listed_open: bool | None = None    # not reported until the interpreter is up
         # Callers close their own before: what outlives that was left by one that asks no more.
@@ -66,7 +74,8 @@
             Errand.ACK: front.ack, Errand.NACK: front.nack, Errand.FAIL: front.fail,
             Errand.REFUSE: front.refuse, Errand.HEALTH: front.health, Errand.ABANDON: front.abandon,
             Errand.GREET: interpreter.greet, Errand.RENEW: interpreter.renew, Errand.RUN: interpreter.run,
-            Errand.GAUGES: interpreter.gauges,
+            Errand.GAUGES: interpreter.gauges, Errand.CALL: self._call, Errand.RESOLVE: interpreter.resolve,
+            Errand.SKIP: interpreter.skip,
             Errand.ALARM: self._alarm, Errand.LISTING: self._listing, Errand.TRIM: self._trim,
             Errand.LEAVE: self._leave, Errand.TURN_BACK: front.turn_back}
 
@@ -107,6 +116,12 @@
         self.counts["alarm_late_ms_most"] = max(self.counts["alarm_late_ms_most"], math.ceil(late))
         self.take(Happening.ALARM, token)
 
+    def _call(self, ref: str, seconds: float, query: bytes) -> None:
+        if self.dependency:
+            self.dependency.call(ref, seconds, query)
+        else:   # nobody told of one, and the run must not wait for ever
+            asyncio.get_running_loop().call_soon(self.take, Happening.CALL_ENDED, ref, Ending.UNREACHABLE, b"")
+
     def _listing(self, is_open: bool) -> None:
         self.listed_open = is_open
         self._report()
@@ -161,6 +176,8 @@
             self.fleet.close()
         if self.tracing:
             self.tracing.close()
+        if self.dependency:
+            self.dependency.close()
         self.tasks.cancel()
         self.log_counters("stopped")
 
@@ -180,6 +197,8 @@
         if self.tracing:
             self.tracing.beat(time.monotonic())
         self.front.connections.sweep(self.idle_kept)
+        if self.dependency:
+            self.dependency.sweep()
 
     def leave(self) -> None:
         self.take(Happening.LEAVE, self.placement.stop_after)
@@ -199,6 +218,8 @@
         self.placement = self.placement._replace(**{key: getattr(new, key) for key in TAKEN_OVER})
         self.front.connections.most = connections_held(new)
         self.interpreter.link.move(*new.interpreter)
+        if self.dependency and new.dependency:
+            self.dependency.move(*new.dependency)
         self._report()
 
     def log_counters(self, event: str) -> None:
--- a/mulleinhatch/program/interpreter.py
+++ b/mulleinhatch/program/interpreter.py
@@ -62,6 +62,8 @@
             ending = link.ENDINGS.get(status, Ending.ERROR)
             self.take(Happening.RUN_ENDED, link.whole(told["no"]), link.text(told["rid"]), ending,
                       link.result(told, ending is Ending.OK))
+        elif what == "AWAIT":
+            self.take(Happening.CALL_WANTED, link.whole(told["no"]), link.text(told["rid"]), link.result(told, True))
         elif what == "TOPS":
             self.take(Happening.GAUGES, link.whole(told["mark"]), link.readings(told["v"]))
         elif what == "BANNER":
@@ -84,5 +86,11 @@
     def run(self, ref: str, op_type: str, body: bytes) -> None:
         self.link.send(link.apply(ref, op_type, body))
 
+    def resolve(self, ref: str, result: bytes) -> None:
+        self.link.send(link.resolve(ref, result))
+
+    def skip(self, ref: str) -> None:
+        self.link.send(link.stub(ref))
+
     def gauges(self, mark: int) -> None:
         self.link.send(link.top(mark))
--- a/mulleinhatch/program/placement.py
+++ b/mulleinhatch/program/placement.py
@@ -26,6 +26,7 @@
     listen: Address
     interpreter: Address
     directory: Address | None
+    dependency: Address | None      # that runs call, and the instance for them
     seed: int
     stop_after: float       # seconds from the notice to leave to the stop
     descriptors: int
@@ -140,6 +141,7 @@
         name=str(told["name"]), listen=address("listen", told["listen"]),
         interpreter=address("vm", told["vm"]),
         directory=address("lookup", told["lookup"]) if "lookup" in told else None,
+        dependency=address("db", told["db"]) if "db" in told else None,
         seed=seed("seed", told["seed"]), stop_after=number("stop_ms", told.get("stop_ms", 3000), 0) / 1000.0,
         descriptors=int(number("limits.sockets", limits.get("sockets", 1024), 16)),
         op_types=names("settings.classes", settings.get("classes", [])),
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -4,6 +4,8 @@
 import math
 import re
 
+from mulleinhatch.interface import Ending
+
 MOST_HEAD, MOST_BODY = 8192, 2048       # bytes of a request
 SMALL_BUFFER = 2048     # until a message needs more: an idle connection must not cost as much as a busy one
 HEAD_END, LINE_END = b"\r\n\r\n", b"\r\n"
@@ -22,6 +24,7 @@
 HAND = b"x-hand"        # on an op that a peer hands over: the number of the offer, 0 for none; it is handed on once at most
 MOST_RESULT = 65536     # bytes of a peer's answer
 ANSWER_LINE = re.compile(rb"HTTP/1\.1 ([0-9]{3}) [^\r\n]*\r\n")
+CALL_PATH = b"/v1/exec"
 OP_PATH, HEALTH_PATH, COUNTERS_PATH, FLEET_PATH = b"/svc/", b"/status/live", b"/status/counters", b"/status/fleet"
 
 
@@ -256,6 +259,28 @@
     return int(line[1]), int(length), fields.get(b"connection", b"").lower() == b"close"
 
 
+def call(ref: str, query: bytes, wait_ms: float, host: str) -> list[bytes]:
+    """A call of the dependency, as pieces for one gathered write: what the run asks for, unchanged, and for how long."""
+    return [b"POST %b HTTP/1.1\r\nHost: %b\r\nRequest-Ref: %b\r\nStatement-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n" % (
+        CALL_PATH, host.encode(), ref.encode("latin-1"), max(1, int(wait_ms)), len(query)), query]
+
+
+def call_told(head: bytes) -> tuple[int, int, bool]:
+    """How a call ended, the length of what came with it, whether the connection closes. What says that nothing was started
+    proves it; anything else but a result may have had its effect.
+
+    >>> call_told(b"HTTP/1.1 200 OK\\r\\nContent-Length: 5\\r\\n\\r\\n")
+    (<Ending.OK: 1>, 5, False)
+    >>> call_told(b"HTTP/1.1 503 Busy\\r\\nNever-Started: 1\\r\\nContent-Length: 0\\r\\n\\r\\n")[0]
+    <Ending.FULL: 3>
+    """
+    status, length, last = answer_told(head)
+    if status == 200:
+        return Ending.OK, length, last
+    unstarted = b"\r\nnever-started:" in head.lower()
+    return Ending.FULL if unstarted else Ending.TIMEOUT if status in (408, 504) else Ending.ERROR, length, last
+
+
 def answer(status: int, body: bytes = b"", level: float | None = None, hold_off: float = 0.0,
            not_elsewhere: bool = False, close: bool = False) -> list[bytes]:
     """Status line, fields and body as pieces for one gathered write.
--- a/mulleinhatch/protocol/link.py
+++ b/mulleinhatch/protocol/link.py
@@ -22,6 +22,16 @@
     return [words.encode(), b64encode(body), b'"}\n']
 
 
+def resolve(ref: str, result: bytes) -> list[bytes]:
+    """What a run asked for at a call."""
+    return [f'{{"t":"RESOLVE","rid":{json.dumps(ref)},"status":"good","b64":"'.encode(), b64encode(result), b'"}\n']
+
+
+def stub(ref: str) -> list[bytes]:
+    """The run goes on without its call."""
+    return [f'{{"t":"STUB","rid":{json.dumps(ref)}}}\n'.encode()]
+
+
 def top(mark: int) -> list[bytes]:
     return [b'{"t":"TOP","mark":"%d"}\n' % mark]
 
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -38,6 +38,8 @@
     OP_READ = "op read"          # place, ref, op type, tenant, age, wait, caller, work, kb, again, key, body, rank, from a peer
     RUN_ENDED = "run ended"      # number of the notice, ref, ending, result
     RUN_UNKNOWN = "run unknown"  # ref
+    CALL_WANTED = "call wanted"  # number of the notice, ref, what it asks for
+    CALL_ENDED = "call ended"    # ref, ending, result
     RUN_SPOILT = "run spoilt"    # ref: it ended, and how can't be read
     GAUGES = "gauges"            # mark, readings
     ALARM = "alarm"              # token
@@ -66,6 +68,9 @@
     GREET = "greet"              # number of the last notice
     RENEW = "renew"              # the link
     RUN = "run"                  # ref, op type, body
+    CALL = "call"                # ref, seconds, what it asks for
+    RESOLVE = "resolve"          # ref, result: the run goes on with what its call gave
+    SKIP = "skip"                # ref: the run goes on without its call
     GAUGES = "gauges"            # mark
     ALARM = "alarm"              # seconds, token
     TRIM = "trim"                # seconds that an idle connection is kept
@@ -121,6 +126,7 @@
         self.last_notice = self.marks = 0
         self.renewed_at = -1    # the last notice when the link was made anew for a broken line
         self.unconfirmed: dict[str, int] = {}    # runs asked for, each after so many gauge marks
+        self.going_on: dict[str, tuple[int, tuple]] = {}     # what runs were told at a call, each after so many marks
         self.resync: float = 0
         self.heard_at = math.inf    # when the interpreter last said something about runs or gauges
         self.stop_at: float | None = None
@@ -367,24 +373,51 @@
             self.errands.append((Errand.ABANDON, owed.place))
             owed.place, self.places[place] = place, ref
 
-    def _run_ended(self, now: float, number: int, ref: str, ending: Ending, result: bytes) -> None:
+    def _is_news(self, now: float, number: int, ref: str) -> bool:
+        """Of a numbered notice. One whose number is no next one is believed only of a run in hand: taken at its word, no notice
+        after it would be believed any more."""
         if number <= self.last_notice:
             self.counts["notices_repeated"] += 1
-            return
-        if number > self.last_notice + NOTICES_KEPT and ref not in self.owed:
-            # Taken at its word, no notice would be believed any more.
-            self.counts["notices_strange"] += 1
+            return False
+        self.heard_at = now
+        if number <= self.last_notice + NOTICES_KEPT:
+            self.last_notice = number
+            return True
+        self.counts["notices_strange"] += 1
+        return ref in self.owed
+
+    def _run_ended(self, now: float, number: int, ref: str, ending: Ending, result: bytes) -> None:
+        if not self._is_news(now, number, ref):
             return
         if self.storms and now - max(self.ended_at, self.idle_until) > RUN_GAP:
             self.storms.watch.outage(now)
         self.ended_at = now
-        self.heard_at = now
-        if number <= self.last_notice + NOTICES_KEPT:
-            self.last_notice = number
-        else:
-            self.counts["notices_strange"] += 1
         self._end_run(now, ref, ending, result)
 
+    def _call_wanted(self, now: float, number: int, ref: str, query: bytes) -> None:
+        """A run waits for a call. So it is with the interpreter, and goes on from the call before."""
+        owed = self.owed.get(ref)
+        if not self._is_news(now, number, ref) or owed is None or not owed.running:
+            return
+        self.unconfirmed.pop(ref, None)
+        self.going_on.pop(ref, None)
+        self.counts["calls_wanted"] += 1
+        owed.query = query
+        self.hatch.call_wanted(now, ref)
+
+    def _call_ended(self, now: float, ref: str, ending: Ending, result: bytes) -> None:
+        owed = self.owed.get(ref)
+        if owed is None or not owed.running:
+            return
+        self.hatch.call_ended(now, ref, ending)
+        if ending is Ending.OK and owed.place is not None:
+            self._go_on(ref, (Errand.RESOLVE, ref, result))
+
+    def _go_on(self, ref: str, errand: tuple) -> None:
+        """Kept until gauges confirm it, as a run is: lost with a link, the run would wait for ever."""
+        self.going_on[ref] = self.marks, errand
+        self.errands.append(errand)
+
     def _run_spoilt(self, now: float, ref: str) -> None:
         self.counts["runs_spoilt"] += 1
         self._end_run(now, ref, Ending.ERROR, b"")
@@ -403,6 +436,7 @@
     def _end_run(self, now: float, ref: str, ending: Ending, result: bytes) -> None:
         owed = self.owed.get(ref)
         self.unconfirmed.pop(ref, None)
+        self.going_on.pop(ref, None)
         if owed is None or not owed.running:
             self.counts["endings_unexpected"] += 1
             return
@@ -428,6 +462,7 @@
             return
         self.readings, self.read_at, self.heard_at = readings, now, now
         before = [ref for ref, asked in self.unconfirmed.items() if asked < mark]
+        went_on = [ref for ref, (asked, _) in self.going_on.items() if asked < mark]
         if mark < self.resync:
             return
         for ref in before:
@@ -435,6 +470,11 @@
             if self.resync:
                 self.counts["runs_asked_again"] += 1
                 self._ask_run(self.owed[ref])
+        for ref in went_on:
+            _, errand = self.going_on.pop(ref)
+            if self.resync:
+                self.counts["calls_told_again"] += 1
+                self._go_on(ref, errand)
         self.resync = 0
 
     def _alarm(self, now: float, token: int) -> None:
@@ -532,6 +572,13 @@
                 self.storms.runs.started(now, owed.ref, Likeness(*owed.looks), owed.due)
             self._ask_run(owed)
 
+    def _do_call(self, now: float, decision: Decision) -> None:
+        if owed := self.owed.get(decision.ref):
+            self.errands.append((Errand.CALL, owed.ref, decision.seconds, owed.query))
+
+    def _do_skip_call(self, now: float, decision: Decision) -> None:
+        self._go_on(decision.ref, (Errand.SKIP, decision.ref))
+
     def _do_nack(self, now: float, decision: Decision) -> None:
         owed = self.owed.get(decision.ref)
         must_hold(owed and not owed.running and owed.place is not None, "only an op that never ran is nacked")
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -75,8 +75,13 @@
             self.writer.write(json.dumps(message).encode() + b"\n")
 
     def ended(self, ref: str, status: str, text: str) -> None:
-        self.notices.append({"t": "VALUE", "no": len(self.notices) + 1, "rid": ref, "status": status,
-                             "time_ms": 5.0, "b64": b64encode(text.encode()).decode()})
+        self._notice({"t": "VALUE", "rid": ref, "status": status, "time_ms": 5.0, "b64": b64encode(text.encode()).decode()})
+
+    def awaits(self, ref: str, query: str) -> None:
+        self._notice({"t": "AWAIT", "rid": ref, "b64": b64encode(query.encode()).decode()})
+
+    def _notice(self, told: dict) -> None:
+        self.notices.append({**told, "no": len(self.notices) + 1})
         self.say(self.notices[-1])
 
     def drop(self) -> None:
@@ -92,6 +97,25 @@
         self.heard.put_nowait(data.decode())
 
 
+class Database:
+    """The dependency that runs call: one call at a time on a connection, answered when the scenario says so."""
+
+    def __init__(self) -> None:
+        self.heard: asyncio.Queue[tuple[str, bytes, asyncio.StreamWriter]] = asyncio.Queue()
+        self.waiting: dict[str, asyncio.StreamWriter] = {}
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+                query = await reader.readexactly(int(fields["Content-Length"]))
+                assert head.startswith("POST /v1/exec HTTP/1.1") and int(fields["Statement-Timeout-Ms"]) > 0
+                self.heard.put_nowait((fields["Request-Ref"], query, writer))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
 class Caller:
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
@@ -113,6 +137,7 @@
         self.told_first = told_at_start()
         self.more: dict = {}    # of the placement, what the JSON does not say
         self.interpreter = Interpreter()
+        self.database = Database()
         self.callers: dict[str, Caller] = {}
         self.instance: Instance | None = None
 
@@ -138,7 +163,7 @@
             await self.start()
         if who == "wait":
             await asyncio.sleep(float(words[0]))
-        elif who in ("interpreter", "directory", "instance", "crowd"):
+        elif who in ("interpreter", "directory", "database", "instance", "crowd"):
             await getattr(self, f"{who}_{words[0]}")(*words[1:])
         else:
             await getattr(self, f"caller_{words[0]}")(who, *words[1:])
@@ -158,6 +183,9 @@
     async def start(self) -> None:
         await self.interpreter_moves()
         await self.directory_moves()
+        if self.told_first.get("db"):
+            server = await asyncio.start_server(self.database.serve, "127.0.0.1", 0)
+            self.told_first["db"] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         self.instance = Instance(placed(self.told_first)._replace(**self.more), lambda: placed(self.told_first))
         self.serving = asyncio.ensure_future(self.instance.serve())
         await asyncio.sleep(0.01)
@@ -198,6 +226,9 @@
     async def interpreter_ends(self, ref: str, status: str, text: str = "") -> None:
         self.interpreter.ended(op_id(ref), status, text)
 
+    async def interpreter_awaits(self, ref: str, query: str) -> None:
+        self.interpreter.awaits(op_id(ref), query)
+
     async def interpreter_forgets(self) -> None:
         """It is started anew: its notices are numbered from 1 again, and a CONNECT names the one it sends on from."""
         self.interpreter.notices = []
@@ -231,6 +262,22 @@
         while await self.directory.heard.get() != " ".join(words):
             pass
 
+    async def database_hears(self, ref: str, query: str) -> None:
+        got, data, writer = await self.database.heard.get()
+        assert (got, data.decode()) == (op_id(ref), query), (got, data)
+        self.database.waiting[got] = writer
+
+    async def database_heard(self, nothing: str) -> None:
+        assert self.database.heard.empty(), self.database.heard.get_nowait()
+
+    async def database_answers(self, ref: str, status: str, text: str = "", *more: str) -> None:
+        fields = "".join(word.replace("=", ": ") + "\r\n" for word in more)
+        self.database.waiting.pop(op_id(ref)).write(
+            f"HTTP/1.1 {status} Some\r\n{fields}Content-Length: {len(text)}\r\n\r\n{text}".encode())
+
+    async def database_breaks(self, ref: str) -> None:
+        self.database.waiting.pop(op_id(ref)).close()
+
     # The instance.
 
     async def instance_leaves(self) -> None:
