A dependency's spoilt answers are none: framing told twice, more behind it, interim ones passed over

Lines at fault: answer_told believed the last length and passed over bad lines; Peers.ask took an interim answer for the answer, and kept a connection in whose buffer more had come than one answer: the next call on it read what was left. Change: header lines as strict as those of requests, one length, no coding; interim answers are passed over, 8 at most; bytes beyond one answer make it untrusted and end the connection.

--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -244,17 +244,29 @@
 
 
 def answer_told(head: bytes) -> tuple[int, int, bool]:
-    """Status, length of the body and whether the connection closes, of a peer's answer. ValueError where it is none.
+    """Status, length of the body and whether the connection closes, of a peer's answer. ValueError where it is none, or where
+    it leaves open which bytes are its body: another answer may hide there. An interim answer (1xx) has no body.
 
+    >>> answer_told(b"HTTP/1.1 103 Early Hints\\r\\nLink: </a>\\r\\n\\r\\n")
+    (103, 0, False)
+    >>> answer_told(b"HTTP/1.1 200 OK\\r\\nContent-Length: 5\\r\\nContent-Length: 6\\r\\n\\r\\n")
+    Traceback (most recent call last):
+    mulleinhatch.protocol.http.BadRequest: answer length
     >>> answer_told(b"HTTP/1.1 200 OK\\r\\nContent-Length: 5\\r\\nConnection: close\\r\\n\\r\\n")
     (200, 5, True)
     """
     line = ANSWER_LINE.match(head)
     if line is None:
         raise BadRequest("answer line")
-    fields = {name.lower(): text.strip() for name, _, text in (field.partition(b":") for field in head.split(LINE_END)[1:])}
+    if not HEAD_LINES.fullmatch(head, line.end(), len(head) - len(LINE_END)):
+        raise BadRequest("answer field")
+    pairs = [field.partition(b":") for field in head[line.end():-len(HEAD_END)].split(LINE_END)]
+    fields = {name.lower(): text.strip(b" \t") for name, _, text in pairs}
+    if line[1].startswith(b"1"):
+        return int(line[1]), 0, False
     length = fields.get(b"content-length", b"")
-    if not length.isdigit() or len(length) > 9 or int(length) > MOST_RESULT:
+    if not length.isdigit() or len(length) > 9 or int(length) > MOST_RESULT or (
+            b"transfer-encoding" in fields or sum(name.lower() == b"content-length" for name, _, _ in pairs) > 1):
         raise BadRequest("answer length")
     return int(line[1]), int(length), fields.get(b"connection", b"").lower() == b"close"
 
@@ -275,6 +287,8 @@
     <Ending.FULL: 3>
     """
     status, length, last = answer_told(head)
+    if status < 200:
+        return status, length, last
     if status == 200:
         return Ending.OK, length, last
     unstarted = b"\r\nnever-started:" in head.lower()
--- a/mulleinhatch/transport/peers.py
+++ b/mulleinhatch/transport/peers.py
@@ -12,6 +12,7 @@
 CONNECT_WAIT = 0.5      # seconds: a peer that is gone may not answer at all, and the op has little time
 MOST_HEAD = 8192
 IDLE_KEPT = 5.0         # seconds
+MOST_INTERIM = 8        # answers that only announce another one
 
 
 class Unreached(OSError):
@@ -37,9 +38,11 @@
         keep = False
         try:
             stream.write_gathered(pieces)
-            head = await asyncio.wait_for(stream.read_until(b"\r\n\r\n", max_bytes=MOST_HEAD), until - self.clock())
-            status, length, last = self.told(head)
+            status, length, last = await self._head(stream, until)
             body = await asyncio.wait_for(stream.read_bytes(length), until - self.clock()) if length else b""
+            if stream.has_more():
+                # Nothing else was asked for: its length is wrong, or the bytes before it were not its own.
+                raise BrokenOff("more came than one answer")
             keep = not last
             return status, body
         except (TimeoutError, OSError, StreamClosedError, UnsatisfiableReadError, ValueError) as error:
@@ -47,13 +50,22 @@
         finally:
             self._done(address, stream, keep)
 
+    async def _head(self, stream: GatheringStream, until: float) -> tuple[int, int, bool]:
+        """Of the answer itself: interim ones before it say nothing that counts here."""
+        for _ in range(MOST_INTERIM):
+            head = await asyncio.wait_for(stream.read_until(b"\r\n\r\n", max_bytes=MOST_HEAD), until - self.clock())
+            told = self.told(head)
+            if not 100 <= told[0] < 200:
+                return told
+        raise BrokenOff("one interim answer after another")
+
     async def _connected(self, address: str, within: float) -> GatheringStream:
         """A kept one that the peer has not closed meanwhile, else a new one."""
         kept = self.idle.get(address, [])
         while kept:
             since, stream = kept.pop()
             # Something to read where nothing was asked is an end, or no peer of ours: a request written there is lost.
-            if not stream.closed() and self.clock() - since < IDLE_KEPT and not self._ended(stream):
+            if not stream.closed() and not stream.has_more() and self.clock() - since < IDLE_KEPT and not self._ended(stream):
                 return stream
             self._close(address, stream)
         if self.open.get(address, 0) >= self.most:
--- a/mulleinhatch/transport/stream.py
+++ b/mulleinhatch/transport/stream.py
@@ -64,6 +64,10 @@
         except OSError:
             return False
 
+    def has_more(self) -> bool:
+        """Bytes that were read from the socket, and asked for by nobody yet."""
+        return self._read_buffer_size > 0
+
     def end_writing(self) -> None:
         """The peer sees an end behind the last answer, while what it still sends can be read. What the socket had no
         room for yet leaves before: an end in the middle of an answer would cut it."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -275,6 +275,9 @@
         self.database.waiting.pop(op_id(ref)).write(
             f"HTTP/1.1 {status} Some\r\n{fields}Content-Length: {len(text)}\r\n\r\n{text}".encode())
 
+    async def database_writes(self, ref: str, *words: str) -> None:
+        self.database.waiting.pop(op_id(ref)).write(" ".join(words).encode().decode("unicode_escape").encode())
+
     async def database_breaks(self, ref: str) -> None:
         self.database.waiting.pop(op_id(ref)).close()
 
