--- a/mulleinhatch/program/interpreter.py
+++ b/mulleinhatch/program/interpreter.py
@@ -74,8 +74,11 @@
             self._complain("interpreter_errors", {"command": status, "ref": told.get("rid")})
             if status == "APPLY":
                 self.take(Happening.RUN_UNKNOWN, link.text(told["rid"]))
-        elif what != "TRACE":
-            self._complain("notices_unknown", {"t": what})
+        else:
+            if what != "TRACE":
+                self._complain("notices_unknown", {"t": what})
+            if "no" in told:
+                self.take(Happening.NOTICE_PASSED, link.whole(told["no"]))
 
     def greet(self, last_notice: int) -> None:
         self.link.send(link.connect(last_notice))
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -40,6 +40,7 @@
     RUN_UNKNOWN = "run unknown"  # ref
     CALL_WANTED = "call wanted"  # number of the notice, ref, what it asks for
     CALL_ENDED = "call ended"    # ref, ending, result
+    NOTICE_PASSED = "notice passed"      # number: of one that says nothing to us
     RUN_SPOILT = "run spoilt"    # ref: it ended, and how can't be read
     GAUGES = "gauges"            # mark, readings
     ALARM = "alarm"              # token
@@ -127,6 +128,7 @@
         self.renewed_at = -1    # the last notice when the link was made anew for a broken line
         self.unconfirmed: dict[str, int] = {}    # runs asked for, each after so many gauge marks
         self.going_on: dict[str, tuple[int, tuple]] = {}     # what runs were told at a call, each after so many marks
+        self.greeted = False    # a new link has said nothing with a number yet
         self.resync: float = 0
         self.heard_at = math.inf    # when the interpreter last said something about runs or gauges
         self.stop_at: float | None = None
@@ -194,6 +196,7 @@
     def _link_opened(self, now: float) -> None:
         if self.storms:
             self.storms.watch.outage(now)
+        self.greeted = True
         self.errands.append((Errand.GREET, self.last_notice))
         self.resync = math.inf
 
@@ -380,12 +383,27 @@
             self.counts["notices_repeated"] += 1
             return False
         self.heard_at = now
+        if self.greeted and number > self.last_notice + 1:
+            self._notices_lost(now)
+        self.greeted = False
         if number <= self.last_notice + NOTICES_KEPT:
             self.last_notice = number
             return True
         self.counts["notices_strange"] += 1
         return ref in self.owed
 
+    def _notice_passed(self, now: float, number: int) -> None:
+        self._is_news(now, number, "")
+
+    def _notices_lost(self, now: float) -> None:
+        """More came while there was no link than the interpreter keeps. Which runs ended nobody can tell: they may not run
+        again, and those that nobody waits for any more, or will when their time is over, must not keep their places."""
+        self.counts["notices_lost"] += 1
+        for owed in list(self.owed.values()):
+            owed.in_doubt = owed.running and owed.ref not in self.unconfirmed
+            if owed.in_doubt and owed.place is None:
+                self._end_run(now, owed.ref, Ending.ERROR, b"")
+
     def _run_ended(self, now: float, number: int, ref: str, ending: Ending, result: bytes) -> None:
         if not self._is_news(now, number, ref):
             return
@@ -595,6 +613,8 @@
         must_hold(owed and owed.place is not None, "only an op that is owed an answer fails")
         if owed:
             self._answer(now, owed, Errand.FAIL)
+            if owed.in_doubt and owed.running:
+                self._end_run(now, owed.ref, Ending.ERROR, b"")
 
     def _do_keep(self, now: float, decision: Decision) -> None:
         if (owed := self.owed.get(decision.ref)) and owed.key:
--- a/mulleinhatch/routing/tables.py
+++ b/mulleinhatch/routing/tables.py
@@ -9,13 +9,14 @@
     """An op between its reading and the last that is expected of it: its answer, and the end of its run."""
 
     __slots__ = ("ref", "place", "op_type", "tenant", "key", "body", "repeats", "running",
-                 "arrived", "due", "looks", "handed", "from_peer", "told", "started", "may_have_run", "query")
+                 "arrived", "due", "looks", "handed", "from_peer", "told", "started", "may_have_run", "query", "in_doubt")
 
     def __init__(self, ref: str, place: int, op_type: str, tenant: str, key: str, body: bytes,
                  arrived: float, due: float) -> None:
         self.ref, self.op_type, self.tenant, self.key, self.body = ref, op_type, tenant, key, body
         self.arrived, self.due = arrived, due
         self.may_have_run = False
+        self.in_doubt = False   # it may have ended, and the word on that is lost
         self.query = b""        # what its run asks for at a call
         self.repeats = ""       # the op that stands for its key
         self.looks: tuple[bytes, ...] = ()      # what the storm books know its tries by
