--- a/mulleinhatch/decide.py
+++ b/mulleinhatch/decide.py
@@ -498,7 +498,7 @@
         if tenant not in self.parts:
             return True
         window = self.parts[tenant][0]
-        used = self.part_used[tenant] = [at for at in self.part_used.get(tenant, ()) if at > self.now - window]
+        used = self.part_used[tenant] = [t for t in self.part_used.get(tenant, ()) if t > self.now - window]
         return len(used) + 1 <= self._part_rate(tenant) * window
 
     def _over_part(self, op: Op) -> bool:
