--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -103,8 +103,6 @@
         self.storms = storms and Desk(storms, hold_off, seed)
         self.may_repeat = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
                            if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.RETRYABLE}
-        self.keyed = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
-                      if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.KEYED}
         self.once = {name for name, op_type in zip(op_types, deployment.get("op_types", []))
                      if op_type.get("effect", Effect.NON_RETRYABLE) is Effect.NON_RETRYABLE}
         self.ended_at = self.idle_until = -math.inf     # when a run last ended; when one was asked for with none in hand
@@ -118,7 +116,8 @@
         self.followers: dict[str, list[str]] = {}
         # By op type, of keyed ones: the window of a repeat, and how long after its arrival one may be read.
         self.windows = {name: (op_type.get("repeat_window", 0.0), op_type.get("op_timeout") or LINGER)
-                        for name, op_type in zip(op_types, deployment.get("op_types", [])) if name in self.keyed}
+                        for name, op_type in zip(op_types, deployment.get("op_types", []))
+                        if op_type.get("effect") is Effect.KEYED}
         self.keys = Keys()
         self.ended = Lately(ENDED_SPAN, ENDED_ROOM)     # ids of ops that may not run twice, and may have run
         self.healthy, self.level = True, None
@@ -360,7 +359,7 @@
 
     def handable(self) -> int:
         """Ops held here that might go to a peer."""
-        return sum(not (owed.running or owed.handed or owed.from_peer or owed.place is None) and owed.op_type not in self.keyed
+        return sum(not (owed.running or owed.handed or owed.from_peer or owed.place is None or owed.op_type in self.windows)
                    for owed in self.owed.values())
 
     def connected(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -87,6 +87,15 @@
     raise AssertionError("it never came")
 
 
+async def half_a_line(place: Place, receive: int = 0) -> tuple[socket.socket, Connection]:
+    """A caller of whose request a part was read."""
+    caller = place.caller(receive)
+    connection = (await place.taken())[0]
+    caller.send(CHECK[:9])
+    await until(lambda: connection.reader.started() and connection.stream.reading())
+    return caller, connection
+
+
 async def read_to_end(sock: socket.socket) -> bytes:
     """All until the end; a reset raises."""
     data, loop = b"", asyncio.get_running_loop()
@@ -168,10 +177,7 @@
 def test_half_a_line_at_the_end_has_an_answer_and_no_reset() -> None:
     async def cross() -> None:
         place = Place()
-        caller = place.caller()
-        connection = (await place.taken())[0]
-        caller.send(CHECK[:9])
-        await until(lambda: connection.reader.started() and connection.stream.reading())
+        caller, _ = await half_a_line(place)
         place.connections.shut()
         caller.send(CHECK[9:])      # the rest of it is read, and not run
         assert (await read_to_end(caller)).startswith(b"HTTP/1.1 408") and place.heard == []
@@ -183,11 +189,8 @@
     async def cross() -> None:
         place = Place()
         place.body = bytes(3_000_000)
-        caller = place.caller(receive=4096)
-        connection = (await place.taken())[0]
+        caller, connection = await half_a_line(place, receive=4096)
         connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        caller.send(CHECK[:9])
-        await until(lambda: connection.reader.started() and connection.stream.reading())
         place.now = transport.MESSAGE_WAIT + 1.0
         place.connections.sweep(longest_idle=1e9)
         assert place.late and connection.stream.writing()
