Fleet state in levels: groups of mates, sums between groups, zones and regions (begun)

Off unless a zone is set; without one the histories are those of before. What was at fault on the way: rows that a standby told with age 0 long after it had made them (levels.Levels.to_group), refreshes slower than a row's staleness, a full view that fitted 15 names alone (Members._add reckons 34 bytes beside the names where 25 are taken).

--- a/mulleinhatch/fleet/bounds.py
+++ b/mulleinhatch/fleet/bounds.py
@@ -34,3 +34,21 @@
     late: float = 0.4                   # a beat that comes so late is our own trouble
     forget: float = 600.0               # how long one that is gone is still asked now and then
     budgets: tuple[BudgetBounds, ...] = ()
+    report_every: float = 0.3           # between reports of our own figures
+    fresh: float = 2.0                  # an older report is of a silent member
+    ask_every: float = 0.7              # between asks for a part of the same giver
+    # In levels (`docs/design/levels.md`): where this member stands. Without a zone all are one group.
+    zone: str = ""
+    region: str = ""
+    groups: int = 1                     # of the zone; a member's is a hash of its name
+    beyond: tuple[str, ...] = ()        # host:port of some members of other zones and regions; `seeds` are the zone's own
+
+
+# What the times are in levels: within 3 KB a second, and a dead member known to its group within 5 s.
+IN_LEVELS = {"beat": 0.25, "report_every": 4.0, "fresh": 30.0, "ask_every": 2.0, "suspect_for": 2.3, "forget": 7200.0}
+
+
+def levelled(bounds: FleetBounds) -> FleetBounds:
+    """The times that hold in levels in place of the usual ones; what an operator set stays."""
+    usual = FleetBounds._field_defaults
+    return bounds._replace(**{key: value for key, value in IN_LEVELS.items() if getattr(bounds, key) == usual[key]})
--- a/mulleinhatch/fleet/budgets.py
+++ b/mulleinhatch/fleet/budgets.py
@@ -12,7 +12,7 @@
 
 from mulleinhatch.fleet.bounds import BudgetBounds
 
-ASK_EVERY, ASK_AGAIN = 0.7, 1.4     # seconds: with an answer, and without one
+ASK_EVERY, ASK_AGAIN = 0.7, 2.0     # seconds with an answer; and times that without one
 ROOM, KEEP = 1.0, 2.0               # square roots of its demand beside it: kept or wished for, and given back above
 GIVERS = 4                          # asked at a time
 TRIES = 4                           # asks without more, after which no more is hoped for from there
@@ -66,8 +66,9 @@
     (14, 10, 6, 10)
     """
 
-    def __init__(self, bounds: BudgetBounds, name: str, now: float) -> None:
-        self.bounds, self.name = bounds, name
+    def __init__(self, bounds: BudgetBounds, name: str, now: float, ask_every: float = ASK_EVERY) -> None:
+        self.bounds, self.name, self.ask_every = bounds, name, ask_every
+        # In levels `name` is that of the seat, with its place: who has the same name elsewhere owns another part or none.
         self.home = bounds.total // len(bounds.seats) if name in bounds.seats else 0
         # What an earlier life of ours lent is not known here: until that is back for certain nothing is ours.
         self.ours_from = now + self._lent_for() + self._rest()
@@ -218,7 +219,7 @@
                     self.borrowed[giver].tries = 0      # else what it sets aside now would not be collected
         for giver, want in wants.items():
             have = self.borrowed.get(giver)
-            if have and now - have.asked_at < (ASK_EVERY if have.answered else ASK_AGAIN):
+            if have and now - have.asked_at < self.ask_every * (1.0 if have.answered else ASK_AGAIN):
                 continue
             if want or have and have.amount:
                 due.append((giver, want))
--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -10,20 +10,26 @@
 from typing import NamedTuple
 
 from mulleinhatch.fleet import words
-from mulleinhatch.fleet.bounds import FleetBounds
+from mulleinhatch.fleet.bounds import FleetBounds, levelled
 from mulleinhatch.fleet.budgets import Ask, Give, Part
-from mulleinhatch.fleet.counts import FIGURES, FRESH, MOST_LOUD, Counts
+from mulleinhatch.fleet.counts import FIGURES, MOST_LOUD, Counts
 from mulleinhatch.fleet.judgements import Verdicts
+from mulleinhatch.fleet.levels import MOST_GROUP, Levels, Total, place_of
+from mulleinhatch.fleet.mates import Mates
 from mulleinhatch.fleet.members import Change, Members
 from mulleinhatch.fleet.words import MOST_BYTES, Letter, Report, Trade, Unfit
 
 MOST_MEMBERS = 1000
-REPORT_EVERY = 0.3      # seconds between reports of our own
 ENVELOPE = 64           # bytes of a letter beside its names and lists, at most
 RUMOURS = 780           # bytes of it for rumours, at most; reports get the rest
 JUDGE_EVERY = 0.5
 MOST_OPINIONS = 3       # in a report
 SMOOTH = 3.0            # seconds that demand is smoothed over
+# In levels, where bytes are few:
+REPORTS = 150           # bytes of a letter for reports
+TOLD_REPORTS = 3        # times that a report is passed on by each
+OPINIONS_EVERY = 4      # reports
+LOUD_IN_LEVELS = 1      # tenants that a report names
 
 
 def interpreter_of(name: str) -> str:
@@ -53,15 +59,22 @@
     """
 
     def __init__(self, bounds: FleetBounds, name: str, address: str, life: int, seed: int, now: float) -> None:
-        self.bounds, self.name = bounds, name
-        self.members = Members(name, address, life, bounds, seed, now)
-        self.known = Counts(MOST_MEMBERS)
+        place = place_of(bounds, name)
+        self.bounds = bounds = levelled(bounds) if place else bounds
+        self.name = name
+        self.members: Members = (Mates if place else Members)(name, address, life, bounds, seed, now)
+        self.most = MOST_GROUP if place else MOST_MEMBERS
+        self.known = Counts(self.most, bounds.fresh)
+        self.levels = Levels(bounds, place, self.members, self.known, seed + 5, now) if place else None
+        self.ours = Counts(1)       # our own report as others see it
         self.verdicts = Verdicts()
-        self.parts = [Part(budget, name, now) for budget in bounds.budgets]
+        seat = f"{place.region}/{place.zone}/{name}" if place else name
+        self.parts = [Part(budget, seat, now, bounds.ask_every) for budget in bounds.budgets]
         self.local, self.demands, self.beat_at = Local(), [0.0] * len(self.parts), now
         self.counts: Counter[str] = Counter()
         self.reported_at, self.judged_at, self.reports = -1e9, now, 0
         self.order: list[str] = []      # whose reports are passed on next
+        self.passed: dict[str, tuple[int, int]] = {}    # in levels: number of the report, how often we passed it on
         self.out: list[str] = []
         self.ops_at = ""    # where peers may send ops, if they may
         self.want = 0       # ops that we hold and would hand over, told in each letter
@@ -77,9 +90,11 @@
         weight, self.beat_at = min(1.0, (now - self.beat_at) / SMOOTH), now
         for place, demand in enumerate(local.demands[:len(self.demands)]):
             self.demands[place] += weight * (demand - self.demands[place])
-        if now - self.reported_at >= REPORT_EVERY:
+        if now - self.reported_at >= self.bounds.report_every:
             self._report(now)
         errands = list(self.members.beat(now))
+        if self.levels:
+            errands += self.levels.beat(now, self.ours.rows.get(self.name))
         doubled = self.members.doubled(now)
         for place, part in enumerate(self.parts):
             part.stripped = doubled
@@ -93,6 +108,8 @@
     def datagram(self, now: float, data: bytes) -> list[tuple[str, bytes]]:
         """Whatever it is; what is none of ours is counted and dropped."""
         self.counts["datagrams_heard"] += 1
+        if self.levels:
+            self.levels.pace.add(now, len(data))
         try:
             letter = words.decode(data, self.bounds.fleet)
         except Unfit as error:
@@ -101,23 +118,52 @@
         return [self._sent(now, *errand) for errand in self.letter(now, letter)]
 
     def letter(self, now: float, letter: Letter) -> list[tuple[str, dict]]:
-        if letter.sender not in self.members.view and len(self.members.view) >= MOST_MEMBERS:
+        if self.levels and not self.levels.is_mate(letter):
+            return self._from_outside(now, letter)
+        if letter.sender not in self.members.view and len(self.members.view) >= self.most:
             self.counts["members_refused"] += 1
             return []
         errands = list(self.members.heard(now, letter))
+        if self.levels:
+            upward = words.decode_upward(letter.upward) if letter.upward else None
+            if letter.what == "ping" and self.levels.tells_all(now, upward):
+                errands = [(address, {**told, "new": True}) for address, told in errands]
+            errands += self.levels.heard(now, letter, upward)
         if letter.sender == self.name or letter.life < self.members.view[letter.sender].life:
             return errands
         for report in letter.reports:
-            if report.name != self.name and report.name in self.members.view and self.known.heard(now, report):
+            if report.name == self.name or report.name not in self.members.view:
+                continue
+            if not self.known.heard(now, report):
+                # Heard again: others tell it too, so that we may tell something else.
+                self.passed[report.name] = report.number, self._times(report.name, report.number) + 1
+            else:
                 for subject, bad, evidence in report.opinions:
                     self.verdicts.heard(now, report.name, subject, bad / 100.0, evidence, report.age)
         for listener in self.listeners:
             listener(now, letter)
         answers = [answer for trade in letter.trades if (answer := self._trade(now, letter, trade))]
         if answers:
-            errands.append((letter.address, {"what": "word", "to": letter.sender, "trades": answers}))
+            errands.append((letter.address, self._short({"what": "word", "to": letter.sender, "trades": answers})))
         return errands
 
+    def _from_outside(self, now: float, letter: Letter) -> list[tuple[str, dict]]:
+        """Of another group, or of a member that knows of no levels: it is answered, so that it thinks us alive, and no mate."""
+        if letter.sender == self.name:
+            self.counts["names_elsewhere"] += letter.address != self.members.address
+        else:
+            self.members.stranger(now, letter)
+        if letter.place:
+            return list(self.levels.heard(now, letter, words.decode_upward(letter.upward) if letter.upward else None))
+        self.counts["letters_without_levels"] += 1
+        if letter.what != "ping":
+            return []
+        return [(letter.address, {"what": "ack", "number": letter.number, "short": True})]
+
+    def totals(self, now: float) -> dict[str, Total]:
+        """What is known of `group`, `zone`, `region` and `fleet`; empty where there are no levels."""
+        return self.levels.totals(now) if self.levels else {}
+
     def leave(self, now: float) -> list[tuple[str, bytes]]:
         """In order: what is borrowed goes back, and some are told."""
         errands = list(self.members.leave())
@@ -144,7 +190,7 @@
         spares = []
         if part.usable(now) < demand + 1:
             for name, row in self.known.rows.items():
-                if now - row.made_at <= FRESH and place < len(row.report.spares) and self._there(name):
+                if now - row.made_at <= self.known.fresh and place < len(row.report.spares) and self._there(name):
                     spares.append((name, row.report.spares[place]))
             # Not all to the richest: who has much is chosen by chance, or all that lack would ask the same one.
             start = self.members.draw(len(spares)) if spares else 0
@@ -164,8 +210,12 @@
     def _ask(self, now: float, place: int, part: Part, giver: str, want: int) -> tuple[str, dict]:
         ask = part.ask(now, giver, want)
         self.counts["asks"] += 1
-        return self.members.view[giver].address, {"what": "word", "to": giver, "trades": [
-            Trade(place, ask.number, False, ask.have, ask.want)]}
+        return self.members.view[giver].address, self._short({"what": "word", "to": giver, "trades": [
+            Trade(place, ask.number, False, ask.have, ask.want)]})
+
+    def _short(self, told: dict) -> dict:
+        """In levels what is traded goes without what is told along."""
+        return {**told, "short": True} if self.levels else told
 
     def _trade(self, now: float, letter: Letter, trade: Trade) -> Trade | None:
         if trade.budget >= len(self.parts):
@@ -198,7 +248,9 @@
 
     def free(self, now: float) -> float:
         """`Counts.free` of the others; not known while most are silent to us."""
-        return -1.0 if self.members.frozen else self.known.free(now, set(self.members.alive()))
+        if self.members.frozen:
+            return -1.0
+        return self.levels.free(now) if self.levels else self.known.free(now, set(self.members.alive()))
 
     # Letters.
 
@@ -206,27 +258,41 @@
         self.reported_at = now
         self.reports += 1
         # In every other: they make a report half as long again, and more reports pass on in a letter without.
-        self.said = [*self.local.opinions, *self.members.opinions(now)][:MOST_OPINIONS] if self.reports % 2 else []
+        tells = self.reports % OPINIONS_EVERY == 0 if self.levels else self.reports % 2
+        self.said = [*self.local.opinions, *self.members.opinions(now)][:MOST_OPINIONS] if tells else []
+        if self.levels:
+            self.ours.heard(now, self._own_report(now))
 
     def _own_report(self, now: float) -> Report:
         local = self.local
         spares = [part.spare(now, self._demand(place)) for place, part in enumerate(self.parts)]
+        loud = MOST_LOUD if not self.levels else LOUD_IN_LEVELS if self.reports % OPINIONS_EVERY == 0 else 0
         return Report(self.name, self.members.life, self.reports, max(0.0, now - self.reported_at),
-                      local.figures, spares, local.loudest[:MOST_LOUD], self.said, self.ops_at)
+                      local.figures, spares, local.loudest[:loud], self.said, self.ops_at)
 
     def _sent(self, now: float, address: str, told: dict) -> tuple[str, bytes]:
         members, to = self.members, told.get("to", "")
         trades, offers = told.get("trades", []), told.get("offers", [])
         room = (MOST_BYTES - ENVELOPE - len(members.name) - len(members.address) - len(self.bounds.fleet)
                 - len(told.get("about", "")) - 40 * len(trades) - 45 * len(offers))
-        rumours = [] if "short" in told else members.rumours(now, min(RUMOURS, room), to)
-        room -= sum(34 + len(rumour.name) + len(rumour.address) for rumour in rumours)
+        upward = told.get("upward", b"")
+        if self.levels and not upward and to in members.view and "short" not in told:
+            upward = self.levels.to_mate(now, told["what"] == "ping")
+        room -= len(upward)
+        rumours = [] if "short" in told else members.rumours(
+            now, room - 60 if "new" in told else min(RUMOURS, room), to, "new" in told)
+        room -= sum(34 + len(rumour.name) + len(rumour.address) for rumour in rumours) if not self.levels else sum(
+            25 + len(rumour.name) + len(rumour.address) for rumour in rumours)
+        reports = [] if "short" in told else self._passed_to_mates(now, room, to) if self.levels else self._passed_on(now, room)
         letter = Letter(words.VERSION, self.bounds.fleet, members.name, members.address, members.life, members.incarnation,
                         told["what"], told.get("number", 0), told.get("about", ""), rumours,
-                        [] if "short" in told else self._passed_on(now, room), trades, self.want, offers, told.get("more", b""))
+                        reports, trades, self.want, offers, told.get("more", b""),
+                        self.levels.place.key if self.levels else 0, upward)
         data = words.encode(letter)
         self.counts["datagrams_sent"] += 1
         self.counts["bytes_sent"] += len(data)
+        if self.levels:
+            self.levels.pace.add(now, len(data))
         return address, data
 
     def _passed_on(self, now: float, room: int) -> list[Report]:
@@ -243,7 +309,7 @@
                 start = self.members.draw(len(self.order))
                 self.order = self.order[start:] + self.order[:start]
             row = self.known.rows.get(self.order[-1])
-            if row is None or now - row.made_at > FRESH:
+            if row is None or now - row.made_at > self.known.fresh:
                 self.order.pop()
                 continue
             report = row.report
@@ -255,6 +321,35 @@
                                  report.loudest, report.opinions, report.at))
         return chosen
 
+    def _passed_to_mates(self, now: float, room: int, to: str) -> list[Report]:
+        """Those that we passed on least, the newest first, each some times: most mates then hear it, and the rest its next."""
+        room, chosen = min(room, REPORTS), []
+        line = []
+        if self.reports:
+            line.append((self._times(self.name, self.reports), 0.0, self.name))
+        for name, row in self.known.rows.items():
+            times = self._times(name, row.report.number)
+            if name != to and times < TOLD_REPORTS and now - row.made_at <= self.known.fresh:
+                line.append((times, now - row.made_at, name))
+        for times, age, name in sorted(line):
+            report = self._own_report(now)
+            if name != self.name:
+                told = self.known.rows[name].report
+                report = Report(told.name, told.life, told.number, age, told.figures, told.spares, told.loudest, told.opinions,
+                                told.at)
+            room -= words.size(report)
+            if times >= TOLD_REPORTS or room < 0:
+                break
+            self.passed[name] = report.number, times + 1
+            chosen.append(report)
+        if len(self.passed) > 2 * self.most:
+            self.passed = {name: told for name, told in self.passed.items() if name in self.known.rows}
+        return chosen
+
+    def _times(self, name: str, number: int) -> int:
+        passed = self.passed.get(name, (0, 0))
+        return passed[1] if passed[0] == number else 0
+
     @staticmethod
     def _size(report: Report) -> int:
         whole = [*report.figures, *report.spares]
--- a/mulleinhatch/fleet/counts.py
+++ b/mulleinhatch/fleet/counts.py
@@ -63,14 +63,15 @@
     Range(least=0.0, most=160.0, members=2, silent=2, oldest=3.0)
     """
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, most: int, fresh: float = FRESH) -> None:
+        """`fresh`: seconds after which a report is of a silent member."""
+        self.most, self.fresh, self.old = most, fresh, max(OLD, 2.0 * fresh)
         self.rows: dict[str, Row] = {}
 
     def heard(self, now: float, report: Report) -> bool:
         """Whether it was news."""
         row, made_at = self.rows.get(report.name), now - report.age
-        if now - made_at > OLD or len(report.figures) < OLDEST:
+        if now - made_at > self.old or len(report.figures) < OLDEST:
             return False
         if row is None:
             if len(self.rows) >= self.most:
@@ -82,13 +83,13 @@
         if report.life != row.report.life:
             self.rows[report.name] = Row(report, made_at)
             return True
-        if made_at - row.made_at >= 0.5 * FRESH or row.before is row.report:
+        if made_at - row.made_at >= 0.5 * min(FRESH, self.fresh) or row.before is row.report:
             row.before, row.before_at = row.report, row.made_at     # rates over half a second of luck tell nothing
         row.report, row.made_at = report, max(made_at, row.made_at + 1e-6)
         return True
 
     def forget(self, now: float) -> None:
-        for name in [name for name, row in self.rows.items() if now - row.made_at > OLD]:
+        for name in [name for name, row in self.rows.items() if now - row.made_at > self.old]:
             del self.rows[name]
 
     def total(self, now: float, figure: str) -> Range:
@@ -116,7 +117,7 @@
         for name, row in self.rows.items():
             if name in members:
                 room = row.value("room") if row.value("healthy") else 0.0
-                fresh = now - row.made_at <= FRESH
+                fresh = now - row.made_at <= self.fresh
                 silent += not fresh
                 free += room if fresh else 0.0
                 places += row.value("room") + row.value("held") + row.value("running")
@@ -128,7 +129,7 @@
         for row in self.rows.values():
             age, (low, high) = now - row.made_at, told(row)
             oldest = max(oldest, age)
-            if age <= FRESH:
+            if age <= self.fresh:
                 least, most = least + low, most + high
             else:
                 silent += 1
--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -111,15 +111,13 @@
             for member in self._some(bounds.probes, ""):
                 yield member.address, {"what": "word", "to": member.name}
             return
+        yield from self._ask_around(now)
+
+    def _ask_around(self, now: float) -> Iterator[tuple[str, dict]]:
+        bounds = self.bounds
         for name in self._next(bounds.probes):
             yield self._probe(now, self.view[name])
-        if gone := [member for member in self.view.values() if member.state >= GONE]:
-            lost = gone[self.draw(len(gone))]      # a cut that heals is found by those that are asked for still
-            if now - lost.since > bounds.forget:
-                del self.view[lost.name]
-                self.news.pop(lost.name, None)
-            elif lost.state == GONE:
-                yield lost.address, {"what": "word", "to": lost.name}
+        yield from self._ask_the_gone(now)
         known = len(self.alive())
         self.seed_in -= 1
         if bounds.seeds and (known < 2 or self.seed_in <= 0):
@@ -130,6 +128,16 @@
             if seed != self.address:
                 yield seed, {"what": "ping", "number": 0}
 
+    def _ask_the_gone(self, now: float) -> Iterator[tuple[str, dict]]:
+        """A cut that heals is found by those that are asked for still."""
+        if gone := [member for member in self.view.values() if member.state >= GONE]:
+            lost = gone[self.draw(len(gone))]
+            if now - lost.since > self.bounds.forget:
+                del self.view[lost.name]
+                self.news.pop(lost.name, None)
+            elif lost.state == GONE:
+                yield lost.address, {"what": "word", "to": lost.name}
+
     def _next(self, count: int) -> list[str]:
         """Round after round in a new order each: no member waits longer than two rounds."""
         chosen: list[str] = []
@@ -350,7 +358,7 @@
 
     # What is told along.
 
-    def rumours(self, now: float, room: int, to: str) -> list[Rumour]:
+    def rumours(self, now: float, room: int, to: str, new: bool = False) -> list[Rumour]:
         """As many as fit: of ourselves, what we think of whom it goes to, the least told news, and others by chance, from
         which a new member learns the fleet and two views become one."""
         own = Rumour(self.name, self.address, self.life, self.incarnation, LEFT if self.left else ALIVE)
@@ -358,6 +366,13 @@
         room -= self._add(chosen, own, room)
         if member := self.view.get(to):
             room -= self._add(chosen, self._rumour(now, member), room)
+        room -= self._add_news(now, chosen, room)
+        self._add_some(now, chosen, room, 8)
+        return list(chosen.values())
+
+    def _add_news(self, now: float, chosen: dict[str, Rumour], room: int) -> int:
+        """The bytes that they take."""
+        whole = room
         times = TOLD_TIMES * (len(self.view) + 1).bit_length()
         for name in list(islice(self.news, MOST_NEWS)):
             if room < 110:
@@ -369,12 +384,15 @@
                     self.news[name] = told + 1
             elif name in self.view:
                 self.news[name] = told
+        return whole - room
+
+    def _add_some(self, now: float, chosen: dict[str, Rumour], room: int, most: int) -> None:
+        """By chance."""
         names = list(self.view)
-        for _ in range(min(len(names), 8)):
+        for _ in range(min(len(names), most)):
             member = self.view[names[self.draw(len(names))]]
             if room >= 110 and member.name not in chosen:
                 room -= self._add(chosen, self._rumour(now, member), room)
-        return list(chosen.values())
 
     def _rumour(self, now: float, member: Member) -> Rumour:
         age = max(0.0, now - member.since) if member.state == SUSPECT else 0.0
--- a/mulleinhatch/fleet/words.py
+++ b/mulleinhatch/fleet/words.py
@@ -84,9 +84,44 @@
     want: Annotated[int, Meta(ge=0, le=1_000_000)] = 0      # ops that the sender holds and would hand over
     offers: Annotated[list[Offer], Meta(max_length=16)] = []
     more: Annotated[bytes, Meta(max_length=1000)] = b""     # of who stands on the fleet: not looked into here
+    place: Number = 0           # of the sender's group (`levels.Place.key`); 0 of a member that knows of no levels
+    upward: Annotated[bytes, Meta(max_length=1000)] = b""   # an `Upward`, read on its own: a bad one costs no letter
+
+
+Packed = Annotated[bytes, Meta(max_length=24)]      # up to four IPv4 addresses with their ports, six bytes each
+PlaceName = Annotated[str, Meta(min_length=1, max_length=32)]
+GROUP, ZONE, REGION = 0, 1, 2
+
+
+class Sum(msgspec.Struct, array_like=True, frozen=True):
+    """What a group, zone or region is and does in all, as somebody in it worked out `age` seconds ago."""
+
+    level: Annotated[int, Meta(ge=GROUP, le=REGION)]
+    name: PlaceName
+    age: Annotated[int, Meta(ge=0, le=864_000)]     # tenths of a second
+    members: Amount         # that serve as far as is known
+    silent: Amount          # and of them those whose figures are too old to count
+    unknown: Amount         # requests a second that the silent could serve
+    oldest: Annotated[int, Meta(ge=0, le=864_000)]  # tenths of a second: of the figures that count
+    figures: Annotated[list[Amount], Meta(max_length=16)]
+    contacts: Packed = b""  # members who speak for it
+
+
+class Upward(msgspec.Struct, array_like=True, frozen=True):
+    """What passes between groups, zones and regions; the names are left out between members of one group."""
+
+    region: Annotated[str, Meta(max_length=32)] = ""
+    zone: Annotated[str, Meta(max_length=32)] = ""
+    group: Annotated[str, Meta(max_length=32)] = ""
+    wants: bool = False     # asks for contacts nearer to its own place
+    contacts: Packed = b""  # the answer to that
+    ages: Annotated[bytes, Meta(max_length=128)] = b""  # since somebody spoke for each part: `Levels._ages`
+    sums: Annotated[list[Sum], Meta(max_length=16)] = []
+    view: Annotated[int, Meta(ge=0, le=0xffff)] = 0     # of whom the sender, a mate, thinks there: who sees others tells it all
 
 
 _encoder = msgspec.msgpack.Encoder()
+_upward = msgspec.msgpack.Decoder(Upward)
 _decoder = msgspec.msgpack.Decoder(Letter)
 _first = msgspec.msgpack.Decoder(list)
 
@@ -99,6 +134,11 @@
     return _encoder.encode(letter)
 
 
+def size(report: Report) -> int:
+    """Bytes that it takes in a letter."""
+    return len(_encoder.encode(report))
+
+
 def decode(datagram: bytes, fleet: str) -> Letter:
     """
     >>> letter = Letter(VERSION, "f", "n1", "127.0.0.1:9", 7, 0, "ping", 3)
@@ -124,6 +164,22 @@
     return letter
 
 
+def decode_upward(data: bytes) -> Upward | None:
+    """None for what is no `Upward`.
+
+    >>> decode_upward(encode_upward(Upward("r", "z", "1/4", True))).group, decode_upward(b"?")
+    ('1/4', None)
+    """
+    try:
+        return _upward.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+
+
+def encode_upward(upward: Upward) -> bytes:
+    return _encoder.encode(upward)
+
+
 def _why(datagram: bytes) -> str:
     """A newer version may have other fields: told from garbage by its first one."""
     try:
--- a/mulleinhatch/spread/core.py
+++ b/mulleinhatch/spread/core.py
@@ -11,7 +11,7 @@
 
 from mulleinhatch.fleet import words
 from mulleinhatch.fleet.core import Fleet, interpreter_of
-from mulleinhatch.fleet.counts import FRESH, Row
+from mulleinhatch.fleet.counts import Row
 from mulleinhatch.fleet.words import Letter, Offer
 from mulleinhatch.spread.bounds import SpreadBounds
 from mulleinhatch.spread.estimates import SCATTER, Estimate, Evidence, Window, drawn, usual
@@ -153,7 +153,7 @@
         fleet = self.fleet
         there = fleet.members.alive()
         with_room = [name for name, row in fleet.known.rows.items()
-                     if now - row.made_at <= FRESH and row.value("room") > 0.0 and name in fleet.members.view]
+                     if now - row.made_at <= fleet.known.fresh and row.value("room") > 0.0 and name in fleet.members.view]
         chosen = [with_room.pop(self.taker.draw(len(with_room))) for _ in range(min(ASKED, len(with_room)))]
         while len(chosen) < min(ASKED, len(there)):
             name = there.pop(self.taker.draw(len(there)))
@@ -221,7 +221,7 @@
         return usual([self._evidence(row, "pace_runs", "pace") for row in rows], SCATTER)
 
     def _fresh(self, now: float) -> list[Row]:
-        return [row for name, row in self.fleet.known.rows.items() if now - row.made_at <= FRESH
+        return [row for name, row in self.fleet.known.rows.items() if now - row.made_at <= self.fleet.known.fresh
                 and (member := self.fleet.members.view.get(name)) and member.state <= words.SUSPECT]
 
     @staticmethod
