--- a/mulleinhatch/standins/faults.py
+++ b/mulleinhatch/standins/faults.py
@@ -18,6 +18,7 @@
     at 4 lossy all 0.3 for 10             # share of datagrams lost; also: repeated, swapped (reordered)
     at 4 delayed all 0.5 for 10           # seconds
     at 4 stall 3,7 for 2                  # the process is stopped, then goes on
+    at 4 replace 3,7 for 2                # killed; others start in their places, by new names (hollow instances alone)
     at 4 slow 3 by 8 for 10               # its interpreter's work takes 8 times as long
     at 4 failing 3 0.5 for 10             # that share of its runs fails
     at 4 directory off for 10
@@ -130,6 +131,8 @@
     if what == "stall":
         return [Fault(at, what, places), Fault(at + float(_after(words, "for")), "go", places)]
     told = {word: float(number) for word, number in zip(words[4::2], words[5::2])}
+    if what == "replace":
+        return [Fault(at, "kill", places), Fault(at + told["for"], "renew", places)]
     if what in ("kill", "freeze"):
         back = "start" if what == "kill" else "thaw"
         return [Fault(at, what, places)] + ([Fault(at + told["for"], back, places)] if "for" in told else [])
--- /dev/null
+++ b/mulleinhatch/standins/hollow.py
@@ -0,0 +1,226 @@
+"""Hollow instances: where they stand, what they are told at start, what they say of themselves, which weather they meet.
+
+A hollow instance is the real cores (fleet; spread and upkeep as configured) with their real datagrams as bytes, without callers
+and interpreter. `hollow_world.py` plays many of them in virtual time, `hollow_shards.py` in several processes.
+
+Places are numbered so that a zone, a region and a rack is a range each. Scripts are those of `faults.py`, in which a list of
+places may also name `zone3`, `region0`, `rack17`, and in which these are understood besides:
+
+    at 4 replace 3,9 for 2                # they end; after 2 s others start in their places, by new names and addresses
+"""
+from __future__ import annotations
+
+import random
+import re
+from typing import NamedTuple
+
+from mulleinhatch.fleet.bounds import BudgetBounds, FleetBounds
+from mulleinhatch.fleet.core import Local
+from mulleinhatch.standins import faults
+
+LINKS = ((0.002, 0.004), (0.003, 0.006), (0.030, 0.045))    # seconds of a datagram with both loops: in a zone, a region, beyond
+LOOKAHEAD = min(low for low, _ in LINKS)    # nothing arrives sooner: so far may a process run ahead of the others
+HEADERS = 28            # bytes of UDP and IP round a datagram
+RACK = 40               # instances
+PORT = 7300             # of an address's first holder; who replaces it has the next
+OPS = 275.0             # a second that each says it takes: figures of a usual length make reports of a usual length
+TENANTS = 250_000
+FLAT_BEAT, LEVELS_BEAT = 0.1, 0.25
+KINDS = re.compile(r"\b(zone|region|rack)(\d+)\b")
+
+
+class Plan(NamedTuple):
+    """What is played. Times are seconds of virtual time."""
+
+    members: int = 225
+    regions: int = 3
+    zones: int = 3              # of each region
+    levels: bool = False        # zone, region and group are told; else one flat fleet
+    group_size: int = 25        # with levels: members in a group, about
+    beat: float = 0.0           # 0: the mechanism's own
+    script: str = ""
+    seed: int = 1
+    start_within: float = 0.1   # all start in this time
+    introduced: bool = False    # flat: each knows all from the start, by letters that are no part of the count
+    busy: bool = True           # figures as long as those of an instance that takes 275 ops a second; else zeros
+    spread: bool = False
+    upkeep: int = 0             # voters; 0: no upkeep
+    budgets: tuple[tuple[str, int, float], ...] = ()    # name, total, window
+    demand: float = 1.0         # units asked for over the even part
+    watched: int = 1            # in each zone, members whose sums are looked at each quarter of a second
+
+
+class BadPlan(ValueError):
+    """The text says what does not fit."""
+
+
+def knows_levels() -> bool:
+    return "zone" in FleetBounds._fields
+
+
+class Ground:
+    """Geometry, names and addresses: the same in each process, from the plan alone.
+
+    >>> ground = Ground(Plan(members=90))
+    >>> ground.zone[35], ground.region[35], ground.places_of("zone3"), ground.translated("at 1 kill zone3,5")
+    (3, 1, (30, 39), 'at 1 kill 30-39,5')
+    >>> ground.address(35, 0), ground.place_named("r1/z3/n35x2")
+    ('10.0.0.35:7300', 35)
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        zones = plan.regions * plan.zones
+        if plan.members < 2 or zones < 1 or plan.members % zones and plan.levels:
+            raise BadPlan(f"{plan.members} members do not fit evenly into {zones} zones")
+        if plan.group_size < 2:
+            raise BadPlan("a group has two members at least")
+        if plan.levels and not knows_levels():
+            raise BadPlan("fleet state in levels is not there: FleetBounds has no zone")
+        self.plan = plan
+        self.zone = [place * zones // plan.members for place in range(plan.members)]
+        self.region = [zone // plan.zones for zone in self.zone]
+        self.firsts = [self.zone.index(zone) if zone in self.zone else 0 for zone in range(zones)]
+        self.groups = max(1, -(-(plan.members // zones) // plan.group_size)) if plan.levels else 1
+
+    @staticmethod
+    def name(place: int, generation: int) -> str:
+        return f"n{place}x{generation}" if generation else f"n{place}"
+
+    @staticmethod
+    def address(place: int, generation: int) -> str:
+        return f"10.{place >> 16}.{place >> 8 & 255}.{place & 255}:{PORT + generation}"
+
+    @staticmethod
+    def place_named(name: str) -> int:
+        return int(name.rpartition("/")[2][1:].partition("x")[0])
+
+    def places_of(self, kind: str) -> tuple[int, int]:
+        """First and last place of `zone3`, `region0` or `rack17`."""
+        what, number = KINDS.fullmatch(kind).groups()
+        if what == "rack":
+            return int(number) * RACK, min(int(number) * RACK + RACK, self.plan.members) - 1
+        where = self.zone if what == "zone" else self.region
+        if int(number) not in where:
+            raise BadPlan(f"there is no {kind}")
+        return where.index(int(number)), len(where) - 1 - where[::-1].index(int(number))
+
+    def translated(self, script: str) -> str:
+        return KINDS.sub(lambda found: "{}-{}".format(*self.places_of(found[0])), script)
+
+    def faults(self, script: str) -> list[faults.Fault]:
+        """Errors: `faults.BadScript` names the line, `BadPlan` the place kind."""
+        return faults.read(self.translated(script), self.plan.members)
+
+    def link(self, sender: int, to: int) -> tuple[float, float]:
+        return LINKS[0 if self.zone[sender] == self.zone[to] else 1 if self.region[sender] == self.region[to] else 2]
+
+    def path(self, place: int) -> str:
+        return f"r{self.region[place]}/z{self.zone[place]}/n{place}"
+
+    def seats(self) -> tuple[str, ...]:
+        return tuple(self.path(place) if self.plan.levels else f"n{place}" for place in range(self.plan.members))
+
+    def bounds(self) -> list[FleetBounds]:
+        """By zone."""
+        plan = self.plan
+        seats = self.seats() if plan.budgets else ()
+        budgets = tuple(BudgetBounds(name, total, seats, window) for name, total, window in plan.budgets)
+        usual = FleetBounds("hollow", beat=plan.beat or (LEVELS_BEAT if plan.levels else FLAT_BEAT), budgets=budgets)
+        if not plan.levels:
+            seeds = tuple(self.address(place, 0) for place in (0, 1, plan.members // 2))
+            return [usual._replace(seeds=seeds)] * len(self.firsts)
+        told = []
+        for zone, first in enumerate(self.firsts):
+            size = plan.members // len(self.firsts)
+            seeds = tuple(self.address(first + place, 0) for place in sorted({0, 1, size // 2}))
+            beyond = tuple(self.address(other + turn, 0) for turn in (0, 1) for other in self.firsts if other != first)
+            told.append(usual._replace(seeds=seeds, zone=f"z{zone}", region=f"r{zone // plan.zones}", groups=self.groups,
+                                       beyond=beyond))
+        return told
+
+    def watched(self) -> list[int]:
+        """Places whose sums are looked at: not the first of a zone, which are seeds."""
+        size = self.plan.members // len(self.firsts)
+        return sorted({first + min(size - 1, size // 3 + turn) for first in self.firsts for turn in range(self.plan.watched)})
+
+
+class Says:
+    """What one hollow instance says of itself, as one that takes ops at the target's rate would: counters that grow."""
+
+    def __init__(self, plan: Plan, draw: random.Random) -> None:
+        self.busy = plan.busy
+        self.rate = OPS * draw.uniform(0.7, 1.3)
+        self.loudest = [(f"tenant-{draw.randrange(TENANTS)}", round(8.0 / (1 + turn) * draw.uniform(0.7, 1.3), 2))
+                        for turn in range(4)] if plan.busy else []
+
+    def local(self, age: float, demands: tuple[float, ...]) -> Local:
+        if not self.busy:
+            return Local(demands=demands)
+        ops = self.rate * age
+        figures = [int(ops), int(0.01 * ops), int(0.98 * ops), int(0.015 * ops), 12, 40, 300, 1, int(0.001 * ops), 8, 48,
+                   100, 1000, 100, 850]
+        return Local(figures, demands, self.loudest)
+
+
+# Weather.
+
+def churn(draw: random.Random, members: int, a_day: float, start: float, length: float, replaced: float = 0.3,
+          away: float = 5.0) -> str:
+    """Restarts and replacements at a rate, by chance over the time; nobody twice. `away` is the mean time out, in seconds."""
+    count = round(a_day * length / 86_400.0)
+    chosen = draw.sample(range(members), min(members, count))
+    return "\n".join(f"at {start + draw.uniform(0.0, length):.3f} {'replace' if draw.random() < replaced else 'kill'} {place} "
+                     f"for {away * draw.uniform(0.5, 1.5):.3f}" for place in chosen)
+
+
+def restart_all(draw: random.Random, members: int, start: float, length: float, away: float = 1.0) -> str:
+    return "\n".join(f"at {start + draw.uniform(0.0, length):.3f} kill {place} for {away:g}" for place in range(members))
+
+
+def listed(places: list[int]) -> str:
+    """
+    >>> listed([4, 1, 2, 3, 9])
+    '1-4,9'
+    """
+    runs: list[list[int]] = []
+    for place in sorted(places):
+        if runs and place == runs[-1][1] + 1:
+            runs[-1][1] = place
+        else:
+            runs.append([place, place])
+    return ",".join(f"{first}-{last}" if last > first else f"{first}" for first, last in runs)
+
+
+def weather(draw: random.Random, ground: Ground, speakers: list[int], start: float, length: float) -> str:
+    """A script by chance for levels: speakers that die, stall or are cut from their zone alone, one-way cuts and cuts between
+    regions, loss. `speakers` are those that speak for their groups when it is drawn (`World.speakers`); any others will do.
+    All is over by `start + length`."""
+    members, lines = ground.plan.members, []
+    speakers = speakers or sorted(draw.sample(range(members), min(members, 9)))
+    for _ in range(draw.randint(2, 5)):
+        at = start + draw.uniform(0.0, 0.5 * length)
+        last = draw.uniform(0.1, 0.5) * length
+        kind = draw.choice(("die", "stall", "pair", "alone", "deaf", "cut", "zone", "lossy", "rack"))
+        one = draw.choice(speakers)
+        if kind == "die":
+            lines.append(f"at {at:.2f} kill {one} for {last:.2f}")
+        elif kind == "stall":
+            lines.append(f"at {at:.2f} stall {listed(draw.sample(speakers, min(3, len(speakers))))} for {last:.2f}")
+        elif kind == "pair":        # it comes back, slower than another took its place: both speak for a moment
+            lines += [f"at {at + turn * last:.2f} stall {one} for {0.4 * last:.2f}" for turn in (0.0, 0.6)]
+        elif kind == "alone":       # it hears other zones and not its own
+            others = [place for place in range(members) if ground.zone[place] == ground.zone[one] and place != one]
+            lines.append(f"at {at:.2f} cut {one} from {listed(others)} for {last:.2f}")
+        elif kind in ("deaf", "cut"):
+            first, second = draw.sample(range(max(2, ground.plan.regions)), 2)
+            if ground.plan.regions > 1:
+                word = "to" if kind == "deaf" else "from"
+                lines.append(f"at {at:.2f} {kind} region{first} {word} region{second} for {last:.2f}")
+        elif kind == "zone":
+            lines.append(f"at {at:.2f} kill zone{draw.randrange(len(ground.firsts))} for {last:.2f}")
+        elif kind == "rack":
+            first = draw.randrange(members)
+            lines.append(f"at {at:.2f} kill {listed(list(range(first, min(members, first + 5))))} for {last:.2f}")
+        else:
+            lines.append(f"at {at:.2f} lossy all {draw.uniform(0.02, 0.2):.2f} for {last:.2f}")
+    return "\n".join(lines)
--- /dev/null
+++ b/mulleinhatch/standins/hollow_checks.py
@@ -0,0 +1,99 @@
+"""What is found of a world of hollow instances from outside, by what was counted and by which places ran in truth."""
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from mulleinhatch.standins.hollow_world import Gone, Look
+
+WINDOW = 10             # seconds that the bound on bytes is a mean of
+CLOCKS = 0.98           # a window of the slowest clock is longer than one of ours
+
+
+class Traffic(NamedTuple):
+    """Bytes a second, sent and received, with headers."""
+
+    mean: float             # of all instances over the whole time
+    worst: float            # the most of one instance in the mean of any 10 s
+    mean_worst: float       # the mean instance's, in the same sense
+    second: float           # the most of one instance in any second
+    mean_second: float      # the mean instance's
+    sent: float             # means, of them
+    heard: float
+    sent_count: float       # datagrams a second
+    heard_count: float
+
+
+def any_window(seconds: list[float], window: int = WINDOW) -> float:
+    """The most of a window's mean; of all there is where that is shorter.
+
+    >>> any_window([0, 10, 20, 0, 0], 2), any_window([1, 3], 10)
+    (15.0, 2.0)
+    """
+    window = max(1, min(window, len(seconds)))
+    total = most = float(sum(seconds[:window]))
+    for place in range(window, len(seconds)):
+        total += seconds[place] - seconds[place - window]
+        most = max(most, total)
+    return most / window
+
+
+def traffic_of(told: dict[int, tuple[Any, Any, Any, Any]]) -> Traffic:
+    """Of `World.traffic`."""
+    both = [[sent + heard for sent, heard in zip(books[0], books[1])] for books in told.values()]
+    seconds, members = len(both[0]), len(both)
+    mean = [sum(column) / members for column in zip(*both)]
+    sums = [sum(sum(books[kind]) for books in told.values()) / members / seconds for kind in range(4)]
+    return Traffic(sum(mean) / seconds, max(any_window(book) for book in both), any_window(mean),
+                   float(max(max(book) for book in both)), max(mean), *sums)
+
+
+def known_after(gone: Iterable[Gone], holders: dict[int, int], died: float, share: float) -> float | None:
+    """Seconds from the death until `share` of those that held it say so, of the slowest of the dead; none if they never did.
+    `holders`: by dead place, how many others held it before."""
+    times: dict[int, dict[int, float]] = defaultdict(dict)
+    for one in gone:
+        if one.at >= died and not one.wrong and one.subject in holders:
+            times[one.subject].setdefault(one.observer, one.at)
+    slowest = 0.0
+    for place, count in holders.items():
+        needed, known = -(-count * share // 1), sorted(times[place].values())
+        if len(known) < needed:
+            return None
+        if needed:
+            slowest = max(slowest, known[int(needed) - 1] - died)
+    return slowest
+
+
+def in_sums(looks: Iterable[Look], places: set[int], since: float, until: float, least: float = 0.0) -> float | None:
+    """Seconds from `since` until the sums of all these places count nobody who doesn't run, and `least` of those who do, for
+    good (up to `until`); none if that never came."""
+    wrong_at: dict[int, float] = {}
+    last: dict[int, float] = {}
+    for look in looks:
+        if look.place in places and since < look.at < until:
+            last[look.place] = look.at
+            if look.members > look.living or look.members < least * look.living:
+                wrong_at[look.place] = look.at
+    if set(last) != places or any(wrong_at.get(place) == at for place, at in last.items()):
+        return None
+    # Right from the next look on.
+    after = [min(look.at for look in looks if look.place == place and look.at > at) for place, at in wrong_at.items()]
+    return max(after, default=since) - since
+
+
+def most_used(times: list[float], window: float) -> int:
+    """The most units used in any window; `times` in order."""
+    first = most = 0
+    for place, at in enumerate(times):
+        while times[first] <= at - window * CLOCKS:
+            first += 1
+        most = max(most, place - first + 1)
+    return most
+
+
+def over_budgets(used: list[list[float]], budgets: Iterable[tuple[str, int, float]]) -> int:
+    """Units beyond a total in any window, of the budget that was worst."""
+    return max((max(0, most_used(times, window) - total) for times, (_, total, window) in zip(used, budgets) if window),
+               default=0)
--- /dev/null
+++ b/mulleinhatch/standins/hollow_shards.py
@@ -0,0 +1,231 @@
+"""A world of hollow instances played by several processes, in windows of virtual time; the history is that of one process.
+
+Conservative: no datagram takes less than `LOOKAHEAD`, so each process may play so far beyond the earliest event of all
+without hearing of the others. What crosses is handed over at the border, and ordered by (time, sender, sequence).
+"""
+from __future__ import annotations
+
+import gc
+import marshal
+import math
+import multiprocessing
+import os
+import pickle
+import traceback
+from collections import Counter
+from multiprocessing.connection import Connection
+from typing import Any
+
+from mulleinhatch.standins.hollow import LOOKAHEAD, BadPlan, Ground, Plan
+from mulleinhatch.standins.hollow_world import Event, Shard
+
+MOST_SHARDS = 8
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def resident() -> int:
+    """Bytes of this process in memory."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * PAGE
+
+
+def owners(ground: Ground, shards: int) -> list[int]:
+    """Ranges of places: most of a zone's words stay within one process."""
+    return [place * shards // ground.plan.members for place in range(ground.plan.members)]
+
+
+def work(plan: Plan, owner: list[int], index: int, pipe: Connection) -> None:
+    """A process: plays windows and answers questions until its pipe closes. What breaks here is told to the other end."""
+    # The cores make no cycles that matter here; walks over all instances' objects would count as each one's CPU.
+    gc.disable()
+    try:
+        base = resident()
+        shard = Shard(plan, owner, index)
+        pipe.send_bytes(marshal.dumps((shard.next(), math.inf, {})))
+        while data := pipe.recv_bytes():
+            if data[:1] == b"w":
+                until, batches = marshal.loads(data[1:])
+                for batch in batches:
+                    shard.take(marshal.loads(batch))
+                shard.run(until)
+                out, shard.out = shard.out, {}
+                first = min((event[0] for events in out.values() for event in events), default=math.inf)
+                told = {to: marshal.dumps(events) for to, events in out.items()}
+                pipe.send_bytes(marshal.dumps((shard.next(), first, told)))
+            else:
+                name, args = pickle.loads(data[1:])
+                answer = resident() - base if name == "memory" else getattr(shard, name)(*args)
+                pipe.send_bytes(pickle.dumps((answer, shard.next())))
+    except EOFError:
+        pass
+    except Exception:
+        pipe.send_bytes(b"!" + traceback.format_exc().encode())
+
+
+class Stopped(RuntimeError):
+    """A process of the world broke off; the text is its traceback."""
+
+
+class World:
+    """
+    >>> with World(Plan(members=9, seed=3), shards=1) as world:
+    ...     world.play(3.0).one()
+    True
+    """
+
+    def __init__(self, plan: Plan, shards: int = 1) -> None:
+        if not 1 <= shards <= MOST_SHARDS:
+            raise BadPlan(f"{shards} processes: 1 to {MOST_SHARDS} are allowed")
+        self.plan, self.ground, self.now = plan, Ground(plan), 0.0
+        shards = min(shards, plan.members)
+        self.owner = owners(self.ground, shards)
+        self.ground.faults(plan.script)     # before processes are started for it
+        self.local: Shard | None = None
+        self.pipes: list[Connection] = []
+        self.processes: list[multiprocessing.Process] = []
+        self.nexts = [math.inf] * shards
+        self.batches: list[list[bytes]] = [[] for _ in range(shards)]
+        self.first = math.inf       # arrival of the earliest datagram that waits at the border
+        if shards == 1:
+            self.local = Shard(plan, self.owner)
+            return
+        context = multiprocessing.get_context("fork")
+        for index in range(shards):
+            here, there = context.Pipe()
+            process = context.Process(target=work, args=(plan, self.owner, index, there), daemon=True)
+            process.start()
+            there.close()
+            self.pipes.append(here)
+            self.processes.append(process)
+        for index in range(shards):
+            self.nexts[index] = self._answer(index)[0]
+
+    def __enter__(self) -> World:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        for pipe in self.pipes:
+            pipe.close()
+        for process in self.processes:
+            process.join(5.0)
+            if process.is_alive():
+                process.kill()
+                process.join()
+        self.pipes, self.processes, self.local = [], [], None
+
+    def _answer(self, index: int) -> Any:
+        try:
+            data = self.pipes[index].recv_bytes()
+        except EOFError:
+            raise Stopped(f"process {index} ended") from None
+        if data[:1] == b"!":
+            raise Stopped(data[1:].decode())
+        return marshal.loads(data)
+
+    def play(self, until: float) -> World:
+        """On to that time; what happens at it is not played yet."""
+        self.ask("prepare", until)
+        if self.local:
+            self.local.run(until)
+        while not self.local and self.now < until:
+            start = min(*self.nexts, self.first)
+            border = min(start + LOOKAHEAD, until) if start < until else until
+            self._window(border)
+            if start >= until:
+                break
+        self.now = until
+        return self
+
+    def _window(self, border: float) -> None:
+        for index, pipe in enumerate(self.pipes):
+            batches, self.batches[index] = self.batches[index], []
+            pipe.send_bytes(b"w" + marshal.dumps((border, batches)))
+        self.first = math.inf
+        for index in range(len(self.pipes)):
+            self.nexts[index], first, told = self._answer(index)
+            self.first = min(self.first, first)
+            for to, batch in told.items():
+                self.batches[to].append(batch)
+
+    def ask(self, name: str, *args: Any) -> list[Any]:
+        """A method of each shard, by name; their answers in order."""
+        if self.local:
+            return [getattr(self.local, name)(*args)]
+        for pipe in self.pipes:
+            pipe.send_bytes(b"a" + pickle.dumps((name, args)))
+        answers = []
+        for index, pipe in enumerate(self.pipes):
+            data = pipe.recv_bytes()
+            if data[:1] == b"!":
+                raise Stopped(data[1:].decode())
+            answer, self.nexts[index] = pickle.loads(data)
+            answers.append(answer)
+        return answers
+
+    def _joined(self, name: str, *args: Any) -> dict[int, Any]:
+        """Answers by place, put together in the places' order."""
+        told: dict[int, Any] = {}
+        for answer in self.ask(name, *args):
+            told |= answer
+        return dict(sorted(told.items()))
+
+    # What is seen of it.
+
+    def script(self, text: str) -> None:
+        """More faults, at times from now on."""
+        self.ground.faults(text)
+        self.ask("script", text)
+
+    def traffic(self, first: float, last: float) -> dict[int, Any]:
+        return self._joined("traffic", int(first), int(last))
+
+    def cpu(self) -> dict[int, tuple[int, int]]:
+        return self._joined("cpu")
+
+    def digest(self) -> dict[int, int]:
+        return self._joined("digest")
+
+    def speakers(self) -> list[int]:
+        return sorted(place for found in self.ask("speakers") for place in found)
+
+    def listed(self, what: str) -> list[Any]:
+        """`gone` or `looks` of all, by time."""
+        return sorted(one for answer in self.ask("told", what) for one in answer)
+
+    def counts(self) -> Counter[str]:
+        return sum(self.ask("told", "counts"), Counter())
+
+    def holding(self, places: list[int], but: frozenset[int] = frozenset()) -> dict[int, tuple[int, int]]:
+        told = self.ask("holding", places, but)
+        return {place: (sum(one[place][0] for one in told), sum(one[place][1] for one in told)) for place in places}
+
+    def frozen(self) -> int:
+        return sum(answer[2] for answer in self.ask("views"))
+
+    def one(self) -> bool:
+        """Whether views are one: all that run are in groups whose members see just each other, as many groups as there are
+        to be (one, flat), and nobody is suspected. Each holds itself, so a view that is held by as many as are in it is held
+        by just those."""
+        alike: Counter[tuple[int, int]] = Counter()
+        unfit = running = 0
+        for views, wrong, _, count in self.ask("views"):
+            alike += views
+            unfit, running = unfit + wrong, running + count
+        groups = len(self.ground.firsts) * self.ground.groups if self.plan.levels else 1
+        return (not unfit and len(alike) <= groups and all(count == size for (_, size), count in alike.items())
+                and sum(alike.values()) == running)
+
+    def used(self) -> list[list[float]]:
+        """By budget: when units were used, in order."""
+        told = self.ask("told", "used")
+        return [sorted(at for one in told for at in one[budget]) for budget in range(len(self.plan.budgets))]
+
+    def memory(self) -> float:
+        """Bytes of all processes beyond what they held before the instances, for each instance."""
+        return sum(self.ask("memory")) / self.plan.members if self.pipes else math.nan
+
+
+__all__ = ["Event", "Stopped", "World", "owners", "resident"]
--- /dev/null
+++ b/mulleinhatch/standins/hollow_world.py
@@ -0,0 +1,514 @@
+"""Many hollow instances in virtual time: one shard of a world, which one process plays; `hollow_shards.py` joins several.
+
+One seed, one history, however many shards: chance is each instance's own, and what happens at one time goes by (time, sender,
+sequence). What is said of the instances is seen from outside: which places run is known by the script, not by asking them.
+Bytes and datagrams are counted by instance and second, with 28 bytes of headers each; CPU is the thread's time in the cores.
+"""
+from __future__ import annotations
+
+import heapq
+import math
+import random
+import sys
+import time
+import zlib
+from array import array
+from collections import Counter, deque
+from collections.abc import Callable
+from itertools import chain
+from typing import Any, NamedTuple
+
+from mulleinhatch.fleet import words
+from mulleinhatch.fleet.budgets import Meter
+from mulleinhatch.fleet.core import Fleet
+from mulleinhatch.fleet.words import ALIVE, GONE, SUSPECT
+from mulleinhatch.spread.bounds import SpreadBounds
+from mulleinhatch.spread.core import Here, Spread
+from mulleinhatch.standins import faults
+from mulleinhatch.standins.hollow import HEADERS, LOOKAHEAD, Ground, Plan, Says
+from mulleinhatch.standins.virtual import Broken
+from mulleinhatch.upkeep.core import Bounds as UpkeepBounds
+from mulleinhatch.upkeep.core import Upkeep
+
+GRACE = 2.0                 # seconds from the notice to leave to the end
+QUEUE = 200                 # datagrams that a stopped process's socket holds
+WATCH_EVERY = 0.25          # seconds between looks at the watched members' sums
+MOST_KEPT = 200_000         # changes and wrong declarations that are kept one by one
+BEAT, USE = -1, -2          # what an event is that is no datagram
+Event = tuple[float, int, int, int, Any]        # when, sender (-1: the script), sequence, to whom, datagram or what else
+
+
+class Gone(NamedTuple):
+    """A member became gone in a view."""
+
+    at: float
+    observer: int
+    subject: int
+    why: str
+    wrong: bool             # this life of it ran just then
+
+
+class Look(NamedTuple):
+    """A watched member's sum of the whole fleet."""
+
+    at: float
+    place: int
+    members: int
+    silent: int
+    oldest: float
+    living: int             # in truth
+
+
+class Hollow:
+    """One instance: its cores, its clock, its chance, its books."""
+
+    __slots__ = ("place", "core", "spread", "upkeep", "stalled", "waiting", "chance", "rate", "offset", "sequence", "lives",
+                 "says", "meters", "born", "sent", "heard", "sent_count", "heard_count", "cpu", "calls", "digest")
+
+    def __init__(self, plan: Plan, place: int) -> None:
+        draw = random.Random(plan.seed * 1_000_003 + place)
+        self.place, self.chance = place, draw
+        self.rate, self.offset = draw.uniform(0.99, 1.01), draw.uniform(-3600.0, 3600.0)    # nobody's clock is right
+        self.core: Fleet | None = None
+        self.spread: Spread | None = None
+        self.upkeep: Upkeep | None = None
+        self.stalled = False
+        self.waiting: deque[bytes] = deque(maxlen=QUEUE)
+        self.sequence = self.lives = self.cpu = self.calls = self.digest = 0
+        self.says, self.meters, self.born = Says(plan, draw), [], 0.0
+        self.sent, self.heard, self.sent_count, self.heard_count = (array("I") for _ in range(4))
+
+
+class Shard:
+    """The instances at `own` places of the plan; the rest is known by its script alone."""
+
+    def __init__(self, plan: Plan, owner: list[int] | None = None, index: int = 0) -> None:
+        self.plan, self.ground, self.now, self.index = plan, Ground(plan), 0.0, index
+        self.owner = owner or [0] * plan.members
+        self.bounds = self.ground.bounds()
+        self.nodes: list[Hollow | None] = [Hollow(plan, place) if who == index else None
+                                           for place, who in enumerate(self.owner)]
+        self.events: list[Event] = []
+        self.out: dict[int, list[Event]] = {}
+        self.turn = 0
+        members = plan.members
+        # What the script says of all places, the same in each shard.
+        self.up, self.life = bytearray(members), [0] * members
+        self.generation = [0] * members
+        self.whom = {self.ground.address(place, 0): place for place in range(members)}
+        self.active: list[faults.Fault] = []
+        self.cuts: list[tuple[bytearray, bytearray, bool]] = []
+        self.amounts: dict[str, list[float]] = {}
+        self.gone: list[Gone] = []
+        self.counts: Counter[str] = Counter()
+        self.looks: list[Look] = []
+        self.used: list[array[float]] = [array("d") for _ in plan.budgets]
+        draw = random.Random(plan.seed)
+        self.starts = [draw.uniform(0.0, plan.start_within) for _ in range(members)]
+        for place, start in enumerate(self.starts):
+            self._at(start, ("start", (place,)))
+        self.script(plan.script)
+        self.watched = [place for place in self.ground.watched() if self.nodes[place]]
+        self._at(WATCH_EVERY, ("watch", ()))
+
+    # Time.
+
+    def _at(self, when: float, what: tuple[str, Any]) -> None:
+        """Of the script: before what instances do at the same time."""
+        self.turn += 1
+        heapq.heappush(self.events, (when, -1, self.turn, -1, what))
+
+    def script(self, text: str) -> None:
+        """Faults from now on; what lies before is refused."""
+        for fault in self.ground.faults(text):
+            if fault.at < self.now:
+                raise faults.BadScript(f"at {fault.at:g} is over: it is {self.now:g}")
+            self._at(fault.at, ("fault", fault))
+
+    def next(self) -> float:
+        return self.events[0][0] if self.events else math.inf
+
+    def take(self, events: list[Event]) -> None:
+        for event in events:
+            heapq.heappush(self.events, event)
+
+    def run(self, until: float) -> None:
+        """All that happens before `until`."""
+        events, nodes, pop = self.events, self.nodes, heapq.heappop
+        while events and events[0][0] < until:
+            self.now, sender, _, to, what = pop(events)
+            if sender < 0:
+                getattr(self, f"_{what[0]}")(what[1])
+                continue
+            node = nodes[to]
+            if type(what) is bytes:
+                if node.core is not None:
+                    second = int(self.now)
+                    node.heard[second] += len(what) + HEADERS
+                    node.heard_count[second] += 1
+                    if node.stalled:
+                        node.waiting.append(what)
+                    else:
+                        self._heard(node, what)
+            elif what[1] == node.lives and node.core is not None:
+                if what[0] == BEAT:
+                    self._beat(node)
+                else:
+                    self._use(node, what[2])
+        self.now = until
+
+    def prepare(self, until: float) -> None:
+        """Room in the books up to a time."""
+        seconds = int(until) + 2
+        for node in self.nodes:
+            if node and len(node.sent) < seconds:
+                more = bytes(4 * (seconds - len(node.sent)))
+                for book in (node.sent, node.heard, node.sent_count, node.heard_count):
+                    book.frombytes(more)
+
+    # The script.
+
+    def _start(self, places: tuple[int, ...]) -> None:
+        for place in places:
+            if self.up[place]:
+                continue
+            self.up[place] = 1
+            self.life[place] = self.life_from(self.now)
+            if node := self.nodes[place]:
+                self._begin(node)
+
+    @staticmethod
+    def life_from(start: float) -> int:
+        return int(1000.0 * (start + 7200.0))
+
+    def _begin(self, node: Hollow) -> None:
+        place, plan = node.place, self.plan
+        node.lives += 1
+        node.stalled = False
+        node.waiting.clear()
+        node.born = self.now
+        now = self.now * node.rate + node.offset
+        bounds = self.bounds[self.ground.zone[place]]
+        generation = self.generation[place]
+        node.core = Fleet(bounds, self.ground.name(place, generation), self.ground.address(place, generation),
+                          self.life[place], node.chance.getrandbits(48), now)
+        node.spread = node.upkeep = None
+        if plan.spread:
+            at = node.core.members.address
+            node.spread = Spread(SpreadBounds(at=at), node.core, node.chance.getrandbits(40), now, returns=node.lives > 1)
+            node.core.ops_at = at
+        if plan.upkeep:
+            voters = tuple(self.ground.name(voter, 0) for voter in range(plan.upkeep))
+            node.upkeep = Upkeep(UpkeepBounds(voters, 1, 1, "z"), node.core, node.lives * 10_000 + place, now)
+        node.meters = [Meter(budget.window) for budget in bounds.budgets]
+        if plan.introduced and node.lives == 1:
+            self._introduce(node, now)
+        self._later(node, 0.0, (BEAT, node.lives))
+        for budget in range(len(plan.budgets)):
+            self._later(node, node.chance.uniform(0.0, 0.1), (USE, node.lives, budget))
+
+    def _introduce(self, node: Hollow, now: float) -> None:
+        """Letters that name all others, as a member that knows them would write, and none of it news to be told on."""
+        ground, names = self.ground, [place for place in range(self.plan.members) if place != node.place]
+        for first in range(0, len(names), 12):
+            some = names[first:first + 12]
+            told = [words.Rumour(ground.name(place, 0), ground.address(place, 0), self.life_from(self.starts[place]), 0, ALIVE)
+                    for place in some]
+            letter = words.Letter(words.VERSION, "hollow", told[0].name, told[0].address, told[0].life, 0, "word", rumours=told)
+            node.core.datagram(now, words.encode(letter))
+        node.core.members.news.clear()
+        node.core.members.changes.clear()
+
+    def _fault(self, fault: faults.Fault) -> None:
+        what = fault.what
+        if what == "kill":
+            for place in fault.places:
+                self.up[place] = 0
+                if node := self.nodes[place]:
+                    node.core = node.spread = node.upkeep = None
+        elif what == "start":
+            self._start(fault.places)
+        elif what == "renew":
+            for place in fault.places:
+                self.whom.pop(self.ground.address(place, self.generation[place]), None)
+                self.generation[place] += 1
+                self.whom[self.ground.address(place, self.generation[place])] = place
+            self._start(fault.places)
+        elif what == "leave":
+            for place in fault.places:
+                if (node := self.nodes[place]) and node.core:
+                    self._send(node, node.core.leave(self.now * node.rate + node.offset))
+            self._at(self.now + GRACE, ("fault", faults.Fault(self.now + GRACE, "kill", fault.places)))
+        elif what in ("stall", "go"):
+            for place in fault.places:
+                if (node := self.nodes[place]) and node.core:
+                    node.stalled = what == "stall"
+                    if what == "go":
+                        self._go_on(node)
+        elif what in faults.LINKS:
+            self.active.append(fault)
+            self._links(None)
+            self._at(fault.until, ("links", fault))
+        else:
+            raise faults.BadScript(f"{what} is nothing that a hollow instance meets")
+
+    def _go_on(self, node: Hollow) -> None:
+        """Its timer is overdue, its socket full."""
+        self._beat(node, again=False)
+        waiting = list(node.waiting)
+        node.waiting.clear()
+        for data in waiting:
+            self._heard(node, data)
+
+    def _links(self, over: faults.Fault | None) -> None:
+        """Which links are cut and how bad the rest is, as flags by place: a look at one costs the same at any size."""
+        if over:
+            self.active.remove(over)
+        members = self.plan.members
+        self.cuts, self.amounts = [], {}
+        for fault in self.active:
+            if fault.what in ("cut", "deaf"):
+                here, there = bytearray(members), bytearray(members)
+                for place in fault.places:
+                    here[place] = 1
+                for place in fault.others:
+                    there[place] = 1
+                self.cuts.append((here, there, fault.what == "cut"))
+            else:
+                amounts = self.amounts.setdefault(fault.what, [0.0] * members)
+                for place in fault.places:
+                    amounts[place] = max(amounts[place], fault.amount)
+
+    def _watch(self, _: Any) -> None:
+        self._at(self.now + WATCH_EVERY, ("watch", ()))
+        living = sum(self.up)
+        for place in self.watched:
+            node = self.nodes[place]
+            if node.core and not node.stalled:
+                self.looks.append(Look(self.now, place, *self._sum(node), living))
+
+    def _sum(self, node: Hollow) -> tuple[int, int, float]:
+        """Members alive in its sum of the fleet, silent ones, the oldest age; flat, what its own view holds."""
+        now = self.now * node.rate + node.offset
+        if self.plan.levels:
+            total = node.core.totals(now)["fleet"]
+            return total.members, total.silent, total.oldest
+        known = node.core.known.total(now, "capacity")
+        return 1 + len(node.core.members.alive()), known.silent, known.oldest
+
+    # Instances.
+
+    def _later(self, node: Hollow, after: float, what: tuple) -> None:
+        node.sequence += 1
+        heapq.heappush(self.events, (self.now + after, node.place, node.sequence, node.place, what))
+
+    def _beat(self, node: Hollow, again: bool = True) -> None:
+        if again:
+            beat = self.bounds[0].beat
+            self._later(node, beat * node.chance.uniform(0.95, 1.1), (BEAT, node.lives))
+        if node.stalled:
+            return
+        now = self.now * node.rate + node.offset
+        local = node.says.local(self.now - node.born, tuple(meter.demand(now) for meter in node.meters))
+        begun = time.thread_time_ns()
+        datagrams = []
+        if node.spread:
+            datagrams += node.spread.beat(now, Here(8, 0, 48))
+            local = local._replace(figures=local.figures[:11] + node.spread.figures(now), opinions=node.spread.opinions(now))
+        if node.upkeep:
+            datagrams += node.upkeep.beat(now, self.now + node.offset, True)
+        datagrams += node.core.beat(now, local)
+        node.cpu += time.thread_time_ns() - begun
+        node.calls += 1
+        self._send(node, datagrams)
+        if node.core.members.changes:
+            self._changes(node)
+
+    def _heard(self, node: Hollow, data: bytes) -> None:
+        begun = time.thread_time_ns()
+        datagrams = node.core.datagram(self.now * node.rate + node.offset, data)
+        if node.spread:
+            datagrams += node.spread.said()
+        if node.upkeep:
+            datagrams += node.upkeep.said()
+        node.cpu += time.thread_time_ns() - begun
+        node.calls += 1
+        if datagrams:
+            self._send(node, datagrams)
+        if node.core.members.changes:
+            self._changes(node)
+
+    def _send(self, node: Hollow, datagrams: list[tuple[str, bytes]]) -> None:
+        place, second, owner, chance = node.place, int(self.now), self.owner, node.chance.random
+        for address, data in datagrams:
+            if len(data) > words.MOST_BYTES:
+                raise Broken(f"at {self.now:.3f} a datagram of {len(data)} bytes")
+            node.sent[second] += len(data) + HEADERS
+            node.sent_count[second] += 1
+            node.digest = zlib.crc32(data, node.digest)
+            to = self.whom.get(address)
+            if to is None or self.cuts and self._is_cut(place, to):
+                continue
+            low, high = self.ground.link(place, to)
+            times = 1
+            if self.amounts:
+                lossy, repeated, swapped, delayed = (self._amount(what, place, to) for what in faults.LINKS[2:])
+                low, high = low + delayed, high + delayed + (0.3 if chance() < swapped else 0.0)
+                times = (1 + (chance() < repeated)) * (chance() >= lossy)
+            for _ in range(times):
+                node.sequence += 1
+                event = (self.now + low + (high - low) * chance(), place, node.sequence, to, data)
+                if owner[to] == self.index:
+                    heapq.heappush(self.events, event)
+                else:
+                    self.out.setdefault(owner[to], []).append(event)
+
+    def _is_cut(self, sender: int, to: int) -> bool:
+        return any(here[to] and there[sender] or both and here[sender] and there[to] for here, there, both in self.cuts)
+
+    def _amount(self, what: str, sender: int, to: int) -> float:
+        amounts = self.amounts.get(what)
+        return max(amounts[sender], amounts[to]) if amounts else 0.0
+
+    def _changes(self, node: Hollow) -> None:
+        changes, node.core.members.changes = node.core.members.changes, []
+        for change in changes:
+            self.counts[change.state] += 1
+            if change.state != "gone":
+                continue
+            subject = self.ground.place_named(change.name)
+            same = change.name.rpartition("/")[2] == self.ground.name(subject, self.generation[subject])
+            known = node.core.members.view.get(change.name)
+            wrong = bool(self.up[subject] and same and known and known.life == self.life[subject])
+            self.counts["wrong" if wrong else "right"] += 1
+            if len(self.gone) < MOST_KEPT:
+                self.gone.append(Gone(self.now, node.place, subject, change.why, wrong))
+
+    def _part(self, node: Hollow, now: float, budget: int) -> int:
+        return node.core.part(now, budget)
+
+    def _use(self, node: Hollow, budget: int) -> None:
+        """Asks for units at the rate of its demand, one at a time."""
+        _, total, window = self.plan.budgets[budget]
+        rate = max(0.01, total / self.plan.members / (window or 1.0) * self.plan.demand)
+        self._later(node, node.chance.expovariate(rate), (USE, node.lives, budget))
+        if node.stalled:
+            return
+        now = self.now * node.rate + node.offset
+        part = self._part(node, now, budget)
+        if part < 0:
+            raise Broken(f"at {self.now:.3f} {node.core.name} holds a part of {part}")
+        if node.meters[budget].take(now, part):
+            self.used[budget].append(self.now)
+
+    # What is asked from outside.
+
+    def traffic(self, first: int, last: int) -> dict[int, tuple[array, array, array, array]]:
+        """By place: bytes sent and heard, datagrams sent and heard, for the seconds from `first` to before `last`."""
+        return {node.place: (node.sent[first:last], node.heard[first:last], node.sent_count[first:last],
+                             node.heard_count[first:last]) for node in self.nodes if node}
+
+    def mark(self) -> None:
+        for node in self.nodes:
+            if node:
+                node.cpu = node.calls = 0
+
+    def cpu(self) -> dict[int, tuple[int, int]]:
+        """By place: nanoseconds in the cores and calls since the mark."""
+        return {node.place: (node.cpu, node.calls) for node in self.nodes if node}
+
+    def digest(self) -> dict[int, int]:
+        return {node.place: node.digest for node in self.nodes if node}
+
+    def views(self) -> tuple[Counter[tuple[int, int]], int, int, int]:
+        """How many hold each view (its hash and size, themselves in it), how many hold one with somebody who does not run or
+        is suspected, how many are frozen, and how many run."""
+        alike: Counter[tuple[int, int]] = Counter()
+        unfit = frozen = running = 0
+        present = {self.ground.name(place, self.generation[place]): place for place, up in enumerate(self.up) if up}
+        for node in self.nodes:
+            if node is None or node.core is None:
+                continue
+            running += 1
+            view = node.core.members.view
+            places = [present.get(name.rpartition("/")[2], -1) for name, member in view.items() if member.state <= SUSPECT]
+            frozen += node.core.members.frozen
+            unfit += -1 in places or any(member.state == SUSPECT for member in view.values())
+            alike[hash(frozenset([node.place, *places])), 1 + len(places)] += 1
+        return alike, unfit, frozen, running
+
+    def holding(self, places: list[int], but: frozenset[int]) -> dict[int, tuple[int, int]]:
+        """By place: in how many views of those that run, `but` these, it is there, and in how many gone."""
+        names = {place: self.ground.name(place, self.generation[place]) for place in places}
+        held = {place: [0, 0] for place in places}
+        for node in self.nodes:
+            if node is None or node.core is None or node.stalled or node.place in but:
+                continue
+            view = node.core.members.view
+            prefix = next((name.rpartition("/")[0] + "/" for name in view if "/" in name), "")
+            for place, name in names.items():
+                if (member := view.get(prefix + name)) and place != node.place:
+                    held[place][member.state >= GONE] += 1
+        return {place: (there, gone) for place, (there, gone) in held.items()}
+
+    def speakers(self) -> list[int]:
+        """Places that speak for their group just now, if levels can tell."""
+        found = []
+        for node in self.nodes:
+            if node and node.core and (speaks := getattr(getattr(node.core, "levels", None), "speaks", None)):
+                found += [node.place] * bool(speaks(self.now * node.rate + node.offset))
+        return found
+
+    def state(self, places: list[int]) -> list[dict[str, float]]:
+        """Bytes of state by kind, each object counted once, in these instances that run."""
+        return [state_of(node) for place in places if (node := self.nodes[place]) and node.core]
+
+    def told(self, what: str) -> Any:
+        return getattr(self, what)
+
+
+KINDS_OF_STATE: tuple[tuple[str, Callable[[Hollow], Any]], ...] = (
+    ("members", lambda node: node.core.members.view),
+    ("membership", lambda node: [getattr(node.core.members, name) for name in (
+        "probes", "helping", "rounds", "evidence", "news", "outcomes") if hasattr(node.core.members, name)]),
+    ("reports", lambda node: node.core.known.rows),
+    ("verdicts", lambda node: node.core.verdicts.__dict__),
+    ("budgets", lambda node: [part.__dict__ for part in node.core.parts]),
+    ("levels", lambda node: getattr(node.core, "levels", None)),
+    ("spread", lambda node: node.spread and {key: value for key, value in node.spread.__dict__.items() if key != "fleet"}),
+    ("upkeep", lambda node: node.upkeep and {key: value for key, value in node.upkeep.__dict__.items() if key != "fleet"}),
+)
+
+
+def state_of(node: Hollow) -> dict[str, float]:
+    # What is settings, or the instance itself, is no state of this kind.
+    seen = {id(node), id(node.core), id(node.core.members), id(node.core.bounds), id(node.core.known), id(node.core.verdicts)}
+    return {kind: float(deep_size(told(node), seen)) for kind, told in KINDS_OF_STATE}
+
+
+def deep_size(thing: Any, seen: set[int]) -> int:
+    """Bytes of it and all that it holds, but for what was seen, code and types.
+
+    >>> deep_size(["abc"], set()) == sys.getsizeof(["abc"]) + sys.getsizeof("abc")
+    True
+    """
+    size, todo = 0, [thing]
+    while todo:
+        one = todo.pop()
+        if id(one) in seen or one is None or callable(one) or isinstance(one, type | bool):
+            continue
+        seen.add(id(one))
+        size += sys.getsizeof(one)
+        if isinstance(one, dict):
+            todo += chain.from_iterable(one.items())
+        elif isinstance(one, list | tuple | set | frozenset | deque):
+            todo += one
+        else:
+            todo += [getattr(one, name) for kind in type(one).__mro__ for name in getattr(kind, "__slots__", ())
+                     if isinstance(name, str) and hasattr(one, name) and name not in ("__weakref__", "__dict__")]
+            todo += [getattr(one, name) for name in getattr(type(one), "__struct_fields__", ())]
+            todo.append(getattr(one, "__dict__", None))
+    return size
+
+
+__all__ = ["LOOKAHEAD", "Gone", "Hollow", "Look", "Shard", "deep_size", "state_of"]
