--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -217,7 +217,7 @@
     # Events.
 
     def event(self, name: str) -> None:
-            begun = time.monotonic()
+        begun = time.monotonic()
         figures, holds = EVENTS[name](self.told)
         figures["speed"] = round(figures.pop("virtual") / (time.monotonic() - begun), 3)
         self.events[name] = figures
