--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,237 @@
+"""Hollow instances: one seed one history, by however many processes; what is counted, what checkers and fits find."""
+from __future__ import annotations
+
+import json
+import math
+import random
+from array import array
+from pathlib import Path
+
+import pytest
+
+from benchmarks import fits, scale
+from mulleinhatch.fleet.words import GONE
+from mulleinhatch.standins import faults
+from mulleinhatch.standins.hollow import HEADERS, BadPlan, Ground, Plan, churn, knows_levels, restart_all, weather
+from mulleinhatch.standins.hollow_checks import any_window, in_sums, known_after, most_used, over_budgets, traffic_of
+from mulleinhatch.standins.hollow_shards import Stopped, World
+from mulleinhatch.standins.hollow_world import Gone, Look, Shard
+
+STORMY = ("at 1 lossy all 0.1 for 2\nat 1.5 kill 3 for 1\nat 1.2 stall 4,5 for 0.7\nat 2 replace 7 for 0.5\n"
+          "at 1 cut zone0 from zone2 for 1")
+
+
+def played(shards: int, seed: int = 1, until: float = 3.0, **more: object) -> tuple[dict, dict, list]:
+    with World(Plan(members=9, seed=seed, script=STORMY, **more), shards) as world:
+        world.play(until)
+        return world.digest(), world.traffic(0, until), world.listed("looks")
+
+
+def test_one_seed_one_history_by_however_many_processes() -> None:
+    once = played(1)
+    assert once == played(1)
+    assert once == played(2) == played(3)
+    assert once[0] != played(1, seed=2)[0]
+
+
+def test_spread_upkeep_and_budgets_play_along_with_one_history() -> None:
+    more = {"spread": True, "upkeep": 3, "budgets": (("quota", 180, 1.0),)}
+    assert played(1, until=2.0, **more) == played(2, until=2.0, **more)
+
+
+def test_a_stop_between_plays_changes_nothing() -> None:
+    with World(Plan(members=9, script=STORMY), 2) as world:
+        for until in (0.3, 1.0, 1.7, 3.0):
+            world.play(until)
+        assert world.digest() == played(1)[0]
+
+
+def test_bytes_are_those_of_the_datagrams_with_headers(monkeypatch: pytest.MonkeyPatch) -> None:
+    seen: list[int] = []
+    send, heard = Shard._send, Shard._heard
+    received: list[int] = []
+
+    def sends(shard: Shard, node: object, datagrams: list) -> None:
+        seen.extend(len(data) for _, data in datagrams)
+        send(shard, node, datagrams)
+
+    def hears(shard: Shard, node: object, data: bytes) -> None:
+        received.append(len(data))
+        heard(shard, node, data)
+    monkeypatch.setattr(Shard, "_send", sends)
+    monkeypatch.setattr(Shard, "_heard", hears)
+    with World(Plan(members=9), 1) as world:
+        world.play(3.0)
+        told = world.traffic(0, 4)
+    assert sum(sum(books[0]) for books in told.values()) == sum(seen) + HEADERS * len(seen) > 0
+    assert sum(sum(books[1]) for books in told.values()) == sum(received) + HEADERS * len(received) > 0
+    assert sum(sum(books[2]) for books in told.values()) == len(seen)
+    assert sum(sum(books[3]) for books in told.values()) == len(received)
+
+
+def test_what_is_lost_or_cut_is_sent_and_not_received() -> None:
+    with World(Plan(members=9, script="at 2 cut 0-3 from 4-8 for 2"), 1) as world:
+        world.play(5.0)
+        told = world.traffic(0, 5)
+    sent, heard = (sum(sum(books[kind][2:4]) for books in told.values()) for kind in (2, 3))
+    assert heard < 0.8 * sent
+    sent, heard = (sum(sum(books[kind][1:2]) for books in told.values()) for kind in (2, 3))
+    assert 0.98 * sent < heard <= 1.02 * sent
+
+
+def test_views_are_one_after_joining_and_not_while_cut() -> None:
+    with World(Plan(members=18, script="at 4 cut region0 from region1 for 4\nat 4 cut region2 from region1 for 4"), 1) as world:
+        assert not world.one()      # nobody runs yet
+        assert world.play(4.0).one()
+        assert not world.play(7.0).one()
+        assert world.frozen() > 0 or world.counts()["wrong"] > 0
+        assert world.play(14.0).one()
+
+
+def test_a_death_is_known_and_a_living_one_declared_gone_is_found() -> None:
+    with World(Plan(members=12), 1) as world:
+        world.play(4.0)
+        assert world.holding([5], frozenset([5])) == {5: (11, 0)}
+        world.script("at 4 kill 5 for 6")
+        world.play(9.0)
+        gone = world.listed("gone")
+        known = known_after(gone, {5: 11}, 4.0, 1.0)
+        assert known is not None and 1.5 < known < 4.0
+        assert world.counts()["wrong"] == 0 and world.holding([5]) == {5: (0, 11)}
+        assert known_after(gone, {5: 11, 6: 1}, 4.0, 1.0) is None
+        # Planted: one declares another gone that runs.
+        core = world.local.nodes[2].core
+        core.members._become(0.0, core.members.view["n7"], GONE, "silent")
+        world.play(9.3)
+        assert [(one.observer, one.subject, one.wrong) for one in world.listed("gone") if one.wrong][0] == (2, 7, True)
+        assert world.counts()["wrong"] >= 1
+
+
+def test_one_replaced_is_a_new_name_and_its_former_name_is_gone_rightly() -> None:
+    with World(Plan(members=12, script="at 3 replace 4 for 1"), 1) as world:
+        assert world.play(10.0).one()
+        assert world.counts()["wrong"] == 0
+        assert {one.subject for one in world.listed("gone")} == {4}
+
+
+def test_over_use_of_a_budget_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    plan = Plan(members=9, budgets=(("quota", 90, 1.0),), demand=3.0)
+    with World(plan, 1) as world:
+        used = world.play(9.0).used()
+    assert len(used[0]) > 60 and over_budgets(used, plan.budgets) == 0
+    part = Shard._part
+    monkeypatch.setattr(Shard, "_part", lambda shard, node, now, budget: 2 * part(shard, node, now, budget))
+    with World(plan, 1) as world:
+        used = world.play(9.0).used()
+    assert over_budgets(used, plan.budgets) > 0
+
+
+def test_most_used_in_a_window() -> None:
+    assert most_used([0.0, 0.1, 0.2, 1.5, 1.6], 1.0) == 3 and most_used([], 1.0) == 0
+    assert over_budgets([[0.0, 0.1, 0.2]], [("q", 2, 1.0)]) == 1
+
+
+def test_sums_that_count_the_dead_or_miss_the_living_are_found() -> None:
+    looks = [Look(at, place, members, 0, 0.0, 9) for place, told in ((1, (10, 10, 9, 9)), (2, (10, 9, 9, 9)))
+             for at, members in zip((1.0, 1.5, 2.0, 2.5), told)]
+    assert in_sums(looks, {1, 2}, 0.5, 3.0) == 1.5 and in_sums(looks, {2}, 0.5, 3.0) == 1.0
+    assert in_sums(looks, {1, 3}, 0.5, 3.0) is None and in_sums(looks, {1}, 0.5, 1.8) is None
+    assert in_sums([Look(1.0, 1, 5, 0, 0.0, 9)], {1}, 0.0, 3.0) == 0.0
+    assert in_sums([Look(1.0, 1, 5, 0, 0.0, 9)], {1}, 0.0, 3.0, 0.99) is None
+
+
+def test_known_takes_the_share_that_is_asked_for_and_no_wrong_word() -> None:
+    gone = [Gone(5.0 + place, place, 9, "silent", False) for place in range(4)] + [Gone(5.5, 8, 9, "told", True)]
+    assert known_after(gone, {9: 4}, 4.0, 1.0) == 4.0 and known_after(gone, {9: 4}, 4.0, 0.5) == 2.0
+    assert known_after(gone, {9: 5}, 4.0, 1.0) is None and known_after(gone, {9: 0}, 4.0, 1.0) == 0.0
+
+
+def test_traffic_of_the_worst_and_the_mean_instance() -> None:
+    calm, loud = array("I", [100] * 20), array("I", [100] * 10 + [1000] + [100] * 9)
+    none = array("I", [0] * 20)
+    told = traffic_of({0: (calm, none, none, none), 1: (loud, none, none, none)})
+    assert (told.worst, told.second, told.mean_second, told.sent) == (190.0, 1000.0, 550.0, told.mean)
+    assert any_window([1.0] * 30) == 1.0
+
+
+def test_a_fit_recovers_a_known_line_and_log_and_tells_what_is_off() -> None:
+    sizes = (25, 100, 400, 1000)
+    line = fits.fit([(size, 30.0 + 0.25 * size) for size in sizes])
+    assert (line.form, line.residual) == ("linear", 0.0) and math.isclose(line.at(3600), 930.0)
+    log = fits.fit([(size, 5.0 + 3.0 * math.log2(size)) for size in sizes])
+    assert log.form == "log2" and math.isclose(log.slope, 3.0, rel_tol=1e-6)
+    assert fits.fit([(size, 7.0) for size in sizes]).form == "constant"
+    noisy = fits.fit([(25, 10.0), (100, 30.0), (400, 70.0), (1000, 300.0)])
+    assert noisy.residual > 0.1
+    with pytest.raises(ValueError, match="points"):
+        fits.fit([])
+
+
+def test_a_record_tells_points_fit_and_check(tmp_path: Path) -> None:
+    cost = fits.cost("bytes/s", [(25, 100.0), (100, 400.0), (400, 1600.0)], (1000, 4100.0))
+    fits.written(tmp_path / "new" / "one.json", {"costs": {"instance.control.bytes": cost}})
+    told = json.loads((tmp_path / "new" / "one.json").read_text())["costs"]["instance.control.bytes"]
+    assert (told["form"], told["constant"], told["slope"], told["checked"]) == ("linear", 0.0, 4.0, [1000, 4100.0])
+
+
+def test_places_of_kinds_and_scripts() -> None:
+    ground = Ground(Plan(members=3600))
+    assert ground.places_of("zone8") == (3200, 3599) and ground.places_of("region1") == (1200, 2399)
+    assert ground.places_of("rack89") == (3560, 3599)
+    assert len({ground.address(place, 0) for place in range(3600)}) == 3600
+    assert [fault.places for fault in ground.faults("at 1 kill rack2,7 for 3")] == [(*range(80, 120), 7)] * 2
+    draw = random.Random(1)
+    assert len(ground.faults(churn(draw, 3600, 8000.0, 5.0, 3600.0))) == 2 * 333
+    assert len(ground.faults(restart_all(draw, 3600, 5.0, 60.0))) == 7200
+    for seed in range(30):
+        ends = [fault.until if fault.until < math.inf else fault.at
+                for fault in ground.faults(weather(random.Random(seed), ground, [3, 5, 400], 10.0, 20.0))]
+        assert max(ends, default=30.0) <= 30.01
+
+
+@pytest.mark.parametrize(("plan", "says"), [
+    (Plan(members=1), "1 members"), (Plan(members=9, script="at 1 kill zone9"), "zone9"), (Plan(group_size=1), "group")])
+def test_a_plan_that_does_not_fit_is_told(plan: Plan, says: str) -> None:
+    with pytest.raises(BadPlan, match=says):
+        World(plan, 1)
+
+
+def test_bad_scripts_and_process_counts_are_told() -> None:
+    with pytest.raises(faults.BadScript, match="line 1"):
+        World(Plan(members=9, script="at 1 kill 9"), 1)
+    with pytest.raises(BadPlan, match="99 processes"):
+        World(Plan(members=9), 99)
+    with World(Plan(members=9), 2) as world:
+        world.play(2.0)
+        with pytest.raises(Stopped, match="is over"):
+            world.script("at 1 kill 2")
+
+
+@pytest.mark.parametrize(("argv", "says"), [
+    (["--members", "many"], "numbers"), (["--members", "3"], "least"), (["--workers", "30"], "least"),
+    (["--only", "nothing"], "no part 'nothing'"), (["--faults", "/nowhere"], "nowhere"), (["--for", "0"], "least")])
+def test_bad_arguments_get_a_clear_error(argv: list[str], says: str) -> None:
+    with pytest.raises(SystemExit, match=says):
+        scale.main(["--quick", "--flat", *argv])
+
+
+def test_a_script_of_ones_own_is_played(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "f").write_text("at 2 kill 3 for 1\n")
+    assert scale.main(["--flat", "--members", "12", "--faults", str(tmp_path / "f"), "--for", "7"]) == 0
+    told = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert told["holds"] and told["events"]["faults"]["wrong"] == 0 and told["events"]["faults"]["one"]
+    (tmp_path / "f").write_text("at 2 kill zone77\n")
+    with pytest.raises(SystemExit, match="zone77"):
+        scale.main(["--flat", "--members", "12", "--faults", str(tmp_path / "f")])
+
+
+def test_levels_join_by_groups_or_are_said_to_be_missing() -> None:
+    plan = Plan(members=90, levels=True, group_size=5)
+    if not knows_levels():
+        with pytest.raises(BadPlan, match="levels"):
+            World(plan, 1)
+        return
+    with World(plan, 2) as world:
+        world.play(15.0)
+        assert world.one() and world.ground.groups == 2
+        assert {look.members for look in world.listed("looks") if look.at > 14.0} == {90}
