--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -40,6 +40,7 @@
 import sys
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -105,8 +106,10 @@
 
     def shards(self, members: int) -> int:
         """A window of few members is over sooner than its processes are woken."""
-        most = self.workers or (6 if members >= 1800 else 4)
-        return max(1, min(most, members // 200))
+        return max(1, min(self.most_workers(members), members // 100))
+
+    def most_workers(self, members: int) -> int:
+        return self.workers or (6 if members >= 1800 else 4)
 
 
 def until_one(world: World, within: float, step: float = 0.5) -> float | None:
@@ -154,7 +157,7 @@
     """What is measured in one call of the benchmark: parts add to it."""
 
     def __init__(self, told: Told) -> None:
-        self.told = told
+        self.told, self.commit = told, fits.commit()
         self.by_size: dict[int, Figures] = {}
         self.full: tuple[int, Figures] | None = None
         self.events: dict[str, Figures] = {}
@@ -167,12 +170,21 @@
 
     # Slopes and the full size.
 
-    def slopes(self) -> None:
-        for members in self.told.sizes.slopes:
-            self.by_size[members] = self.measured(members)
+    def side_by_side(self, members: int, play: Callable[[Any], Any], jobs: list[Any]) -> list[Any]:
+        """Worlds of up to that size, as many at a time as there may be processes."""
+        at_a_time = max(1, self.told.most_workers(members) // self.told.shards(members))
+        with ThreadPoolExecutor(at_a_time) as pool:
+            return list(pool.map(play, jobs))
 
-    def measured(self, members: int, start: float = 0.1) -> Figures:
-        figures = calm(self.told, members, start)
+    def slopes(self) -> None:
+        small = [size for size in self.told.sizes.slopes if self.told.shards(size) == 1]
+        large = [size for size in self.told.sizes.slopes if size not in small]
+        for sizes in [small, *([size] for size in large)]:
+            figured = self.side_by_side(max(sizes, default=2), lambda size: calm(self.told, size), sizes)
+            for size, figures in zip(sizes, figured):
+                self.by_size[size] = self.measured(size, figures)
+
+    def measured(self, members: int, figures: Figures) -> Figures:
         print(f"{members} members: {told_in_line(figures)}", file=sys.stderr, flush=True)
         self.notes.append(f"{members} members calm: {figures['speed']} virtual s a second by {self.told.shards(members)} "
                           f"processes, load {figures['load']:.0f}")
@@ -187,7 +199,7 @@
             self.judge("full", {f"{told.members} members in one fleet": False})
         if members < told.members:
             self.notes.append(f"played as a whole: {members} of {told.members}")
-        figures = self.measured(members, told.sizes.start)
+        figures = self.measured(members, calm(told, members, told.sizes.start))
         self.full = members, figures
         self.judge("full", {
             f"{BYTES:g} bytes/s, worst of {members} in any 10 s": figures["worst 10 s"] <= BYTES,
@@ -219,18 +231,21 @@
 
     # Events.
 
-    def event(self, name: str) -> None:
-        begun = time.monotonic()
-        figures, holds = EVENTS[name](self.told)
-        figures["speed"] = round(figures.pop("virtual") / (time.monotonic() - begun), 3)
-        self.events[name] = figures
-        print(f"{name}: {told_in_line(figures)}", file=sys.stderr, flush=True)
-        self.judge(name, holds)
+    def play_events(self, names: list[str]) -> None:
+        def play(name: str) -> tuple[Figures, Holds]:
+            begun = time.monotonic()
+            figures, holds = EVENTS[name](self.told)
+            figures["speed"] = round(figures.pop("virtual") / (time.monotonic() - begun), 3)
+            print(f"{name}: {told_in_line(figures)}", file=sys.stderr, flush=True)
+            return figures, holds
+        for name, (figures, holds) in zip(names, self.side_by_side(self.told.sizes.events, play, names)):
+            self.events[name] = figures
+            self.judge(name, holds)
 
     # What comes out.
 
     def record(self, command: str) -> Figures:
-        return {"commit": fits.commit(), "benchmark": "scale", "command": command, "seed": self.told.seed,
+        return {"commit": self.commit, "benchmark": "scale", "command": command, "seed": self.told.seed,
                 "mechanism": "levels" if self.told.levels else "flat", "costs": self.costs(), "events": self.events,
                 "notes": self.notes}
 
@@ -484,12 +499,11 @@
             run.slopes()
         if only in (None, "full"):
             run.play_full()
-        for name in EVENTS:
-            if only in ("events", name) or only is None:
-                if told.quick and name in NOT_QUICK and only != name:
-                    run.notes.append(f"{name}: not run with --quick")
-                else:
-                    run.event(name)
+        chosen = [name for name in EVENTS if only in (None, "events", name)]
+        if told.quick and only not in NOT_QUICK:
+            run.notes += [f"{name}: not run with --quick" for name in chosen if name in NOT_QUICK]
+            chosen = [name for name in chosen if name not in NOT_QUICK]
+        run.play_events(chosen)
         if only in (None, "instance"):
             extra = instance(run)
     run.print(Console(width=200))
--- a/mulleinhatch/standins/hollow_shards.py
+++ b/mulleinhatch/standins/hollow_shards.py
@@ -34,28 +34,58 @@
     return [place * shards // ground.plan.members for place in range(ground.plan.members)]
 
 
-def work(plan: Plan, owner: list[int], index: int, pipe: Connection) -> None:
+class Player:
+    """One shard behind words as bytes: a window to be played, or a question."""
+
+    def __init__(self, plan: Plan, owner: list[int], index: int) -> None:
+        self.base = resident()
+        self.shard = Shard(plan, owner, index)
+
+    def ready(self) -> bytes:
+        return marshal.dumps((self.shard.next(), math.inf, {}))
+
+    def answer(self, data: bytes) -> bytes:
+        shard = self.shard
+        if data[:1] == b"w":
+            until, batches = marshal.loads(data[1:])
+            for batch in batches:
+                shard.take(marshal.loads(batch))
+            shard.run(until)
+            out, shard.out = shard.out, {}
+            first = min((event[0] for events in out.values() for event in events), default=math.inf)
+            return marshal.dumps((shard.next(), first, {to: marshal.dumps(events) for to, events in out.items()}))
+        name, args = pickle.loads(data[1:])
+        told = resident() - self.base if name == "memory" else getattr(shard, name)(*args)
+        return pickle.dumps((told, shard.next()))
+
+
+class Inline:
+    """A player in this process, with a pipe's face."""
+
+    def __init__(self, player: Player) -> None:
+        self.player, self.told = player, player.ready()
+
+    def send_bytes(self, data: bytes) -> None:
+        self.told = self.player.answer(data)
+
+    def recv_bytes(self) -> bytes:
+        return self.told
+
+    def close(self) -> None:
+        self.told = b""
+
+
+def work(plan: Plan, owner: list[int], index: int, pipe: Connection, ends: list[Connection]) -> None:
     """A process: plays windows and answers questions until its pipe closes. What breaks here is told to the other end."""
+    for end in ends:
+        end.close()     # inherited: while one is open here, none is seen to close
     # The cores make no cycles that matter here; walks over all instances' objects would count as each one's CPU.
     gc.disable()
     try:
-        base = resident()
-        shard = Shard(plan, owner, index)
-        pipe.send_bytes(marshal.dumps((shard.next(), math.inf, {})))
-        while data := pipe.recv_bytes():
-            if data[:1] == b"w":
-                until, batches = marshal.loads(data[1:])
-                for batch in batches:
-                    shard.take(marshal.loads(batch))
-                shard.run(until)
-                out, shard.out = shard.out, {}
-                first = min((event[0] for events in out.values() for event in events), default=math.inf)
-                told = {to: marshal.dumps(events) for to, events in out.items()}
-                pipe.send_bytes(marshal.dumps((shard.next(), first, told)))
-            else:
-                name, args = pickle.loads(data[1:])
-                answer = resident() - base if name == "memory" else getattr(shard, name)(*args)
-                pipe.send_bytes(pickle.dumps((answer, shard.next())))
+        player = Player(plan, owner, index)
+        pipe.send_bytes(player.ready())
+        while True:
+            pipe.send_bytes(player.answer(pipe.recv_bytes()))
     except EOFError:
         pass
     except Exception:
@@ -68,37 +98,41 @@
 
 class World:
     """
-    >>> with World(Plan(members=9, seed=3), shards=1) as world:
+    >>> with World(Plan(members=9, seed=3), processes=False) as world:
     ...     world.play(3.0).one()
     True
     """
 
-    def __init__(self, plan: Plan, shards: int = 1) -> None:
+    def __init__(self, plan: Plan, shards: int = 1, processes: bool = True) -> None:
+        """`processes`: a process for each shard; else all in this one, in turn."""
         if not 1 <= shards <= MOST_SHARDS:
             raise BadPlan(f"{shards} processes: 1 to {MOST_SHARDS} are allowed")
         self.plan, self.ground, self.now = plan, Ground(plan), 0.0
         shards = min(shards, plan.members)
         self.owner = owners(self.ground, shards)
         self.ground.faults(plan.script)     # before processes are started for it
-        self.local: Shard | None = None
-        self.pipes: list[Connection] = []
+        self.pipes: list[Connection | Inline] = []
         self.processes: list[multiprocessing.Process] = []
-        self.nexts = [math.inf] * shards
         self.batches: list[list[bytes]] = [[] for _ in range(shards)]
         self.first = math.inf       # arrival of the earliest datagram that waits at the border
-        if shards == 1:
-            self.local = Shard(plan, self.owner)
-            return
         context = multiprocessing.get_context("fork")
         for index in range(shards):
+            if not processes:
+                self.pipes.append(Inline(Player(plan, self.owner, index)))
+                continue
             here, there = context.Pipe()
-            process = context.Process(target=work, args=(plan, self.owner, index, there), daemon=True)
+            process = context.Process(target=work, args=(plan, self.owner, index, there, [*self.pipes, here]),
+                                      daemon=True)
             process.start()
             there.close()
             self.pipes.append(here)
             self.processes.append(process)
-        for index in range(shards):
-            self.nexts[index] = self._answer(index)[0]
+        self.nexts = [self._answer(index)[0] for index in range(shards)]
+
+    @property
+    def local(self) -> Shard:
+        """The first shard, where it is played in this process."""
+        return self.pipes[0].player.shard
 
     def __enter__(self) -> World:
         return self
@@ -114,7 +148,7 @@
             if process.is_alive():
                 process.kill()
                 process.join()
-        self.pipes, self.processes, self.local = [], [], None
+        self.pipes, self.processes = [], []
 
     def _answer(self, index: int) -> Any:
         try:
@@ -128,15 +162,11 @@
     def play(self, until: float) -> World:
         """On to that time; what happens at it is not played yet."""
         self.ask("prepare", until)
-        if self.local:
-            self.local.run(until)
-        while not self.local and self.now < until:
-            start = min(*self.nexts, self.first)
-            border = min(start + LOOKAHEAD, until) if start < until else until
-            self._window(border)
-            if start >= until:
-                break
-        self.now = until
+        ahead = LOOKAHEAD if len(self.pipes) > 1 else math.inf
+        while self.now < until:
+            start = min(*self.nexts, self.first) if len(self.nexts) > 1 else self.nexts[0]
+            self.now = min(start + ahead, until)
+            self._window(self.now)
         return self
 
     def _window(self, border: float) -> None:
@@ -152,8 +182,6 @@
 
     def ask(self, name: str, *args: Any) -> list[Any]:
         """A method of each shard, by name; their answers in order."""
-        if self.local:
-            return [getattr(self.local, name)(*args)]
         for pipe in self.pipes:
             pipe.send_bytes(b"a" + pickle.dumps((name, args)))
         answers = []
@@ -225,7 +253,7 @@
 
     def memory(self) -> float:
         """Bytes of all processes beyond what they held before the instances, for each instance."""
-        return sum(self.ask("memory")) / self.plan.members if self.pipes else math.nan
+        return sum(self.ask("memory")) / self.plan.members
 
 
 __all__ = ["Event", "Stopped", "World", "owners", "resident"]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -21,8 +21,8 @@
           "at 1 cut zone0 from zone2 for 1")
 
 
-def played(shards: int, seed: int = 1, until: float = 3.0, **more: object) -> tuple[dict, dict, list]:
-    with World(Plan(members=9, seed=seed, script=STORMY, **more), shards) as world:
+def played(shards: int, seed: int = 1, until: float = 3.0, processes: bool = False, **more: object) -> tuple[dict, dict, list]:
+    with World(Plan(members=9, seed=seed, script=STORMY, **more), shards, processes) as world:
         world.play(until)
         return world.digest(), world.traffic(0, until), world.listed("looks")
 
@@ -30,7 +30,8 @@
 def test_one_seed_one_history_by_however_many_processes() -> None:
     once = played(1)
     assert once == played(1)
-    assert once == played(2) == played(3)
+    assert once == played(2) == played(5)
+    assert played(1, until=1.0) == played(2, until=1.0, processes=True)
     assert once[0] != played(1, seed=2)[0]
 
 
@@ -40,7 +41,7 @@
 
 
 def test_a_stop_between_plays_changes_nothing() -> None:
-    with World(Plan(members=9, script=STORMY), 2) as world:
+    with World(Plan(members=9, script=STORMY), 2, processes=False) as world:
         for until in (0.3, 1.0, 1.7, 3.0):
             world.play(until)
         assert world.digest() == played(1)[0]
@@ -60,7 +61,7 @@
         heard(shard, node, data)
     monkeypatch.setattr(Shard, "_send", sends)
     monkeypatch.setattr(Shard, "_heard", hears)
-    with World(Plan(members=9), 1) as world:
+    with World(Plan(members=9), processes=False) as world:
         world.play(3.0)
         told = world.traffic(0, 4)
     assert sum(sum(books[0]) for books in told.values()) == sum(seen) + HEADERS * len(seen) > 0
@@ -70,7 +71,7 @@
 
 
 def test_what_is_lost_or_cut_is_sent_and_not_received() -> None:
-    with World(Plan(members=9, script="at 2 cut 0-3 from 4-8 for 2"), 1) as world:
+    with World(Plan(members=9, script="at 2 cut 0-3 from 4-8 for 2"), processes=False) as world:
         world.play(5.0)
         told = world.traffic(0, 5)
     sent, heard = (sum(sum(books[kind][2:4]) for books in told.values()) for kind in (2, 3))
@@ -80,7 +81,8 @@
 
 
 def test_views_are_one_after_joining_and_not_while_cut() -> None:
-    with World(Plan(members=18, script="at 4 cut region0 from region1 for 4\nat 4 cut region2 from region1 for 4"), 1) as world:
+    script = "at 4 cut region0 from region1 for 4\nat 4 cut region2 from region1 for 4"
+    with World(Plan(members=18, script=script), processes=False) as world:
         assert not world.one()      # nobody runs yet
         assert world.play(4.0).one()
         assert not world.play(7.0).one()
@@ -89,7 +91,7 @@
 
 
 def test_a_death_is_known_and_a_living_one_declared_gone_is_found() -> None:
-    with World(Plan(members=12), 1) as world:
+    with World(Plan(members=12), processes=False) as world:
         world.play(4.0)
         assert world.holding([5], frozenset([5])) == {5: (11, 0)}
         world.script("at 4 kill 5 for 6")
@@ -108,7 +110,7 @@
 
 
 def test_one_replaced_is_a_new_name_and_its_former_name_is_gone_rightly() -> None:
-    with World(Plan(members=12, script="at 3 replace 4 for 1"), 1) as world:
+    with World(Plan(members=12, script="at 3 replace 4 for 1"), processes=False) as world:
         assert world.play(10.0).one()
         assert world.counts()["wrong"] == 0
         assert {one.subject for one in world.listed("gone")} == {4}
@@ -116,12 +118,12 @@
 
 def test_over_use_of_a_budget_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     plan = Plan(members=9, budgets=(("quota", 90, 1.0),), demand=3.0)
-    with World(plan, 1) as world:
+    with World(plan, processes=False) as world:
         used = world.play(9.0).used()
     assert len(used[0]) > 60 and over_budgets(used, plan.budgets) == 0
     part = Shard._part
     monkeypatch.setattr(Shard, "_part", lambda shard, node, now, budget: 2 * part(shard, node, now, budget))
-    with World(plan, 1) as world:
+    with World(plan, processes=False) as world:
         used = world.play(9.0).used()
     assert over_budgets(used, plan.budgets) > 0
 
@@ -201,7 +203,7 @@
         World(Plan(members=9, script="at 1 kill 9"), 1)
     with pytest.raises(BadPlan, match="99 processes"):
         World(Plan(members=9), 99)
-    with World(Plan(members=9), 2) as world:
+    with World(Plan(members=9)) as world:
         world.play(2.0)
         with pytest.raises(Stopped, match="is over"):
             world.script("at 1 kill 2")
