--- a/mulleinhatch/standins/hollow_shards.py
+++ b/mulleinhatch/standins/hollow_shards.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+import contextlib
 import gc
 import marshal
 import math
@@ -20,6 +21,7 @@
 from mulleinhatch.standins.hollow_world import Event, Shard
 
 MOST_SHARDS = 8
+END = b"q"
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -84,8 +86,8 @@
     try:
         player = Player(plan, owner, index)
         pipe.send_bytes(player.ready())
-        while True:
-            pipe.send_bytes(player.answer(pipe.recv_bytes()))
+        while (data := pipe.recv_bytes()) != END:
+            pipe.send_bytes(player.answer(data))
     except EOFError:
         pass
     except Exception:
@@ -141,7 +143,10 @@
         self.close()
 
     def close(self) -> None:
-        for pipe in self.pipes:
+        for pipe in self.pipes if self.processes else ():
+            # Said, not shown by closing alone: another world's processes may hold this end too.
+            with contextlib.suppress(OSError):
+                pipe.send_bytes(END)
             pipe.close()
         for process in self.processes:
             process.join(5.0)
