Levels: parts of one group that do not know each other find each other by a third contact

Seen: with four groups of 25 started at once two parts of one group, of 7 and 16, stayed two for 40 s; each speaker heard of its group by rows that named its own two contacts alone. Who speaks for nobody waits twice as long until a part counts as silent: it hears of it by its mates alone. What another's ages show that it missed is told with the next word.

--- a/mulleinhatch/fleet/levels.py
+++ b/mulleinhatch/fleet/levels.py
@@ -28,6 +28,7 @@
 MOST_GROUP = 96         # members of a group
 MOST_ROWS = (63, 15, 15)            # other groups of the zone, zones of the region, regions
 STALE = (8.0, 10.0, 14.0)           # seconds without a word of it, by level: its members count as silent
+PATIENCE = 2.0          # times as long for who speaks for nobody
 MESH_EVERY, STANDBY_EVERY = 1.0, 4.0    # seconds between words of a speaker to other groups, and of who would be the next
 LINK_EVERY, LINK_AGAIN = 2.0, 4.0   # seconds between words to another zone or region, by who keeps the link and by the second
 BEYOND_EVERY, SEEDS_EVERY = 5.0, 20.0
@@ -140,9 +141,9 @@
         self.to_groups, self.to_mates = TOLD_MESH, TOLD_MATES      # times that it still is to be passed on as news
         self.groups_at = self.mates_at = -1e9
 
-    def total(self, now: float, level: int) -> Total:
+    def total(self, now: float, patience: float = 1.0) -> Total:
         told, age = self.sum, now - self.made_at
-        if now - self.seen_at > STALE[level]:
+        if now - self.seen_at > patience * STALE[told.level]:
             return Total(0, told.members, float(told.unknown + (told.figures[PLACE_OF_CAPACITY:] or [0])[0]),
                          0.0, dict.fromkeys(SUMMED, 0.0))
         figures = dict(zip(SUMMED, map(float, told.figures)))
@@ -173,6 +174,7 @@
         self.asked_at: dict[str, float] = {}
         self.counts: Counter[str] = Counter()
         self.ranked: list[str] = []
+        self.patience = 1.0     # who does not speak hears of other parts by its mates alone, which takes longer
 
     # Who speaks.
 
@@ -181,7 +183,9 @@
         members = self.members
         names = [member.name for member in members.view.values() if member.state == ALIVE] + [members.name]
         self.ranked = sorted(names, key=lambda name: score(self.place.group, self.place.zone, name), reverse=True)
-        return len(names) if members.frozen or members.left else self.ranked.index(members.name)
+        rank = len(names) if members.frozen or members.left else self.ranked.index(members.name)
+        self.patience = 1.0 if rank <= 1 else PATIENCE
+        return rank
 
     def speaks(self, now: float) -> bool:
         return now - self.started >= SETTLE and self.rank() == 0
@@ -221,7 +225,7 @@
         total = Total(0, 0, 0.0, 0.0, dict.fromkeys(SUMMED, 0.0))
         for (row_level, _), row in self.rows.items():
             if row_level == level:
-                total = total.plus(row.total(now, level))
+                total = total.plus(row.total(now, self.patience))
         return total
 
     def totals(self, now: float) -> dict[str, Total]:
@@ -266,9 +270,10 @@
 
     @staticmethod
     def _aged(now: float, row: Known) -> Sum:
-        """Its age is rounded up: passed round and round it must not stay young."""
+        """Its age is rounded up: passed round and round it must not stay young. Of two parts of a group that do not know each
+        other each names two contacts: the third is of the other part, and by it they become one."""
         return msgspec.structs.replace(row.sum, age=min(864_000, int(10.0 * (now - row.made_at)) + 1),
-                                       contacts=pack(row.contacts[:2]))
+                                       contacts=pack(row.contacts[:3]))
 
     def _parts(self) -> tuple[list[Names], bytes]:
         """What ages are told of, in order, and two bytes by which another knows that it tells of the same."""
@@ -290,19 +295,27 @@
         return bytes(ages)
 
     def _take_ages(self, now: float, ages: bytes, mate: bool) -> None:
+        """What the other heard lately we need not hear again; what it missed it is told with our next word."""
         parts, check = self._parts()
         same = ages[:2] == check and len(ages) == 2 + 2 * len(parts)    # else only the groups' places are sure
         told = struct.iter_unpack("2B", ages[2:len(ages) // 2 * 2])
         for names, (age, members) in zip(parts if same else parts[:self.place.groups], told):
             row = self.rows.get(names)
-            if row is None or age == 255:
+            if row is None:
                 continue
-            if members == row.sum.members & 0xff:
+            if age < 255 and members == row.sum.members & 0xff:
                 row.seen_at = max(row.seen_at, now - age / 10.0)
-            elif mate:      # one of us missed news: whose figures are older takes the other's
-                row.to_mates = max(1, row.to_mates)
-            else:
-                row.to_groups = max(1, row.to_groups)
+            elif now - row.seen_at <= STALE[row.sum.level]:
+                self._tell_again(row, mate)
+        for names in parts[self.place.groups:] if not same else ():
+            self._tell_again(self.rows[names], mate)
+
+    @staticmethod
+    def _tell_again(row: Known, mate: bool) -> None:
+        if mate:
+            row.to_mates = max(1, row.to_mates)
+        else:
+            row.to_groups = max(1, row.to_groups)
 
     def to_mate(self, now: float, asks: bool) -> bytes:
         """News, and of the rest what a mate heard longest ago; in an ask the ages too, and by whom we see there the wish to be
