--- a/mulleinhatch/__main__.py
+++ b/mulleinhatch/__main__.py
@@ -5,7 +5,7 @@
   mulleinhatch check [--config FILE] [--operator FILE] [--log LEVEL]
   mulleinhatch counters HOST:PORT
   mulleinhatch demo [--fault FILE] [--seconds N]
-  mulleinhatch fleet (members|budgets|judgements|watch) [--operator FILE] [--at HOST:PORT]
+  mulleinhatch fleet (members|budgets|judgements|levels|watch) [--operator FILE] [--at HOST:PORT]
   mulleinhatch fleet spread [--live] [--plot FILE] [--seconds N] [--operator FILE] [--at HOST:PORT]
   mulleinhatch upkeep ask [NAME | --zone Z | --all] --for TIME --reason TEXT [--by TIME] [--emergency]
                           [--control HOST:PORT] [--operator FILE]
--- a/mulleinhatch/commands/fleet.py
+++ b/mulleinhatch/commands/fleet.py
@@ -68,6 +68,21 @@
         for figure, row in told["sums"].items())]
 
 
+def levels(told: dict[str, Any]) -> list[tuple[str, ...]]:
+    """What is known beyond the group, and of the whole; one line where there are no levels."""
+    known = told["levels"]
+    if not known:
+        return [("all members are one group: no zone is set",)]
+    figures = ("capacity", "first_tries", "acked", "nacked", "held", "running", "room")
+    rows = [("level", "name", "members", "silent", "heard", *figures)]
+    names = {"group": known["group"], "zone": known["zone"], "region": known["region"], "fleet": told["fleet"]}
+    for level, total in known["totals"].items():
+        rows.append((level, f"{names[level]} (ours)", str(total["members"]), str(total["silent"]), f"{total['oldest']:.0f} s",
+                     *(f"{total['figures'][figure]:.0f}" for figure in figures)))
+    return rows + [(row["level"], row["name"], str(row["members"]), str(row["silent"]), f"{row['heard']:.0f} s")
+                   for row in known["parts"]]
+
+
 def watch(address: str) -> None:
     try:
         from rich.console import Group
@@ -126,6 +141,6 @@
     except (operator.BadOperatorFile, OSError, ValueError) as error:
         print(f"mulleinhatch: {address + ': ' if address else ''}{error}", file=sys.stderr)
         return 1
-    rows = members if told["members"] else budgets if told["budgets"] else judgements
+    rows = members if told["members"] else budgets if told["budgets"] else levels if told["levels"] else judgements
     sys.stdout.write(head(fleet) + "\n" + text(rows(fleet)))
     return 0
--- a/mulleinhatch/fleet/words.py
+++ b/mulleinhatch/fleet/words.py
@@ -91,6 +91,7 @@
 Packed = Annotated[bytes, Meta(max_length=24)]      # up to four IPv4 addresses with their ports, six bytes each
 PlaceName = Annotated[str, Meta(min_length=1, max_length=32)]
 GROUP, ZONE, REGION = 0, 1, 2
+LEVELS = ("group", "zone", "region")
 
 
 class Sum(msgspec.Struct, array_like=True, frozen=True):
--- a/mulleinhatch/program/fleet.py
+++ b/mulleinhatch/program/fleet.py
@@ -15,7 +15,7 @@
 from mulleinhatch.fleet.core import Fleet, Local, interpreter_of
 from mulleinhatch.fleet.counts import FIGURES, MOST_LOUD
 from mulleinhatch.fleet.loudest import Loudest
-from mulleinhatch.fleet.words import MOST_BYTES, STATES
+from mulleinhatch.fleet.words import LEVELS, MOST_BYTES, STATES
 from mulleinhatch.program.placement import Placement
 from mulleinhatch.routing.reducer import Happening, Reducer
 
@@ -28,6 +28,8 @@
 RECEIVE_ROOM = 1 << 18  # bytes of the socket's queue: what came while we stood still says who is there
 TENANTS_KEPT = 256      # with a count of their own
 RECENT, WORTH_A_WORD = 6.0, 0.1     # seconds over which runs tell of our interpreter; share that fails from which we speak
+# Counters whose first count is worth a line: what came was dropped.
+DROPPED = ("unfit_", "members_refused", "names_elsewhere", "letters_without_levels", "upward_unfit", "sums_refused")
 RUN_CLOSES = 2.0        # seconds that a call may take, of a part that bounds what is in hand
 
 
@@ -50,6 +52,7 @@
         self.loudest = Loudest(TENANTS_KEPT)
         self.ended, self.recent, self.recent_at = (0, 0), [0.0, 0.0], 0.0      # runs and errors: at the last look, and faded
         self.hear_most, self.shut = math.inf, 0.0
+        self.dropped: set[str] = set()      # of these a line was written
         self.told_others: tuple[float, bool, float, float] = (-1.0, False, math.inf, 0.0)
 
     def listen(self) -> None:
@@ -148,7 +151,7 @@
 
     def _beat(self) -> None:
         now = time.monotonic()
-        self.timer = asyncio.get_running_loop().call_later(self.bounds.beat, self._beat)
+        self.timer = asyncio.get_running_loop().call_later(self.core.bounds.beat, self._beat)
         try:
             if self.spread:
                 self._send(self.spread.beat(now))
@@ -158,6 +161,7 @@
             self._send(self.core.beat(now, self._local(now)))
             self._tell_parts(now)
             self._tell_others(now)
+            self._tell_dropped()
             for change in self.core.changes():
                 LOG.info("fleet", extra={"fields": {"member": change.name, "state": change.state, "why": change.why}})
         except Exception:
@@ -165,6 +169,13 @@
             self.counts["fleet_errors_inside"] += 1
             LOG.exception("error inside", extra={"fields": {"at": "fleet beat"}})
 
+    def _tell_dropped(self) -> None:
+        """Once for each cause: the counters tell how often."""
+        for name, count in {**self.core.counts, **(self.core.levels.counts if self.core.levels else {})}.items():
+            if count and name.startswith(DROPPED) and name not in self.dropped:
+                self.dropped.add(name)
+                LOG.warning("fleet letter dropped", extra={"fields": {"why": name}})
+
     def _readable(self) -> None:
         for _ in range(A_TURN):
             try:
@@ -239,8 +250,21 @@
                            "loudest": loudest,
                            "judged_ill": core.judged_ill(), "others_free": round(core.free(now), 3),
                            "alone": sorted(core.verdicts.alone), "held_back": core.verdicts.held_back,
+                           "levels": self._levels(now),
                            "spread": self.spread and self.spread.told(now), "carried": self._carried(now)}).encode()
 
+    def _levels(self, now: float) -> dict[str, Any] | None:
+        """Where this member stands, whether it speaks for its group, and what is known of each level."""
+        levels = self.core.levels
+        if not levels:
+            return None
+        return {"region": levels.place.region, "zone": levels.place.zone, "group": levels.place.group,
+                "speaks": levels.speaks(now), "over_pace": round(levels.pace.over),
+                "totals": {name: total._asdict() for name, total in self.core.totals(now).items()},
+                "parts": [{"level": LEVELS[level], "name": name, "members": row.sum.members, "silent": row.sum.silent,
+                           "heard": round(min(1e6, now - row.seen_at), 1), "made": round(min(1e6, now - row.made_at), 1)}
+                          for (level, name), row in sorted(levels.rows.items())]}
+
     def _carried(self, now: float) -> list[dict[str, Any]]:
         """Who carries what, of the others, by their last reports."""
         if not self.spread:
@@ -254,7 +278,7 @@
             return dict(self.counts)
         members = self.core.members
         spread = {**(self.spread.counted() if self.spread else {}), **(self.upkeep.counted() if self.upkeep else {})}
-        counts = {**self.core.counts, **members.counts}
+        counts = {**self.core.counts, **members.counts, **(self.core.levels.counts if self.core.levels else {})}
         return {**self.counts, **spread, **{f"fleet_{name}": count for name, count in counts.items()},
                 "fleet_members": len(members.alive()) + 1, "fleet_is_frozen": int(members.frozen),
                 "fleet_is_doubled": int(members.doubled(time.monotonic()))}
--- a/mulleinhatch/program/operator.py
+++ b/mulleinhatch/program/operator.py
@@ -22,6 +22,8 @@
 HostPort = Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
 # Members send to these from the loop: a name would be looked up there.
 Numbers = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+# Part of a seat's name, and of each word to another zone.
+Where = Annotated[str, Meta(min_length=1, max_length=32, pattern=r"^[^/\s]+$")]
 PATH = re.compile(r"at `\$\.?([^`]*)`")
 UNKNOWN = re.compile(r"unknown field `([^`]*)`")
 
@@ -73,6 +75,10 @@
     seats: str | list[str] = []
     beat: Annotated[float, Meta(ge=0.02, le=10.0)] = 0.1
     suspect_for: Seconds = 1.95
+    zone: Where | None = None
+    region: Where | None = None
+    groups: Annotated[int, Meta(ge=1, le=64)] | None = None
+    beyond: Numbers | list[Numbers] = []
     budgets: Annotated[dict[str, Budget], Meta(max_length=16)] = {}
 
 
@@ -222,6 +228,7 @@
     wrong = ("wants a fleet node: who goes is settled among its members" if checked.fleet is None else
              "voters: 1 to 9 are wanted" if not 1 <= len(voters) <= 9 else
              "voters: told twice" if len(set(voters)) < len(voters) else
+             "there is no order yet among members of several groups: not beside fleet.zone" if checked.fleet.zone else
              "zones: a member in two" if len({name for name, _ in zones}) < len(zones) else
              "control: only on loopback" if told.control and not told.control.startswith("127.") else "")
     if wrong:
@@ -236,6 +243,7 @@
 
     def several(value: str | list[str]) -> tuple[str, ...]:
         return (value,) if isinstance(value, str) else tuple(value)
+    _placed(told, text, path)
     budgets = []
     for name, budget in told.budgets.items():
         seats, way = several(budget.seats or told.seats), ("fleet", "budgets", name)
@@ -243,7 +251,9 @@
                  f"total: {budget.total} is less than one for each of {len(seats)} seats" if budget.total < len(seats) else
                  "tenant: either a tenant's runs, calls or retries"
                  if bool(budget.tenant) + budget.calls + budget.retries != 1 else
-                 "window: retries are counted over a window" if budget.retries and not budget.window else "")
+                 "window: retries are counted over a window" if budget.retries and not budget.window else
+                 f"seats: {plain!r} names no place: with a zone a seat is told as region/zone/name" if told.zone and (
+                     plain := next((seat for seat in seats if len(seat.split("/")) != 3), "")) else "")
         if wrong:
             raise BadOperatorFile(f"{path}:{_line(text, way)}: {'.'.join(way)}.{wrong}")
         window = 0.0 if budget.calls else budget.window
@@ -251,7 +261,18 @@
                                     budget.retries))
     host, _, port = told.listen.rpartition(":")
     return FleetBounds(told.name, (host, int(port)), told.advertise or "", several(told.seeds), told.beat,
-                       status=told.status or "", suspect_for=told.suspect_for, budgets=tuple(budgets))
+                       status=told.status or "", suspect_for=told.suspect_for, budgets=tuple(budgets),
+                       zone=told.zone or "", region=told.region or "", groups=told.groups or 1, beyond=several(told.beyond))
+
+
+def _placed(told: FleetFile, text: str, path: str) -> None:
+    """Errors: a place told by half. Two of one name in different places own different seats, so a seat names its place."""
+    wrong = (("region", "zone: missing beside region") if told.region and not told.zone else
+             ("zone", "region: missing beside zone") if told.zone and not told.region else
+             ("groups", "groups: wants a zone and a region") if told.groups is not None and not told.zone else
+             ("beyond", "beyond: wants a zone and a region") if told.beyond and not told.zone else None)
+    if wrong:
+        raise BadOperatorFile(f"{path}:{_line(text, ('fleet', wrong[0]))}: fleet.{wrong[1]}")
 
 
 def _tree(nodes: list[Any], text: str, path: str, way: tuple[str, ...]) -> dict[str, Any]:
