--- a/mulleinhatch/standins/hollow_checks.py
+++ b/mulleinhatch/standins/hollow_checks.py
@@ -1,10 +1,13 @@
 """What is found of a world of hollow instances from outside, by what was counted and by which places ran in truth."""
 from __future__ import annotations
 
+import random
 from collections import defaultdict
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from mulleinhatch.standins.hollow import Plan, weather
+from mulleinhatch.standins.hollow_shards import World
 from mulleinhatch.standins.hollow_world import Gone, Look
 
 WINDOW = 10             # seconds that the bound on bytes is a mean of
@@ -97,3 +100,32 @@
     """Units beyond a total in any window, of the budget that was worst."""
     return max((max(0, most_used(times, window) - total) for times, (_, total, window) in zip(used, budgets) if window),
                default=0)
+
+
+class History(NamedTuple):
+    script: str             # with the seed it plays the same again
+    one_again: float | None     # seconds after its end until views are one and sums right, in steps of half a second
+    wrong: list[Gone]       # living ones declared gone, those cut off from their group too
+    over: int               # units beyond a budget's total in any window
+
+
+def history(plan: Plan, seed: int, calm: float = 20.0, length: float = 20.0, within: float = 30.0) -> History:
+    """One history by chance: joins, meets weather drawn at `calm` for those that speak then, and is watched until it is one.
+
+    >>> told = history(Plan(members=9), 3, calm=3.0, length=5.0)
+    >>> told.one_again is not None, told.over, told.script == history(Plan(members=9), 3, calm=3.0, length=5.0).script
+    (True, 0, True)
+    """
+    with World(plan._replace(seed=seed), processes=False) as world:
+        world.play(calm)
+        script = weather(random.Random(seed), world.ground, world.speakers(), calm, length)
+        world.script(script)
+        world.play(calm + length)
+        one = None
+        while one is None and world.now < calm + length + within:
+            world.play(world.now + 0.5)
+            looks = [look for look in world.listed("looks") if look.at > world.now - 0.5]
+            if world.one() and all(0.99 * look.living <= look.members <= look.living for look in looks):
+                one = world.now - calm - length
+        wrong = [gone for gone in world.listed("gone") if gone.wrong]
+        return History(script, one, wrong, over_budgets(world.used(), plan.budgets))
