--- a/mulleinhatch/standins/hollow_checks.py
+++ b/mulleinhatch/standins/hollow_checks.py
@@ -105,7 +105,7 @@
 class History(NamedTuple):
     script: str             # with the seed it plays the same again
     one_again: float | None     # seconds after its end until views are one and sums right, in steps of half a second
-    wrong: list[Gone]       # living ones declared gone, those cut off from their group too
+    wrong: list[Gone]       # living ones declared gone, those stalled or cut off for long too
     over: int               # units beyond a budget's total in any window
 
 
--- a/mulleinhatch/standins/hollow_world.py
+++ b/mulleinhatch/standins/hollow_world.py
@@ -242,8 +242,8 @@
         elif what in ("stall", "go"):
             for place in fault.places:
                 if (node := self.nodes[place]) and node.core:
-                    node.stalled = what == "stall"
-                    if what == "go":
+                    was, node.stalled = node.stalled, what == "stall"
+                    if was and not node.stalled:    # else it was started anew meanwhile
                         self._go_on(node)
         elif what in faults.LINKS:
             self.active.append(fault)
