--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -23,7 +23,7 @@
           gone, most bytes, time until views and sums are one again
   dead      one dies             loss      5% loss, a twentieth stalled 2 s twice, then one dies
   churn     8,000 a day          burst     an hour of that (333) in a minute
-  rack      40 at once           zone      a ninth, gone and back
+  rack      40 of 400 at once    zone      a ninth, gone and back
   cut       the regions from each other, for minutes      hour   the same for an hour, at 90 members (not with --quick)
   restart   everybody in a minute                         start  everybody started in a minute
 instance  real processes, by `benchmarks/scale_instance.py`, where that is there
@@ -106,7 +106,7 @@
 
     def shards(self, members: int) -> int:
         """A window of few members is over sooner than its processes are woken."""
-        return max(1, min(self.most_workers(members), members // 100))
+        return max(1, min(self.most_workers(members), members // (300 if self.levels else 100)))
 
     def most_workers(self, members: int) -> int:
         return self.workers or (6 if members >= 1800 else 4)
@@ -128,7 +128,8 @@
     # A flat fleet of hundreds would take most of the time to join; what it costs once joined is asked here.
     with World(told.plan(members, introduced=not told.levels, start_within=start), told.shards(members)) as world:
         joined = until_one(world.play(max(1.0, start)), JOINED + 30.0)
-        world.play(float(int(world.now + sizes.settle) + 1))
+        # A flat fleet's reports take the longer to reach all the more there are; after 5 s at 1,000 half the rows are missing.
+        world.play(float(int(world.now + sizes.settle + (0.0 if told.levels else members / 40.0)) + 1))
         since = world.now
         world.ask("mark")
         world.play(since + sizes.calm)
@@ -385,10 +386,9 @@
 
 
 def rack(told: Told) -> tuple[Figures, Holds]:
-    """Scaled down it would be a few: 40, or a tenth of a smaller fleet."""
+    """40 of a zone's 400, and so a tenth of a smaller zone: more would be most of a group."""
     def places(world: World) -> list[int]:
-        members = world.plan.members
-        size = RACK if members >= 10 * RACK else max(2, members // 10)
+        size = max(2, RACK * world.plan.members // TARGET)
         first = world.ground.firsts[1] + 2
         return [place for place in range(first, first + size) if place not in world.ground.watched()]
     return played(told, Event(lambda world, begin: f"at {begin + 0.5:.2f} kill {listed(places(world))} for 12", 13.0,
--- a/mulleinhatch/standins/hollow_world.py
+++ b/mulleinhatch/standins/hollow_world.py
@@ -242,8 +242,8 @@
         elif what in ("stall", "go"):
             for place in fault.places:
                 if (node := self.nodes[place]) and node.core:
-                    node.stalled = what == "stall"
-                    if what == "go":
+                    was, node.stalled = node.stalled, what == "stall"
+                    if was and not node.stalled:    # else it was started anew meanwhile
                         self._go_on(node)
         elif what in faults.LINKS:
             self.active.append(fault)
@@ -304,8 +304,7 @@
 
     def _beat(self, node: Hollow, again: bool = True) -> None:
         if again:
-            beat = self.bounds[0].beat
-            self._later(node, beat * node.chance.uniform(0.95, 1.1), (BEAT, node.lives))
+            self._later(node, node.core.bounds.beat * node.chance.uniform(0.95, 1.1), (BEAT, node.lives))
         if node.stalled:
             return
         now = self.now * node.rate + node.offset
