The host of interpreters hears every line it is told, and runs nothing that an old link holds

Lines left over: `hear` read one line an event of its descriptor through a text buffer. Of several lines that came together the buffer kept the rest, and nothing made the descriptor readable again: a `reset`, `slow` or `failing` waited for the next one, which then was one behind. It showed as a test that waited for ever in one run of five, at a load of 21. Now all that is there is read, and cut into lines.

An old link: what a link had brought before its instance was killed, or another link took its place, was still run, after a reset by the interpreter of the next life. The protocol says that a new link takes the place of the one before.

--- a/mulleinhatch/standins/interpreter.py
+++ b/mulleinhatch/standins/interpreter.py
@@ -1,8 +1,8 @@
 """A stand-in interpreter: cores that all running ops share, notices by number, and a count of what ran twice.
 
 Runs as `python -m mulleinhatch.standins.interpreter PORT CORES SPEED WARMING`; on SIGTERM it prints one JSON line. With
-several ports, by commas, it is as many interpreters, hears `reset PLACE`, `slow PLACE TIMES` and `failing PLACE SHARE` on
-standard input, and prints a list. A
+several ports, by commas, it is as many interpreters, hears `reset PLACE`, `slow PLACE TIMES`, `failing PLACE SHARE` and `begun
+PLACE`, which asks for the number of runs begun there, on standard input, and prints a list. A
 body says what an op takes and who it is, as `50.0 OP ...`: work in milliseconds on one core, then a name of the op.
 """
 from __future__ import annotations
@@ -80,6 +80,8 @@
         self.draw = random.Random(1)
         self.starts: list[tuple[float, str]] = []   # when each run began, on the system's clock, and its op type
         self.keep_starts = False
+        self.life = 1           # one more with each reset
+        self.once: list[tuple[float, int, str, str]] = []   # of runs that may not be had twice: when, life, id of the try, op
 
     def reset(self) -> None:
         """Gone with its instance and started anew: runs, notices and link; what it ran stays known to us."""
@@ -88,6 +90,7 @@
         if self.timer:
             self.timer.cancel()
         self.born, self.writer, self.timer, self.wanted = time.monotonic(), None, None, None
+        self.life += 1
         self.cores, self.bodies, self.notices, self.first_kept = Cores(self.cores.cores, self.speed), {}, [], 1
         self.busy_then = deque([(self.born, 0.0)])
 
@@ -100,7 +103,8 @@
             self.writer.close()
         self.writer = writer
         try:
-            while line := await reader.readline():
+            # What a link brought before another took its place, or a reset, is no command to who is there now.
+            while (line := await reader.readline()) and self.writer is writer:
                 self.command(json.loads(line))
         except (ValueError, KeyError, ConnectionError):
             pass
@@ -126,6 +130,8 @@
             self.bodies[told["rid"]] = body, now
             if self.keep_starts:
                 self.starts.append((time.time(), told["route"]))
+                if told["route"] == "signoff":
+                    self.once.append((time.time(), self.life, told["rid"], f"signoff {who.decode()}"))
             self.cores.start(now, told["rid"], float(work) / 1000.0)
             self.look()
 
@@ -195,12 +201,19 @@
         await asyncio.start_server(host.serve, "127.0.0.1", port, limit=1 << 20, backlog=64)
     loop.add_signal_handler(signal.SIGTERM, stop.set)
 
+    heard = b""
+
     def hear() -> None:
-        line = sys.stdin.readline()
-        if not line:
+        # All that is there: what a buffer of ours kept of it would not make the descriptor readable again.
+        nonlocal heard
+        if not (data := os.read(sys.stdin.fileno(), 1 << 16)):
             loop.remove_reader(sys.stdin.fileno())
             return
-        word, place, *amount = line.split()
+        *lines, heard = (heard + data).split(b"\n")
+        for line in lines:
+            told(*line.decode().split())
+
+    def told(word: str, place: str, *amount: str) -> None:
         host = hosts[int(place)]
         if word == "reset":
             host.reset()
@@ -210,10 +223,12 @@
             host.look()
         elif word == "failing":
             host.failing = float(amount[0])
+        elif word == "begun":
+            print(len(host.starts), flush=True)
     loop.add_reader(sys.stdin.fileno(), hear)
     print("up", flush=True)
     await stop.wait()
-    print(json.dumps([{**host.report(), "starts": host.starts,
+    print(json.dumps([{**host.report(), "starts": host.starts, "once": host.once,
                        "signoffs": {name: count for name, count in host.ran.items() if name.startswith("signoff ")}}
                       for host in hosts]), flush=True)
     os._exit(0)     # the links are open still, and their readers would only complain
