--- a/mulleinhatch/standins/fleet_rig.py
+++ b/mulleinhatch/standins/fleet_rig.py
@@ -179,6 +179,7 @@
         self.relay: asyncio.subprocess.Process | None = None
         self.start_at = 0.0
         self.late = 0.0
+        self.deaths: list[tuple[int, float, float]] = []    # place, and between which times it was killed
         self.loads: list[asyncio.subprocess.Process] = []
         self.scripted: asyncio.Task[None] | None = None
 
@@ -260,8 +261,7 @@
 
     async def _do(self, what: str, fault: faults.Fault, node: Node) -> None:
         if what == "kill":
-            await node.end()
-            self.host.stdin.write(f"reset {node.place}\n".encode())
+            await self.kill(node)
         elif what == "start":
             await node.start()
         elif what in ("stall", "go"):
@@ -275,6 +275,13 @@
             amount = usual if what == "mend" else fault.amount
             self.host.stdin.write(f"{fault.what} {node.place} {amount}\n".encode())
 
+    async def kill(self, node: Node) -> None:
+        """Outright, and its interpreter with it."""
+        begun_at = time.time()
+        await node.end()
+        self.deaths.append((node.place, begun_at, time.time()))
+        self.host.stdin.write(f"reset {node.place}\n".encode())
+
     # Looks from outside.
 
     async def views(self) -> dict[str, dict[str, Any]]:
@@ -292,6 +299,11 @@
             await asyncio.sleep(0.1)
         return None
 
+    async def begun(self, place: int) -> int:
+        """Runs that the interpreter there was seen to begin, in all its lives."""
+        self.host.stdin.write(f"begun {place}\n".encode())
+        return int(await self.host.stdout.readline())
+
     def usage(self) -> list[tuple[float, int] | None]:
         """CPU seconds and bytes of memory, by place."""
         told: list[tuple[float, int] | None] = []
@@ -308,6 +320,9 @@
         if self.scripted:
             await self.scripted
         stubs = [json.loads(out) for out, _ in await asyncio.gather(*(load.communicate() for load in self.loads))]
+        for stub, (places, _) in zip(stubs, self.case.loads):
+            known = faults.numbers(places, self.case.instances)     # a stub numbers those it knows
+            stub["broken_once"] = {ref: (known[index], *times) for ref, (index, *times) in stub["broken_once"].items()}
         self.host.terminate()
         ran = json.loads((await self.host.communicate())[0])
         self.relay.terminate()
@@ -316,7 +331,7 @@
             self.directory.terminate()
             relayed["directory"] = json.loads((await self.directory.communicate())[0])
         late = max([self.late, relayed["late"], *(stub["late"]["99"] for stub in stubs)])
-        return {"stubs": stubs, "ran": ran, "relay": relayed, "late": late}
+        return {"stubs": stubs, "ran": ran, "relay": relayed, "late": late, "deaths": self.deaths}
 
     async def __aexit__(self, *error: object) -> None:
         if self.scripted:
--- a/mulleinhatch/standins/stubs.py
+++ b/mulleinhatch/standins/stubs.py
@@ -82,6 +82,7 @@
         self.transport: asyncio.Transport | None = None
         self.data = b""
         self.op: Op | None = None
+        self.ref, self.sent_at = "", 0.0    # of the try that is on it
         self.sent = 0
         self.timer: asyncio.TimerHandle | None = None
 
@@ -89,8 +90,8 @@
         self.transport = transport
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    def send(self, op: Op, request: bytes, wait: float) -> None:
-        self.op = op
+    def send(self, op: Op, ref: str, request: bytes, wait: float) -> None:
+        self.op, self.ref, self.sent_at = op, ref, time.time()
         self.sent += 1
         self.transport.write(request)
         self.timer = asyncio.get_running_loop().call_later(wait, self.overdue)
@@ -125,6 +126,8 @@
         if self.op is not None:
             op, self.op = self.op, None
             self.timer.cancel()
+            if op.kind.repeats == "unsafe":
+                self.load.broken_once[self.ref] = (self.place, self.sent_at, time.time())
             self.load.broken(op)
 
 
@@ -149,6 +152,8 @@
         self.waiting = 0
         self.listed = list(range(len(habits.instances)))    # places that the last list named
         self.refs: dict[str, int] = {}      # by id of a try that may not run twice: its op
+        # And those whose connections broke before an answer: index in `instances`, when it was sent, and when that was seen.
+        self.broken_once: dict[str, tuple[int, float, float]] = {}
 
     async def follow_lists(self) -> None:
         """A list a while, the last one kept where none comes."""
@@ -248,7 +253,7 @@
         ref, body = f"{draw.getrandbits(64):016x}", op.body
         if op.kind.repeats == "unsafe":
             self.refs[ref] = op.number
-        wire.send(op, (f"POST /svc/{op.kind.name} HTTP/1.1\r\nHost: origin.svc\r\n"
+        wire.send(op, ref, (f"POST /svc/{op.kind.name} HTTP/1.1\r\nHost: origin.svc\r\n"
                        f"X-Request-Id: {ref}\r\nX-Request-Start: {now * 1000:.0f}\r\n"
                        f"X-Caller: {op.caller}\r\nX-Timeout-Ms: {1000.0 * wait:.0f}\r\n"
                        f"X-Cost-Ms: {cost:.2f}\r\nX-Memory-Kb: 20.0\r\nX-Rank: {rank:.4f}\r\n{again}{key}"
@@ -308,7 +313,7 @@
         return {"first": self.first, "in_time": self.in_time, "tries": self.tries, "counts": self.counts,
                 "by_kind": self.by_kind, "late": quantiles(self.late), "told": quantiles(self.waits),
                 "latency": quantiles(self.latency), "waiting": self.waiting, "bucket": BUCKET,
-                "refs": self.refs}
+                "refs": self.refs, "broken_once": self.broken_once}
 
 
 async def main() -> None:
