A peer knows the retry of a sign-off that it ran for another instance, to the last digit

An instance hands a sign-off to a peer, which runs it, and is killed. Its caller's connection breaks, and the marked retry comes to that very peer. The storm books know a run by its looks, the fine ones with rank, cost and memory. But the request that goes to the peer was written with a rank of four places, 0.9999 at most, cost and memory of three, and no key: `protocol/http.py`, `handed`. Where the caller writes more, or the op has an object or key, the peer holds the run under other looks than the retry brings. Another key: the plain looks differ, and no run is in doubt. Other figures: once the books take figures to stay over the tries of an op (64 retries in a row, 5 s), the retry counts as another client's. Either way it ran again, in the same life.

Now the figures go as they were read, to the last digit, and the key goes with them, as `X-Object`, which is read like any key; no other header changes.

Test: the caller's own words, the request to the peer, and the retry, through the real parsers, writers and reducers, the books told that figures stay. A property test holds what `figure` promises.

--- a/mulleinhatch/program/spread.py
+++ b/mulleinhatch/program/spread.py
@@ -102,10 +102,10 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _hand(self, offer: Offered, ref: str, op_type: str, tenant: str, body: bytes, age: float, left: float,
-                    caller: int, work: float, kb: float, again: bool, rank: float) -> None:
+                    caller: int, work: float, kb: float, again: bool, rank: float, key: str) -> None:
         wait = max(0.01, left - ANSWER_ROOM) if left else 0.0
         pieces = http.handed(ref, op_type, tenant, body, 1000.0 * (time.time() - age), 1000.0 * (age + wait) if wait else 0.0,
-                             caller, work, kb, again, rank, offer.number, offer.at)
+                             caller, work, kb, again, rank, offer.number, offer.at, key)
         ending, result = Ending.INTERRUPTED, b""
         try:
             status, result = await self.peers.ask(offer.at, pieces, wait or AT_MOST)
--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -15,6 +15,9 @@
 OP_ID = re.compile(rb"[0-9A-Fa-f]{16}")
 LONGEST = 3600.0        # seconds of an age or a wait: what tells of more is no figure of ours
 LEAST_KB, MOST_KB = 1e-9, 2000.0     # memory that an op may book
+PLACES = 15             # after the point, of a figure that is read
+MOST_RANK = 1.0 - 1e-15     # the highest that can be written
+NEIGHBOURS = 4          # floats looked at on either side for the figure that a unit was taken from
 CLOCK_SLACK = 1.0       # seconds that an arrival may lie ahead of our clock
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout", 409: b"Conflict", 411: b"Length Required", 413: b"Content Too Large",
@@ -232,13 +235,33 @@
             key.decode("latin-1"), number(fields, b"x-rank", below=1.0))
 
 
+def figure(value: float, unit: float = 1.0) -> str:
+    """The text of a figure that `number` reads as exactly this value, if it read it before: with its 15 places they are one for
+    one, but a unit rounds, so that the neighbours are tried, too.
+
+    >>> figure(0.62503), figure(float("173.80371") * 0.001, 0.001), figure(24.5)
+    ('0.62503', '173.80371', '24.5')
+    """
+    near = below = above = value / unit
+    for _ in range(NEIGHBOURS):
+        for one in (near, below, above):
+            for text in (f"{one:.{PLACES}g}", f"{one:.{PLACES}f}"):
+                if float(text) * unit == value and NUMBER.fullmatch(text.encode()):
+                    return text
+        below, above = math.nextafter(below, 0.0), math.nextafter(above, math.inf)
+    return f"{near:.{PLACES}f}"
+
+
 def handed(ref: str, op_type: str, tenant: str, body: bytes, started_ms: float, wait_ms: float, caller: int, work: float,
-           kb: float, again: bool, rank: float, offer: int, host: str) -> list[bytes]:
-    """The request by which an op goes to a peer, in the callers' own protocol, as pieces for one gathered write."""
+           kb: float, again: bool, rank: float, offer: int, host: str, key: str = "") -> list[bytes]:
+    """The request by which an op goes to a peer, in the callers' own protocol, as pieces for one gathered write. Key and
+    figures are the caller's to the last digit: by them the peer knows a retry that comes to it."""
     head = (f"POST /svc/{op_type} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {ref}\r\nX-Request-Start: {started_ms:.0f}\r\n"
-            f"X-Caller: {caller}\r\nX-Memory-Kb: {max(kb, 0.001):.3f}\r\nX-Rank: {min(rank, 0.9999):.4f}\r\nX-Hand: {offer}\r\n"
+            f"X-Caller: {caller}\r\nX-Memory-Kb: {figure(max(kb, LEAST_KB))}\r\n"
+            f"X-Rank: {figure(min(rank, MOST_RANK))}\r\nX-Hand: {offer}\r\n"
             + (f"X-Timeout-Ms: {wait_ms:.0f}\r\n" if wait_ms > 0.0 else "")
-            + (f"X-Cost-Ms: {1000.0 * work:.3f}\r\n" if work else "")
+            + (f"X-Cost-Ms: {figure(work, 0.001)}\r\n" if work else "")
+            + (f"X-Object: {key}\r\n" if key else "")
             + (f"X-Tenant: {tenant}\r\n" if tenant else "") + ("X-Retry: 1\r\n" if again else ""))
     return [head.encode("latin-1"), b"Content-Length: %d\r\n\r\n" % len(body), body]
 
--- a/mulleinhatch/routing/reducer.py
+++ b/mulleinhatch/routing/reducer.py
@@ -75,7 +75,7 @@
     GAUGES = "gauges"            # mark
     ALARM = "alarm"              # seconds, token
     TRIM = "trim"                # seconds that an idle connection is kept
-    HAND = "hand"                # ref, op type, tenant, body, age, seconds left, caller, work, kb, again, rank
+    HAND = "hand"                # ref, op type, tenant, body, age, seconds left, caller, work, kb, again, rank, key
 
     __hash__ = object.__hash__
 
@@ -588,7 +588,8 @@
                 self.storms.runs.started(now, owed.ref, Likeness(*owed.looks), owed.due)
             arrived, *figures = owed.told
             left = owed.due - now if owed.due < math.inf else 0.0
-            self.errands.append((Errand.HAND, owed.ref, owed.op_type, owed.tenant, owed.body, now - arrived, left, *figures))
+            self.errands.append((Errand.HAND, owed.ref, owed.op_type, owed.tenant, owed.body, now - arrived, left, *figures,
+                                 owed.key))
 
     def _do_run(self, now: float, decision: Decision) -> None:
         owed = self.owed.get(decision.ref)
--- a/mulleinhatch/standins/virtual_spread.py
+++ b/mulleinhatch/standins/virtual_spread.py
@@ -361,7 +361,7 @@
     # Hand-over.
 
     def _hand(self, node: Service, ref: str, op_type: str, tenant: str, body: bytes, age: float, left: float, caller: int,
-              work: float, kb: float, again: bool, rank: float) -> None:
+              work: float, kb: float, again: bool, rank: float, key: str) -> None:
         offer = node.spread.take(node.clock(self.now))
         life = node.lives
         if offer is None:
@@ -388,7 +388,7 @@
         if left:
             self.at(self.now + max(0.01, left - 0.08), over, Ending.INTERRUPTED)
         self.at(self.now + self.draw.uniform(*LINK), self._arrives_handed, node, peer, peer.lives, offer, over,
-                (ref, op_type, tenant, age, max(0.01, left - 0.08) if left else 0.0, caller, work, kb, again, "", body, rank,
+                (ref, op_type, tenant, age, max(0.01, left - 0.08) if left else 0.0, caller, work, kb, again, key, body, rank,
                  True))
 
     def _arrives_handed(self, node: Service, peer: Service, life: int, offer: Offered, over: Callable[..., None],
--- a/tests/test_second_runs.py
+++ b/tests/test_second_runs.py
@@ -4,14 +4,22 @@
 import asyncio
 import time
 from collections import Counter
+from decimal import Decimal
 from pathlib import Path
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from mulleinhatch.interface import Decision, Effect, Verb
+from mulleinhatch.protocol import http
+from mulleinhatch.routing.reducer import Errand, Happening, Reducer
 from mulleinhatch.standins.fleet_rig import FleetCase, FleetRig, whole
 from mulleinhatch.standins.rig import keep_environment
 from mulleinhatch.standins.second_runs import BrokenTry, Death, Run, SecondRuns, judged, of_fleet
 from mulleinhatch.standins.stubs import Habits, Load, OpKind
+from mulleinhatch.storms.bounds import StormBounds
+from mulleinhatch.storms.twins import STEADY_ENOUGH
 
 FIRST, LATER = Run("a", 5.0, 0, 1, "r1"), Run("a", 5.5, 1, 1, "r2")
 BROKEN, DEATH = BrokenTry(0, 4.9, 5.2), Death(0, 5.1, 5.2)
@@ -123,3 +131,62 @@
     assert {op for op, times in ran.items() if times > 1} == set(second.repeats)
     # Without its death, each of the same runs is a fault.
     assert len(of_fleet({**told, "deaths": []}).faults) >= len(second.repeats)
+
+
+# Hand-over: what a peer ran for us it must know again, when our caller comes to it.
+
+def op_told(head: bytes) -> tuple:
+    """As the front tells the reducer of a request; the body comes beside."""
+    line, *fields = head.partition(b"\r\n\r\n")[0].split(b"\r\n")
+    return http.op_told(line.split(b" ")[1], {name.lower(): value for name, _, value in (
+        field.partition(b": ") for field in fields)}, NOW)
+
+
+NOW = 1.7e9
+
+
+@pytest.mark.parametrize(("rank", "cost", "kb", "key"), [
+    ("0.6250", "173.80", "24.5", ""), ("0.62503", "173.80", "24.5", ""), ("0.99996", "173.80", "24.5", ""),
+    ("0.6250", "173.80371", "24.5", ""), ("0.6250", "0.0004", "24.5", ""), ("0.6250", "173.80", "24.50004", ""),
+    ("0.6250", "173.80", "0.0001", ""), ("0.6250", "173.80", "24.5", "X-Object: 7f3a9c21e0b4d655\r\n"),
+    ("0.123456789012345", "4999.123456789012345", "1999.123456789012345", "Idempotency-Key: \xe4 1\r\n")])
+def test_the_retry_of_what_a_peer_handed_over_does_not_run_again(rank: str, cost: str, kb: str, key: str) -> None:
+    """The instance that read the first try handed it to this one, which runs it, and died. The caller's own words for the
+    retry, marked, come here: whatever they are written like, it is the op that runs. That figures stay over the tries of an
+    op this one has seen on others."""
+    def sent(ref: str, more: str = "") -> tuple:
+        return op_told((f"POST /svc/signoff HTTP/1.1\r\nX-Request-Id: {ref}\r\nX-Request-Start: {1000.0 * NOW:.0f}\r\n"
+                        f"X-Timeout-Ms: 4500\r\nX-Caller: 4\r\nX-Cost-Ms: {cost}\r\nX-Memory-Kb: {kb}\r\nX-Rank: {rank}\r\n"
+                        f"{more}{key}\r\n").encode("latin-1"))
+
+    def reads(peer: Reducer, now: float, place: int, told: tuple, from_peer: bool) -> set[Errand]:
+        *most, read_rank = told
+        return {errand for errand, *_ in peer.reduce(now, Happening.OP_READ, place, *most, b"in", read_rank, from_peer)}
+    giver, peer = (Reducer({"op_types": [{"effect": Effect.NON_RETRYABLE, "op_timeout": 4.5}], "cores": 4, "callers": 8},
+                           ["signoff"], [], 7, StormBounds()) for _ in range(2))
+    for one in (giver, peer):
+        one.hands = True
+        one.reduce(0.0, Happening.INTERPRETER_UP, False, 100.0)
+    peer.storms.tries.steady = STEADY_ENOUGH
+    reads(giver, 10.0, 1, sent("00000000000000aa"), False)
+    _, ref, op_type, tenant, body, age, left, *figures = handed_over(giver, 10.0, "00000000000000aa")
+    pieces = http.handed(ref, op_type, tenant, body, 1000.0 * NOW, 1000.0 * left, *figures[:5], 17, "peer:1", *figures[5:])
+    assert Errand.RUN in reads(peer, 10.0, 1, op_told(b"".join(pieces)), True)
+    peer.reduce(10.1, Happening.CALLER_LOST, 1)
+    assert reads(peer, 10.2, 2, sent("00000000000000bb", "X-Retry: 1\r\n"), False) == {Errand.FAIL}
+    assert peer.counts["repeats_of_run"] == 1
+
+
+@given(st.decimals(0, 99_999, places=15, allow_nan=False), st.integers(0, 15), st.sampled_from((1.0, 0.001)))
+@settings(max_examples=400, deadline=None, derandomize=True)
+def test_a_figure_goes_to_a_peer_as_it_came(written: Decimal, places: int, unit: float) -> None:
+    read = http.number({b"x": f"{written:.{places}f}".encode()}, b"x", unit=unit)
+    assert http.number({b"x": http.figure(read, unit).encode()}, b"x", unit=unit) == read
+
+
+def handed_over(giver: Reducer, now: float, ref: str) -> tuple:
+    """The errand by which it goes to a peer, as if the module had said so."""
+    giver.errands = []
+    giver.owed[ref].running = False
+    giver._do_hand(now, Decision(Verb.HAND, ref))
+    return giver.errands[0]
