Levels: a suspect is told of the suspicion by each check, so that it can refute it

Seen by reading: checks of suspects went without any word of the suspicion, so a living suspect answered all of them and refuted nothing; who had not heard it within the last second of its time declared it gone. At fault: Fleet._sent, no rumours in short words. The test fails without the mend.

--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -279,7 +279,7 @@
         if self.levels and not upward and to in members.view and "short" not in told:
             upward = self.levels.to_mate(now, told["what"] == "ping")
         room -= len(upward)
-        rumours = [] if "short" in told else members.rumours(
+        rumours = members.doubt(now, to) if "short" in told else members.rumours(
             now, room - 60 if "new" in told else min(RUMOURS, room), to, "new" in told)
         room -= sum(34 + len(rumour.name) + len(rumour.address) for rumour in rumours) if not self.levels else sum(
             25 + len(rumour.name) + len(rumour.address) for rumour in rumours)
--- a/mulleinhatch/fleet/levels.py
+++ b/mulleinhatch/fleet/levels.py
@@ -399,7 +399,7 @@
         every = SEEDS_EVERY if groups >= self.place.groups else LINK_AGAIN
         if alone and now - self.seeds_at >= ALONE_EVERY or rank == 0 and now - self.seeds_at >= every:
             self.seeds_at = now
-            yield from self._introduced(now, self.bounds.seeds or self.bounds.beyond)
+            yield from self._introduced(now, self.bounds.seeds)
         if rank > 1 or now - self.started < SETTLE:
             yield from self.pass_on(now)
             return
@@ -470,7 +470,7 @@
             yield from self._introduced(now, self.bounds.beyond)
 
     def _introduced(self, now: float, addresses: tuple[str, ...] | list[str]) -> Iterator[tuple[str, dict]]:
-        others = [address for address in addresses if address != self.members.address]
+        others = [address for address in addresses if address != self.members.address] or self.bounds.beyond
         if others:
             yield self._ask(now, others[self.draw(len(others))])
 
@@ -481,7 +481,7 @@
         sums = []
         if self.rank() == 0:
             sums = [*((own,) if (own := self._own_sum(now)) else ()), *self._abroad(now, REGION), *self._abroad(now, ZONE)[:1]]
-        upward = self._fitting(self._named(wants=True, sums=sums))
+        upward = self._fitting(self._named(wants=True, sums=sums, view=self.view()))
         return address, {"what": "ping", "number": 0, "short": True, "upward": upward}
 
     # What comes.
--- a/mulleinhatch/fleet/mates.py
+++ b/mulleinhatch/fleet/mates.py
@@ -10,7 +10,7 @@
 
 from mulleinhatch.fleet.bounds import FleetBounds
 from mulleinhatch.fleet.members import Members
-from mulleinhatch.fleet.words import ALIVE, LEFT, SUSPECT, Letter, Rumour
+from mulleinhatch.fleet.words import ALIVE, GONE, LEFT, SUSPECT, Letter, Rumour
 
 RING_EVERY, OTHERS_EVERY = 1.0, 3.0     # seconds between probes of the next on the ring, and of one by chance
 UNASKED = 1.75          # seconds without a word of the one before us, after which we ask it
@@ -103,6 +103,11 @@
             member.life = life
             self._become(now, member, LEFT, LIVED_ELSEWHERE)
 
+    def doubt(self, now: float, to: str) -> list[Rumour]:
+        """That we suspect whom it goes to, which else might answer us again and again and never refute it."""
+        member = self.view.get(to)
+        return [self._rumour(now, member)] if member and member.state in (SUSPECT, GONE) else []
+
     def rumours(self, now: float, room: int, to: str, new: bool = False) -> list[Rumour]:
         """News, whatever is wrong with whom it goes to, and one by chance; all to a `new` one, which knows nobody yet."""
         chosen: dict[str, Rumour] = {}
--- a/mulleinhatch/fleet/members.py
+++ b/mulleinhatch/fleet/members.py
@@ -370,6 +370,10 @@
         self._add_some(now, chosen, room, 8)
         return list(chosen.values())
 
+    def doubt(self, now: float, to: str) -> list[Rumour]:
+        """What a short word tells: nothing here."""
+        return []
+
     def _add_news(self, now: float, chosen: dict[str, Rumour], room: int) -> int:
         """The bytes that they take."""
         whole = room
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -303,6 +303,26 @@
     assert suspect.members.address not in asked
 
 
+def test_a_check_tells_the_suspect_of_the_suspicion_and_it_tells_all_that_it_lives(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One that answers and does not know that it is suspected refutes nothing, and is declared gone between two answers."""
+    cores = group_of_five()
+    now = play(cores, 0.0, 3.0)
+    one, suspect = cores[0], cores[1]
+
+    def doubted() -> list[str]:
+        one.members._become(now, one.members.view[suspect.name], words.SUSPECT, "told")
+        one.members.checked.clear()
+        for address, data in one.beat(now, BUSY):
+            if address == suspect.members.address:
+                suspect.datagram(now, data)
+        return [address for address, data in suspect.beat(now + 0.25, BUSY) if words.decode(data, "f").incarnation]
+    with monkeypatch.context() as without:
+        without.setattr(mates.Mates, "doubt", lambda self, now, to: [])
+        without.setattr(mates.Mates, "rumours", lambda self, *told: [])
+        assert not doubted() and suspect.members.incarnation == 0
+    assert len(set(doubted())) >= 4 and suspect.members.incarnation == 1
+
+
 def test_two_parts_of_a_group_become_one_by_the_third_contact(monkeypatch: pytest.MonkeyPatch) -> None:
     """A row names contacts of both parts; of two alone each part's speaker hears of itself again and again."""
     first, second = group_of_five()[:2], names(0, 5)[3:]
