Levels: a speaker keeps within the pace: links tell their own news, full words carry less

Seen at 225 members in one group a zone, the geometry in which one speaker keeps all four links: 2,740 bytes a second a speaker and 3,630 the worst in any 10 s, so that news never went at once (over the pace for good). Cause: each link was told again at the news of all the others, a rumour by chance in each word though two bytes in each probe already find who lacks whom. The share of free places is the group's, whose figures are younger than sums.

--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -28,6 +28,7 @@
 # In levels, where bytes are few:
 REPORTS = 150           # bytes of a letter for reports
 TOLD_REPORTS = 3        # times that a report is passed on by each
+SPARING = 1000.0        # bytes over the pace beyond which others' reports are not passed on
 OPINIONS_EVERY = 4      # reports
 LOUD_IN_LEVELS = 1      # tenants that a report names
 
@@ -247,10 +248,9 @@
         return not self.members.frozen and (self.name in self.out or interpreter_of(self.name) in self.out)
 
     def free(self, now: float) -> float:
-        """`Counts.free` of the others; not known while most are silent to us."""
-        if self.members.frozen:
-            return -1.0
-        return self.levels.free(now) if self.levels else self.known.free(now, set(self.members.alive()))
+        """`Counts.free` of the others; not known while most are silent to us. In levels of our group: its members are
+        drawn by a hash from the zone, so that they stand for it, and their figures are younger than any sum."""
+        return -1.0 if self.members.frozen else self.known.free(now, set(self.members.alive()))
 
     # Letters.
 
@@ -325,11 +325,12 @@
         """Those that we passed on least, the newest first, each some times: most mates then hear it, and the rest its next."""
         room, chosen = min(room, REPORTS), []
         line = []
+        busy = self.levels.pace.over > SPARING      # who speaks for the group leaves it to the others
         if self.reports:
             line.append((self._times(self.name, self.reports), 0.0, self.name))
         for name, row in self.known.rows.items():
             times = self._times(name, row.report.number)
-            if name != to and times < TOLD_REPORTS and now - row.made_at <= self.known.fresh:
+            if name != to and not busy and times < TOLD_REPORTS and now - row.made_at <= self.known.fresh:
                 line.append((times, now - row.made_at, name))
         for times, age, name in sorted(line):
             report = self._own_report(now)
--- a/mulleinhatch/fleet/levels.py
+++ b/mulleinhatch/fleet/levels.py
@@ -30,7 +30,7 @@
 STALE = (8.0, 10.0, 14.0)           # seconds without a word of it, by level: its members count as silent
 PATIENCE = 2.0          # times as long for who speaks for nobody
 MESH_EVERY, STANDBY_EVERY = 1.0, 4.0    # seconds between words of a speaker to other groups, and of who would be the next
-LINK_EVERY, LINK_AGAIN = 2.0, 4.0   # seconds between words to another zone or region, by who keeps the link and by the second
+LINK_EVERY, LINK_AGAIN = 2.5, 5.0   # seconds between words to another zone or region, by who keeps the link and by the second
 BEYOND_EVERY, SEEDS_EVERY = 5.0, 20.0
 ALONE_EVERY = 1.0       # seconds between words to a seed of who knows no mate
 SETTLE = 5.0            # seconds after its start for which a member speaks for nobody: it knows too few yet
@@ -235,14 +235,6 @@
         region = zone.plus(self._beside(now, ZONE))
         return {"group": group, "zone": zone, "region": region, "fleet": region.plus(self._beside(now, REGION))}
 
-    def free(self, now: float) -> float:
-        """The share of the fleet's places that is free, by the poor end: the silent count as full; below 0 where most are."""
-        fleet = self.totals(now)["fleet"]
-        if 2 * fleet.silent > fleet.members or fleet.members < 2:
-            return -1.0
-        places = sum(fleet.figures[figure] for figure in ("room", "held", "running"))
-        return (1.0 - fleet.silent / fleet.members) * fleet.figures["room"] / max(1.0, places)
-
     def _sum(self, level: int, name: str, total: Total, contacts: Iterable[str]) -> Sum:
         return Sum(level, name, 0, total.members, total.silent, int(total.unknown), ceil(10.0 * total.oldest),
                    [int(total.figures[figure]) for figure in SUMMED], pack(contacts))
@@ -447,7 +439,7 @@
 
     def _links(self, now: float) -> Iterator[tuple[str, dict]]:
         """To other zones and regions: one keeper, and a second at a slower pace in case that the first can't get through."""
-        zone = None
+        totals: dict[str, Total] = {}
         for names, row in list(self.rows.items()):
             if names[0] == GROUP or not row.contacts:
                 continue
@@ -458,8 +450,9 @@
             if place > 1:
                 self.link_at.pop(names, None)
                 continue
-            zone = zone or self.totals(now)["zone"]
-            counted = [zone.members, *(other.sum.members for (level, _), other in self.rows.items() if level != GROUP)]
+            totals = totals or self.totals(now)
+            counted = [totals["region"].members] if names[0] == REGION else [totals["zone"].members, *(
+                other.sum.members for (level, _), other in self.rows.items() if level == REGION)]
             news = place == 0 and self.pace.over < URGENT and counted != self.link_told.get(names)
             if since >= (LINK_EVERY if place == 0 else LINK_AGAIN) or news:
                 self.link_at[names], self.link_told[names] = now, counted
--- a/mulleinhatch/fleet/mates.py
+++ b/mulleinhatch/fleet/mates.py
@@ -109,7 +109,7 @@
         return [self._rumour(now, member)] if member and member.state in (SUSPECT, GONE) else []
 
     def rumours(self, now: float, room: int, to: str, new: bool = False) -> list[Rumour]:
-        """News, whatever is wrong with whom it goes to, and one by chance; all to a `new` one, which knows nobody yet."""
+        """News, and whatever is wrong with whom it goes to; all to a `new` one, which sees others there than we do."""
         chosen: dict[str, Rumour] = {}
         if self.left:       # else the letter itself says that we live
             room -= self._add(chosen, Rumour(self.name, self.address, self.life, self.incarnation, LEFT), room)
@@ -121,8 +121,6 @@
             start = self.draw(len(there)) if there else 0       # where not all fit, others another time
             for member in there[start:] + there[:start]:
                 room -= self._add(chosen, self._rumour(now, member), room)
-        else:
-            self._add_some(now, chosen, room, 1)
         return list(chosen.values())
 
     @staticmethod
