--- /dev/null
+++ b/benchmarks/records.py
@@ -0,0 +1,216 @@
+"""Recorded slopes: what a benchmark measured at several sizes, kept as JSON in `benchmarks/recorded/`, and the fits over it.
+
+A cost is a constant, or a line over a size, its base-2 logarithm or its square, by least squares of the relative errors: sizes
+span orders of magnitude, and the plain errors of the largest would hide all others. The residual is the largest error at the
+points, as a share of what was measured there. `Unfit` names file and key of what is wrong.
+"""
+from __future__ import annotations
+
+import json
+import math
+import subprocess
+from pathlib import Path
+from typing import Any, NamedTuple
+
+RECORDED = Path(__file__).parent / "recorded"
+FORMS = ("constant", "log2", "linear", "square")
+LEAST_POINTS = 3        # of a cost that is said to grow: two points lie on any line
+SLACK = 1e-3            # of a figure, as records are rounded
+
+
+class Unfit(ValueError):
+    """A record, or what is made of it, can't be used; the text names file and key."""
+
+
+class Fit(NamedTuple):
+    """`constant + slope * size`, or of the logarithm of the size; `residual` as a share of the points."""
+
+    form: str
+    constant: float
+    slope: float = 0.0
+    residual: float = 0.0
+
+    def at(self, size: float) -> float:
+        """
+        >>> Fit("linear", 10.0, 2.0).at(5.0), Fit("log2", 10.0, 2.0).at(8.0)
+        (20.0, 16.0)
+        """
+        return self.constant + self.slope * scale(self.form, size)
+
+    def reaches(self, value: float) -> float:
+        """The size at which the fit reaches this value from below; infinite where it never does, 0 where it always has.
+
+        >>> Fit("linear", 10.0, 2.0).reaches(20.0), Fit("log2", 10.0, 2.0).reaches(16.0), Fit("constant", 10.0).reaches(9.0)
+        (5.0, 8.0, 0.0)
+        """
+        if self.slope <= 0.0:
+            return math.inf if self.constant <= value else 0.0
+        place = (value - self.constant) / self.slope
+        if place <= 0.0:
+            return 0.0
+        return 2.0 ** min(place, 1000.0) if self.form == "log2" else math.sqrt(place) if self.form == "square" else place
+
+
+class Cost(NamedTuple):
+    unit: str
+    size: str                               # what the points are over: members, tenants, ...
+    points: list[tuple[float, float]]
+    fit: Fit
+    checked: tuple[float, float] | None     # a run at another size, that the fit was not made from
+
+
+class Record(NamedTuple):
+    name: str       # of the file, without its ending
+    commit: str
+    benchmark: str
+    command: str
+    seed: int
+    mechanism: str
+    costs: dict[str, Cost]
+    events: dict[str, dict[str, Any]]
+    notes: list[str]
+
+
+def scale(form: str, size: float) -> float:
+    return {"constant": 0.0, "log2": math.log2(max(1.0, size)), "linear": size, "square": size * size}[form]
+
+
+def fitted(points: list[tuple[float, float]], form: str, relative: bool = True) -> Fit:
+    """Least squares of the relative errors, or of the plain ones.
+
+    >>> fit = fitted([(1.0, 3.0), (2.0, 5.0), (4.0, 9.0)], "linear"); round(fit.constant, 9), round(fit.slope, 9)
+    (1.0, 2.0)
+    """
+    weights = [1.0 / (value * value or 1.0) if relative else 1.0 for _, value in points]
+    total = sum(weights)
+    places = [scale(form, size) for size, _ in points]
+    mean_place = sum(weight * place for weight, place in zip(weights, places)) / total
+    mean = sum(weight * value for weight, (_, value) in zip(weights, points)) / total
+    spread = sum(weight * (place - mean_place) ** 2 for weight, place in zip(weights, places))
+    both = sum(weight * (place - mean_place) * (value - mean) for weight, place, (_, value) in zip(weights, places, points))
+    slope = both / spread if spread else 0.0
+    fit = Fit(form, mean - slope * mean_place, slope)
+    return fit._replace(residual=residual(fit, points))
+
+
+def residual(fit: Fit, points: list[tuple[float, float]]) -> float:
+    """The largest error at the points, as a share; at a point of 0 the error as it stands."""
+    return max(abs(fit.at(size) - value) / (abs(value) or 1.0) for size, value in points)
+
+
+def cost(unit: str, size: str, points: list[tuple[float, float]], form: str,
+         checked: tuple[float, float] | None = None) -> dict[str, Any]:
+    """One cost as a record keeps it."""
+    points = [(size, rounded(value)) for size, value in points]
+    fit = fitted(points, form)
+    return {"unit": unit, "size": size, "points": points, "form": fit.form, "constant": rounded(fit.constant, 6),
+            "slope": rounded(fit.slope, 6), "residual": rounded(fit.residual, 4),
+            "checked": checked and [checked[0], rounded(checked[1])]}
+
+
+def rounded(value: float, figures: int = 4) -> float:
+    """
+    >>> rounded(123456.0), rounded(0.00123456)
+    (123500.0, 0.001235)
+    """
+    return float(f"{value:.{figures}g}")
+
+
+def commit() -> str:
+    """The short hash of what is measured, with `+` where program text differs from it."""
+    def git(*words: str) -> str:
+        return subprocess.run(["git", *words], capture_output=True, text=True, check=True, cwd=RECORDED.parent).stdout.strip()
+    return git("rev-parse", "--short", "HEAD") + ("+" if git("status", "--porcelain", "--", "../mulleinhatch") else "")
+
+
+def keep(name: str, told: dict[str, Any], folder: Path = RECORDED) -> Path:
+    """Written a cost a line, so that a new run shows in a diff as what it changed."""
+    inner = {key: {name: json.dumps(value) for name, value in told[key].items()} for key in ("costs", "events")}
+    lines = [f" {json.dumps(key)}: " + ("{\n" + ",\n".join(f"  {json.dumps(name)}: {text}" for name, text in inner[key].items())
+                                       + "\n }" if inner.get(key) else json.dumps(value)) for key, value in told.items()]
+    path = folder / f"{name}.json"
+    path.write_text("{\n" + ",\n".join(lines) + "\n}\n")
+    return path
+
+
+def read_all(folder: Path = RECORDED) -> dict[str, Record]:
+    return {path.stem: read(path) for path in sorted(folder.glob("*.json"))}
+
+
+def read(path: Path) -> Record:
+    try:
+        told = json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise Unfit(f"{path.name}: can't be read: {error}") from None
+    if not isinstance(told, dict):
+        raise Unfit(f"{path.name}: an object is wanted")
+    text = {key: _want(path, told, key, str) for key in ("commit", "benchmark", "command", "mechanism")}
+    for key, value in text.items():
+        if not value:
+            raise Unfit(f"{path.name}: {key}: empty")
+    costs = {name: _cost(path, f"costs.{name}", one) for name, one in _want(path, told, "costs", dict).items()}
+    events = _want(path, told, "events", dict)
+    for name, figures in events.items():
+        if not isinstance(figures, dict):
+            raise Unfit(f"{path.name}: events.{name}: an object of figures is wanted")
+    notes = told.get("notes", [])
+    if not isinstance(notes, list) or not all(isinstance(note, str) for note in notes):
+        raise Unfit(f"{path.name}: notes: a list of texts is wanted")
+    return Record(path.stem, seed=_want(path, told, "seed", int), costs=costs, events=events, notes=notes, **text)
+
+
+def _want(path: Path, told: dict[str, Any], key: str, kind: type, way: str = "") -> Any:
+    where = f"{path.name}: {way}{'.' if way else ''}{key}"
+    if key not in told:
+        raise Unfit(f"{where}: missing")
+    value = told[key]
+    if isinstance(value, bool) or not isinstance(value, (int, float) if kind is float else kind):
+        raise Unfit(f"{where}: {value!r} is no {'number' if kind is float else kind.__name__}")
+    if kind is float and not math.isfinite(value):
+        raise Unfit(f"{where}: {value!r} is no finite number")
+    return value
+
+
+def _cost(path: Path, way: str, told: Any) -> Cost:
+    if not isinstance(told, dict):
+        raise Unfit(f"{path.name}: {way}: an object is wanted")
+    points = [_pair(path, f"{way}.points.{place}", pair) for place, pair in enumerate(_want(path, told, "points", list, way))]
+    form = _want(path, told, "form", str, way)
+    if form not in FORMS:
+        raise Unfit(f"{path.name}: {way}.form: {form!r} is none of {', '.join(FORMS)}")
+    sizes = {size for size, _ in points}
+    if len(sizes) < (1 if form == "constant" else LEAST_POINTS):
+        raise Unfit(f"{path.name}: {way}.points: {len(sizes)} sizes are too few for a {form} fit")
+    fit = Fit(form, *(float(_want(path, told, key, float, way)) for key in ("constant", "slope", "residual")))
+    checked = told.get("checked")
+    found = Cost(_want(path, told, "unit", str, way), _want(path, told, "size", str, way), points, fit,
+                 None if checked is None else _pair(path, f"{way}.checked", checked))
+    _reproduces(path, way, found)
+    return found
+
+
+def _pair(path: Path, where: str, told: Any) -> tuple[float, float]:
+    if not isinstance(told, list) or len(told) != 2 or not all(
+            isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value) for value in told):
+        raise Unfit(f"{path.name}: {where}: {told!r} is no pair of size and value")
+    if told[0] <= 0:
+        raise Unfit(f"{path.name}: {where}: {told[0]!r} is no size")
+    return float(told[0]), float(told[1])
+
+
+def _reproduces(path: Path, way: str, found: Cost) -> None:
+    """The fit as recorded must meet its own points within its own residual."""
+    off = residual(found.fit, found.points)
+    if off > found.fit.residual * (1.0 + SLACK) + SLACK:
+        raise Unfit(f"{path.name}: {way}: the fit misses its points by {off:.2%}, its residual says {found.fit.residual:.2%}")
+    again = [fitted(found.points, found.fit.form, relative) for relative in (True, False)]
+    if not any(_same(found.fit, fit, found.points) for fit in again):
+        name = "constant" if found.fit.form == "constant" else "slope"
+        raise Unfit(f"{path.name}: {way}.{name}: {found.fit.constant:g} and {found.fit.slope:g} are recorded, least squares "
+                    f"over the points give {again[0].constant:g} and {again[0].slope:g}")
+
+
+def _same(one: Fit, other: Fit, points: list[tuple[float, float]]) -> bool:
+    """Whether two fits say the same at each point, and of the slope, but for the rounding of what is recorded."""
+    return all(abs(one.at(size) - other.at(size)) <= SLACK * (abs(value) or 1.0) for size, value in points) and (
+        abs(one.slope - other.slope) <= SLACK * abs(other.slope) + 1e-12)
