--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -35,7 +35,7 @@
 STEPS = 200             # of halving, when a size is sought
 ROW_KEYS = {"role": str, "kind": str, "what": str, "mechanism": str, "record": str, "cost": str, "reckoned": str,
             "value": float, "unit": str, "size": str, "at": float, "factor": float, "times": str, "bound": (str, float),
-            "missing": str, "if_recorded": str, "replaced_by": str, "adds": bool}
+            "bound_text": str, "missing": str, "if_recorded": str, "replaced_by": str, "adds": bool}
 KINDS = ("state", "messages", "processor time", "memory", "time")
 
 
@@ -95,8 +95,8 @@
         if not self.times and self.cost is not None:
             return self.cost.fit.reaches(self.bound.value / self.factor)
         low, high = 0.0, 1e12
-        if self.need(1.0) > self.bound.value:
-            return 0.0 if self.cost else self.target * self.bound.value / self.at_target
+        if self.cost is None and self.size:
+            return self.target * self.bound.value / self.at_target
         if self.need(high) <= self.bound.value:
             return math.inf
         for _ in range(STEPS):
@@ -104,16 +104,16 @@
             low, high = (middle, high) if self.need(middle) <= self.bound.value else (low, middle)
         return low
 
-    @property
-    def share(self) -> float:
-        """Of the target size, at which it breaks."""
-        return self.breaks_at / self.target
-
     @property
     def smallest(self) -> float:
-        """The smallest size of a run: below it a break is not known more closely."""
+        """The smallest size of a run: of a break below it no more is known than that."""
         return min(size for size, _ in self.cost.points) if self.cost else 0.0
 
+    @property
+    def share(self) -> float:
+        """Of the target size, at which it is broken for certain."""
+        return max(self.breaks_at, self.smallest) / self.target
+
 
 class Book(NamedTuple):
     """All that the page's tables are made of."""
@@ -146,7 +146,7 @@
     for place, row in enumerate(told["row"]):
         where = f"{path.name}: row {place + 1} ({row.get('what', '?')})"
         _keys(where, row)
-        if row.get("if_recorded", "") in ("", *records):
+        if _recorded(row.get("if_recorded", ""), records):
             rows.append(_row(where, row, told, bounds, missing, records))
     roles = dict(told["roles"])
     if lost := [row.role for row in rows if row.role not in roles]:
@@ -154,6 +154,12 @@
     return Book([(what, target) for what, target in told["target"]], roles, rows, missing, records)
 
 
+def _recorded(told: str, records: dict[str, Record]) -> bool:
+    """`record`, or `record:cost`, is there; nothing told asks for nothing."""
+    name, _, cost = told.partition(":")
+    return not name or name in records and (not cost or cost in records[name].costs)
+
+
 def _keys(where: str, row: dict[str, Any]) -> None:
     for key, value in row.items():
         kind = ROW_KEYS.get(key)
@@ -217,7 +223,7 @@
     if told == "":
         return None
     if not isinstance(told, str):
-        return Bound(float(told), "")
+        return Bound(float(told), row.get("bound_text", ""))
     if told in bounds:
         return bounds[told]
     module, _, name = told.partition(":")
@@ -243,16 +249,28 @@
 
 # The tables.
 
-def number(value: float) -> str:
+def number(value: float, figures: int = 3) -> str:
+    """
+    >>> number(28704.4), number(0.012345), number(3.0), number(0.0), number(1234567.8), number(1024.0), number(1.5e-6)
+    ('28,700', '0.0123', '3', '0', '1,235,000', '1,024', '1.5e-06')
     """
-    >>> number(28700.4), number(0.012345), number(3.0), number(0.0), number(1234567.0), number(1.5e9)
-    ('28,700', '0.0123', '3', '0', '1,235,000', '1,500,000,000')
+    if not math.isfinite(value):
+        return str(value)
+    if value != int(value):
+        value = float(f"{value:.{4 if abs(value) >= 1e4 and figures < 4 else figures}g}")
+    if value == int(value):
+        return f"{int(value):,}"
+    if abs(value) < 1e-4:
+        return f"{value:g}"
+    return f"{value:,.10f}".rstrip("0").rstrip(".")
+
+
+def percent(share: float) -> str:
     """
-    if value == 0.0 or not math.isfinite(value):
-        return "0" if value == 0.0 else str(value)
-    value = float(f"{value:.4g}" if abs(value) >= 1e4 else f"{value:.3g}")
-    return f"{value:,.0f}" if abs(value) >= 100.0 or value == int(value) else f"{value:.6f}".rstrip("0") if (
-        abs(value) >= 1e-4) else f"{value:.2e}"
+    >>> percent(0.2778), percent(0.00055555), percent(2.5), percent(0.0)
+    ('27.8%', '0.0556%', '250%', '0%')
+    """
+    return f"{number(100.0 * share)}%"
 
 
 def table(head: tuple[str, ...], rows: list[tuple[str, ...]]) -> str:
@@ -263,8 +281,10 @@
 def fit_text(cost: Cost) -> str:
     fit, sizes = cost.fit, [size for size, _ in cost.points]
     over = {"linear": cost.size, "log2": f"log2({cost.size})", "square": f"{cost.size} squared"}
-    slope = f" {'+' if fit.slope >= 0.0 else '-'} {number(abs(fit.slope))} x {over[fit.form]}" if fit.form != "constant" else ""
-    text = f"{number(fit.constant)}{slope}, off by {fit.residual:.0%} at most at {number(min(sizes))} to {number(max(sizes))}"
+    slope = f"{number(abs(fit.slope))} x {over[fit.form]}" if fit.form != "constant" else ""
+    sign = " + " if fit.slope >= 0.0 else " - "
+    law = slope if slope and not fit.constant and fit.slope >= 0.0 else number(fit.constant) + (sign + slope if slope else "")
+    text = f"{law}, off by {fit.residual:.0%} at most at {number(min(sizes))} to {number(max(sizes))}"
     if cost.checked:
         size, value = cost.checked
         off = fit.at(size) / value - 1.0 if value else 0.0
@@ -276,6 +296,8 @@
     if row.cost is None:
         return f"reckoned: {row.reckoned}"
     text = fit_text(row.cost)
+    if measured := [value for size, value in row.cost.points if size == row.target and row.cost.fit.residual > OFF]:
+        text += f"; measured there: {number(measured[0])}"
     for cost in row.times:
         text += f"; times {fit_text(cost)}"
     reached = max([size for size, _ in row.cost.points] + ([row.cost.checked[0]] if row.cost.checked else []))
@@ -301,18 +323,25 @@
               f"`{row.record.name}`" if row.record else "no run", bound_text(row.bound),
               number(row.ratio) if row.bound else "-", mechanism_text(row)) for row in sorted(
                   rows, key=lambda row: KINDS.index(row.kind))]
-    sums: dict[tuple[str, str], list[Row]] = {}
-    for row in rows:
-        if row.adds and row.bound and not row.replaced_by:
-            sums.setdefault((row.kind, row.bound.text), []).append(row)
-    for (kind, _), parts in sums.items():
-        if len(parts) > 1:
-            whole, bound = sum(row.at_target for row in parts), parts[0].bound
-            lines.append((kind, "**together**: " + "; ".join(row.what for row in parts), f"{number(whole)} {parts[0].unit}",
-                          "sum", "", bound_text(bound), number(whole / bound.value), ""))
     return table(("kind", "what", "at the target", "slope", "run", "bound", "need / bound", "carried by"), lines)
 
 
+def together_table(book: Book) -> str:
+    """What one instance has to bear at once, by bound: the rows that say that they add up."""
+    sums: dict[Bound, list[Row]] = {}
+    for row in book.rows:
+        if row.adds and row.bound and not row.replaced_by:
+            sums.setdefault(row.bound, []).append(row)
+    lines = []
+    for bound, rows in sums.items():
+        if len({row.unit for row in rows}) > 1:
+            raise Unfit(f"rows.toml: adds: {', '.join(row.what for row in rows)} add up in different units")
+        whole = sum(row.at_target for row in rows)
+        lines.append(("; ".join(f"{row.what}: {number(row.at_target)}" for row in rows), f"{number(whole)} {rows[0].unit}",
+                      bound_text(bound), number(whole / bound.value)))
+    return table(("parts", "together", "bound", "need / bound"), lines)
+
+
 def breaking(book: Book) -> list[Row]:
     """What has a bound and breaks, or nearly does, the smallest share of the target first."""
     rows = [row for row in book.rows if row.bound and not row.replaced_by and (row.share <= NEAR or row.ratio > 1.0)]
@@ -320,12 +349,9 @@
 
 
 def breaks_text(row: Row) -> tuple[str, str]:
-    if not row.size or row.breaks_at == 0.0:
-        at = f"under {number(row.smallest)} {row.size} (the smallest run)" if row.smallest else "at any size"
-        return at, f"< {row.smallest / row.target:.2%}" if row.smallest else "0%"
     if row.breaks_at < row.smallest:
-        return f"{number(row.breaks_at)} {row.size}, below the smallest run", f"{row.share:.2%}"
-    return f"{number(row.breaks_at)} {row.size}", f"{row.share:.2%}"
+        return f"under {number(row.smallest)} {row.size}, the smallest run", f"under {percent(row.share)}"
+    return f"{number(row.breaks_at)} {row.size}" if row.size else "at any size", percent(row.share)
 
 
 def breaks_table(book: Book) -> str:
@@ -355,7 +381,7 @@
 
 def events_table(book: Book) -> str:
     return table(("event", "figures", "run"), [
-        (event, "; ".join(f"{name}: {number(value) if isinstance(value, (int, float)) else value}"
+        (event, "; ".join(f"{name}: {number(value, 4) if isinstance(value, (int, float)) else value}"
                           for name, value in figures.items()), f"`{record.name}`")
         for record in book.records.values() for event, figures in record.events.items()])
 
@@ -369,8 +395,8 @@
 def tables(book: Book) -> dict[str, str]:
     """By the name that stands in the page's markers."""
     return {"target": table(("what", "target"), book.target), **{role: role_table(book, role) for role in book.roles},
-            "breaks": breaks_table(book), "missing": missing_table(book), "events": events_table(book),
-            "runs": runs_table(book)}
+            "together": together_table(book), "breaks": breaks_table(book), "missing": missing_table(book),
+            "events": events_table(book), "runs": runs_table(book)}
 
 
 # The page.
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,285 @@
+"""docs/CAPACITY.md says what the records under benchmarks/recorded/ give, and what is wrong in either is found."""
+from __future__ import annotations
+
+import doctest
+import json
+import math
+import re
+import shutil
+from pathlib import Path
+
+import pytest
+
+from benchmarks import capacity, records
+from benchmarks.records import Unfit
+
+ROOT = Path(__file__).parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    shutil.copytree(records.RECORDED, tmp_path / "recorded")
+    return tmp_path / "recorded"
+
+
+@pytest.fixture(scope="module")
+def book() -> capacity.Book:
+    return capacity.read_book()
+
+
+def changed(path: Path, cost: str, **values: object) -> None:
+    told = json.loads(path.read_text())
+    told["costs"][cost].update(values)
+    path.write_text(json.dumps(told))
+
+
+def some_cost(form: str) -> str:
+    return next(name for name, cost in records.read_all()["parts"].costs.items() if cost.fit.form == form and cost.fit.slope)
+
+
+def test_doctests() -> None:
+    for module in (records, capacity):
+        failed, tried = doctest.testmod(module)
+        assert not failed and tried, module.__name__
+
+
+# Page and records.
+
+def test_the_page_says_what_the_records_give(book: capacity.Book) -> None:
+    assert capacity.parted(PAGE.read_text(), capacity.tables(book)) == []
+
+
+def test_the_command_checks_the_same(capsys: pytest.CaptureFixture[str]) -> None:
+    assert capacity.main(["--check", "--page", str(PAGE)]) == 0
+    told = json.loads(capsys.readouterr().out)
+    assert told["holds"] and told["rows"] > 20
+
+
+def test_a_wrong_figure_in_the_page_is_found(book: capacity.Book, tmp_path: Path) -> None:
+    text = PAGE.read_text()
+    begin, _ = capacity.marks("voter")
+    at = text.index(begin)
+    figure = re.compile(r"\| ([\d.,]+) \| `mulleinhatch").search(text, at)
+    page = tmp_path / "CAPACITY.md"
+    page.write_text(text[:figure.start(1)] + "0.123" + text[figure.end(1):])
+    found = capacity.parted(page.read_text(), capacity.tables(book))
+    assert len(found) == 1 and found[0].startswith("voter, line")
+    assert capacity.main(["--check", "--page", str(page)]) == 1
+    assert capacity.main(["--write", "--page", str(page)]) == 0
+    assert page.read_text() == text
+
+
+@pytest.mark.parametrize("wrong", ["lost", "twice", "stray"])
+def test_wrong_markers_are_found(book: capacity.Book, wrong: str) -> None:
+    begin, end = capacity.marks("breaks")
+    text = PAGE.read_text()
+    page = {"lost": text.replace(begin, ""), "twice": text + "\n" + begin + end, "stray": text + capacity.marks("x")[0]}[wrong]
+    assert capacity.parted(page, capacity.tables(book))
+
+
+# Records and their fits.
+
+def independent(points: list[tuple[float, float]], form: str, relative: bool) -> tuple[float, float]:
+    """Constant and slope by the normal equations, written out: beside `records.fitted`."""
+    shape = {"constant": lambda size: 0.0, "linear": lambda size: size, "square": lambda size: size ** 2,
+             "log2": lambda size: math.log2(size)}[form]
+    n = sx = sy = sxx = sxy = 0.0
+    for size, value in points:
+        weight = value ** -2 if relative and value else 1.0
+        x = shape(size)
+        n, sx, sy, sxx, sxy = n + weight, sx + weight * x, sy + weight * value, sxx + weight * x * x, sxy + weight * x * value
+    if form == "constant":
+        return sy / n, 0.0
+    slope = (n * sxy - sx * sy) / (n * sxx - sx * sx)
+    return (sy - slope * sx) / n, slope
+
+
+def costs() -> list[tuple[str, str]]:
+    return [(name, cost) for name, record in records.read_all().items() for cost in record.costs]
+
+
+@pytest.mark.parametrize("record, name", costs())
+def test_least_squares_give_what_is_recorded(record: str, name: str) -> None:
+    cost = records.read_all()[record].costs[name]
+    fits = [independent(cost.points, cost.fit.form, relative) for relative in (True, False)]
+    assert any(all(cost.fit.at(size) == pytest.approx(constant + slope * records.scale(cost.fit.form, size), rel=2e-3)
+                   for size, _ in cost.points) and cost.fit.slope == pytest.approx(slope, rel=2e-3, abs=1e-12)
+               for constant, slope in fits)
+    off = max(abs(cost.fit.at(size) / value - 1.0) for size, value in cost.points if value)
+    assert off == pytest.approx(cost.fit.residual, rel=2e-2, abs=2e-3)
+
+
+@pytest.mark.parametrize("form", ["linear", "square"])
+def test_a_wrong_slope_in_a_record_is_found(folder: Path, form: str) -> None:
+    name = some_cost(form)
+    slope = records.read_all()["parts"].costs[name].fit.slope
+    changed(folder / "parts.json", name, slope=1.05 * slope)
+    with pytest.raises(Unfit, match=rf"parts\.json: costs\.{re.escape(name)}"):
+        capacity.read_book(folder)
+
+
+def test_a_wrong_slope_is_found_under_a_wide_residual(folder: Path) -> None:
+    name = some_cost("linear")
+    slope = records.read_all()["parts"].costs[name].fit.slope
+    changed(folder / "parts.json", name, slope=1.05 * slope, residual=0.9)
+    with pytest.raises(Unfit, match=rf"costs\.{re.escape(name)}\.slope"):
+        capacity.read_book(folder)
+
+
+def test_another_point_parts_page_and_record(folder: Path) -> None:
+    """A record that is right in itself, and not the one that the page was made from."""
+    name = "control.settings_bytes"
+    cost = records.read_all()["parts"].costs[name]
+    points = [(size, 2.0 * value) for size, value in cost.points]
+    changed(folder / "parts.json", name, **records.cost(cost.unit, cost.size, points, "linear"))
+    assert capacity.parted(PAGE.read_text(), capacity.tables(capacity.read_book(folder)))
+
+
+def test_a_lost_record_is_found(folder: Path) -> None:
+    (folder / "parts.json").unlink()
+    with pytest.raises(Unfit, match=r"rows\.toml: row \d+ .*there is no parts\.json"):
+        capacity.read_book(folder)
+    assert capacity.main(["--check", "--page", str(PAGE), "--recorded", str(folder)]) == 1
+
+
+def test_a_lost_cost_is_found(folder: Path) -> None:
+    told = json.loads((folder / "parts.json").read_text())
+    del told["costs"]["voter.bytes"]
+    (folder / "parts.json").write_text(json.dumps(told))
+    with pytest.raises(Unfit, match=r"parts\.json has no voter\.bytes"):
+        capacity.read_book(folder)
+
+
+@pytest.mark.parametrize("text, why", [
+    ("{", r"parts\.json: can't be read"), ("[]", r"parts\.json: an object is wanted"),
+    ("{}", r"parts\.json: commit: missing")])
+def test_bad_json_names_file_and_key(folder: Path, text: str, why: str) -> None:
+    (folder / "parts.json").write_text(text)
+    with pytest.raises(Unfit, match=why):
+        capacity.read_book(folder)
+
+
+@pytest.mark.parametrize("values, why", [
+    ({"form": "cubic"}, r"form: 'cubic'"), ({"slope": "3"}, r"slope: '3' is no number"),
+    ({"points": [[1, 2]]}, r"points: 1 sizes"), ({"points": [[1, 2], [0, 3], [4, 5]]}, r"points\.1: 0 is no size"),
+    ({"points": [[1, 2], [2], [4, 5]]}, r"points\.1"),
+    ({"unit": None}, r"unit: None is no str"), ({"residual": True}, r"residual: True"),
+    ({"checked": 7}, r"checked: 7 is no pair"),
+    ({"constant": math.inf}, r"constant: inf")])
+def test_a_bad_cost_names_its_key(folder: Path, values: dict[str, object], why: str) -> None:
+    changed(folder / "parts.json", "voter.bytes", **values)
+    with pytest.raises(Unfit, match=rf"parts\.json: costs\.voter\.bytes\.{why}"):
+        capacity.read_book(folder)
+
+
+# Rows.
+
+def declared(folder: Path, was: str, now: str) -> None:
+    path = folder / "rows.toml"
+    text = path.read_text()
+    assert was in text
+    path.write_text(text.replace(was, now, 1))
+
+
+@pytest.mark.parametrize("was, now, why", [
+    ('mechanism = "mulleinhatch.upkeep.order"', 'mechanism = "mulleinhatch.upkeep.orders"', r"no module that can be imported"),
+    ('mechanism = "mulleinhatch.upkeep.order"', 'mechanism = "json"', r"no module of mulleinhatch"),
+    ('mechanism = "mulleinhatch.upkeep.order"', 'mechanism = ""', r"mechanism: missing"),
+    ('bound = "mulleinhatch.fleet.core:MOST_MEMBERS"', 'bound = "mulleinhatch.fleet.core:MOST"', r"is no number"),
+    ('bound = "control_core"', 'bound = "control_cores"', r"no module of mulleinhatch"),
+    ('kind = "memory"', 'kind = "room"', r"kind: 'room'"),
+    ('factor = 1e-6', 'faktor = 1e-6', r"faktor: no such key"),
+    ('missing = "configuration in versions"\n', '', r"over its bound"),
+    ('missing = "configuration in versions"\n', 'missing = "no such"\n', r"told of nowhere"),
+    ('value = 15.9\n', '', r"has a value"),
+    ('cost = "tools.fleet_answer_bytes"\n', '', r"neither a record's cost nor reckoned"),
+    ('role = "tools"', 'role = "tool"', r"role 'tool' is none")])
+def test_a_wrong_row_is_found(folder: Path, was: str, now: str, why: str) -> None:
+    declared(folder, was, now)
+    with pytest.raises(Unfit, match=why):
+        capacity.read_book(folder)
+
+
+def test_ratios_and_breaks(book: capacity.Book) -> None:
+    """Of each row, by arithmetic of its own."""
+    for row in book.rows:
+        need = row.factor * (row.value if row.cost is None else row.cost.fit.constant + row.cost.fit.slope * records.scale(
+            row.cost.fit.form, row.target))
+        for cost in row.times:
+            need *= cost.fit.constant + cost.fit.slope * records.scale(cost.fit.form, row.target)
+        assert row.at_target == pytest.approx(need)
+        if row.bound:
+            assert row.ratio == pytest.approx(need / row.bound.value)
+            if 0.0 < row.breaks_at < math.inf:
+                assert row.need(row.breaks_at) == pytest.approx(row.bound.value, rel=1e-6)
+            if row.size and not (row.cost and row.cost.fit.slope < 0.0):
+                assert (row.share < 1.0) == (row.ratio > 1.0), row.what
+
+
+def test_what_breaks_first_is_in_order(book: capacity.Book) -> None:
+    shares = [row.share for row in capacity.breaking(book)]
+    assert shares == sorted(shares) and shares[0] < 1.0
+
+
+def test_missing_first_by_the_rule(book: capacity.Book) -> None:
+    """The smallest share of those on which others stand; what nothing stands on comes behind."""
+    order = capacity.next_missing(book)
+    stood_on = [row.share for missing, row in order if missing.on_it]
+    assert stood_on == sorted(stood_on) and [bool(missing.on_it) for missing, _ in order] == sorted(
+        (bool(missing.on_it) for missing, _ in order), reverse=True)
+    broken = [row for row in book.rows if row.ratio > 1.0 and not row.replaced_by and book.missing[row.missing].on_it]
+    assert order[0][0].name == min(broken, key=lambda row: (row.share, -row.ratio)).missing
+
+
+SMALL = """
+target = [["members", "100"]]
+[roles]
+control = "Control"
+[sizes]
+members = 100
+[bounds]
+most = { value = 3000.0, text = "told" }
+[[missing]]
+name = "levels"
+on_it = ["mulleinhatch.spread"]
+why = "x"
+[[row]]
+role = "control"
+kind = "messages"
+what = "flat"
+record = "flat"
+cost = "bytes"
+bound = "most"
+mechanism = "mulleinhatch.fleet.core"
+missing = "levels"
+replaced_by = "levels"
+[[row]]
+role = "control"
+kind = "messages"
+what = "in levels"
+record = "levels"
+cost = "bytes"
+bound = "most"
+mechanism = "mulleinhatch.fleet.core"
+if_recorded = "levels"
+"""
+
+
+def small_record(folder: Path, name: str, points: list[tuple[float, float]], form: str) -> None:
+    records.keep(name, {"commit": "abc1234", "benchmark": "scale", "command": "none", "seed": 1, "mechanism": name,
+                        "costs": {"bytes": records.cost("bytes/s", "members", points, form)}, "events": {}, "notes": []},
+                 folder)
+
+
+def test_a_row_counts_once_its_record_is_there(tmp_path: Path) -> None:
+    (tmp_path / "rows.toml").write_text(SMALL)
+    small_record(tmp_path, "flat", [(10, 1000.0), (20, 2000.0), (40, 4000.0)], "linear")
+    book = capacity.read_book(tmp_path)
+    assert [row.what for row in book.rows] == ["flat"] and book.rows[0].breaks_at == pytest.approx(30.0)
+    assert book.rows[0].ratio == pytest.approx(10_000.0 / 3000.0)
+    assert [missing.name for missing, _ in capacity.next_missing(book)] == ["levels"]
+    small_record(tmp_path, "levels", [(10, 2000.0), (20, 2000.0), (40, 2000.0)], "constant")
+    book = capacity.read_book(tmp_path)
+    assert [row.what for row in book.rows] == ["flat", "in levels"] and capacity.next_missing(book) == []
+    assert book.rows[1].ratio == pytest.approx(2.0 / 3.0) and book.rows[1].breaks_at == math.inf
