--- /dev/null
+++ b/mulleinhatch/standins/lone.py
@@ -0,0 +1,189 @@
+"""One service instance and its stand-in interpreter as real processes, with settings of any size, and what they cost.
+
+CPU seconds are user and system time of all threads, to the nanosecond where the system tells it; memory is what belongs to
+the process alone (USS), in bytes. Who makes a `Lone` ends it by `stop`, or uses it in a `with`.
+"""
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from mulleinhatch.standins.rig import free_port
+
+UP_WITHIN = 120.0       # seconds: the largest settings take their time, on a busy machine the more
+CORES = 8               # of the interpreter: such that short work never waits for one
+WORTHS = 4              # distinct worths of the classes
+
+
+def settings(tenants: int = 0, classes: int = 1, worths: int = WORTHS, quota: float = 20.0) -> dict[str, Any]:
+    """Settings of that size. Each tenant has a fraction, four times its even part, and a quota in requests a second."""
+    if tenants < 0 or classes < 1 or worths < 1:
+        raise ValueError(f"{tenants} tenants, {classes} classes of {worths} worths: sizes below what there can be")
+    timing = {"aim": 1800.0, "deadline": 4500.0, "late_worth": 0.0, "memory_span": 60_000.0}
+    told: dict[str, Any] = {
+        "classes": [{"name": f"c{place}", "effect": "safe", "worth": 1.0 + place % worths, **timing}
+                    for place in range(classes)],
+        "family_info": {"cores": CORES, "gauges": ["core_use", "on_cores", "heap_share", "links"], "memory_kb": 60_000.0,
+                        "run_factor": 4.0, "key_kb": 1.0, "say": "floor", "callers": 1000},
+        "tick": 2.0, "servers": 3600, "limits": {"retry_after": True, "max_retry_after": 30_000.0},
+        "rules": {"drain_grace": 2500.0, "tip_multiple": 8.0, "cold": 0.0, "cold_from": 1.0}}
+    if tenants:
+        fraction = min(1.0, 4.0 / tenants)
+        told["tenants"] = [{"name": f"t{place:07d}", "fraction": fraction, "quota_per_s": 3600 * quota}
+                           for place in range(tenants)]
+    return told
+
+
+def cpu_seconds(process: psutil.Process) -> float:
+    """Of all its threads; by the scheduler's own count where there is one, else in ticks of 10 ms."""
+    try:
+        tasks = Path(f"/proc/{process.pid}/task")
+        found = sum(int((task / "schedstat").read_text().split()[0]) for task in tasks.iterdir())
+        if found:
+            return 1e-9 * found
+    except (OSError, ValueError, IndexError):
+        pass
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+class Lone:
+    def __init__(self, folder: Path, told: dict[str, Any], sockets: int = 1024, operator: str = "") -> None:
+        self.folder, self.port, self.link = folder, free_port(), free_port()
+        self.config, self.log = folder / "config.json", folder / "instance.log"
+        self.sockets = sockets
+        self.write(told)
+        self.json_bytes = self.config.stat().st_size
+        self.interpreter = self._interpreter(self.link)
+        environ = {name: text for name, text in os.environ.items() if not name.startswith("NODE_")}
+        extra = []
+        if operator:
+            (folder / "operator.kdl").write_text(operator)
+            extra = ["--operator", str(folder / "operator.kdl")]
+        began = time.monotonic()
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen([sys.executable, "-O", "-m", "mulleinhatch", "serve", "--config",
+                                             str(self.config), *extra], stderr=log, env=environ)
+        self.watched = psutil.Process(self.process.pid)
+        try:
+            self._until_live(began)
+        except BaseException:
+            self.stop()
+            raise
+
+    def __enter__(self) -> Lone:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def write(self, told: dict[str, Any]) -> None:
+        """The file of the next start or reload, whole or not at all."""
+        whole = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "vm": f"127.0.0.1:{self.link}", "seed": "5",
+                 "stop_ms": 100, "limits": {"sockets": self.sockets}, "settings": told}
+        new = self.config.with_suffix(".new")
+        new.write_text(json.dumps(whole))
+        new.replace(self.config)
+
+    @staticmethod
+    def _interpreter(port: int) -> subprocess.Popen[bytes]:
+        process = subprocess.Popen([sys.executable, "-m", "mulleinhatch.standins.interpreter", str(port), str(CORES), "1.0",
+                                    "0.0"], stdout=subprocess.DEVNULL)
+        until = time.monotonic() + 15.0
+        while time.monotonic() < until:
+            try:
+                socket.create_connection(("127.0.0.1", port), 1.0).close()
+                return process
+            except OSError:
+                time.sleep(0.02)
+        process.kill()
+        raise TimeoutError(f"no interpreter at {port}")
+
+    def _until_live(self, began: float) -> None:
+        """Until a health check is answered with 200; then how long that took, and its CPU and memory."""
+        while time.monotonic() - began < UP_WITHIN:
+            if self.process.poll() is not None:
+                raise RuntimeError(f"the instance ended with {self.process.returncode}: {self.log.read_text()[-400:]}")
+            try:
+                if self.ask("/status/live").startswith("HTTP/1.1 200"):
+                    break
+            except OSError:
+                pass
+            time.sleep(0.01)
+        else:
+            raise TimeoutError(f"not live within {UP_WITHIN:.0f} s: {self.log.read_text()[-400:]}")
+        self.ready_s, self.ready_cpu_s = time.monotonic() - began, self.cpu()
+        while not self.counters().get("link_opened"):
+            time.sleep(0.02)
+        time.sleep(0.3)     # its greeting and first gauges
+        self.ready_bytes = self.memory()
+
+    def ask(self, path: str) -> str:
+        with socket.create_connection(("127.0.0.1", self.port), 5.0) as sock:
+            sock.settimeout(30.0)
+            sock.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+            pieces = []
+            while piece := sock.recv(65536):
+                pieces.append(piece)
+        return b"".join(pieces).decode()
+
+    def counters(self) -> dict[str, int]:
+        body = self.ask("/status/counters").partition("\r\n\r\n")[2]
+        return {name: int(count) for name, _, count in (line.partition("=") for line in body.splitlines())}
+
+    def cpu(self) -> float:
+        return cpu_seconds(self.watched)
+
+    def memory(self) -> int:
+        return self.watched.memory_full_info().uss
+
+    def reload(self) -> None:
+        self.process.send_signal(signal.SIGHUP)
+
+    def stop(self) -> None:
+        for process in (self.process, self.interpreter):
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+
+class Driving:
+    """A driver at work; `up` waits until it begins, `done` for its report."""
+
+    def __init__(self, port: int, rate: float, run_for: float, **habits: Any) -> None:
+        self.run_for = run_for
+        self.process = subprocess.Popen([sys.executable, "-m", "mulleinhatch.standins.heavy"], stdin=subprocess.PIPE,
+                                        stdout=subprocess.PIPE)
+        self.process.stdin.write(json.dumps({"port": port, "rate": rate, "run_for": run_for, **habits}).encode() + b"\n")
+        self.process.stdin.flush()
+        if self.process.stdout.readline() != b"up\n":
+            self.process.wait()
+            raise RuntimeError(f"the driver ended with {self.process.returncode}")
+
+    def done(self) -> dict[str, Any]:
+        try:
+            out = self.process.communicate(timeout=self.run_for + 30.0)[0]
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            raise
+        return json.loads(out)
+
+
+def driven(lone: Lone, rate: float, run_for: float, **habits: Any) -> dict[str, Any]:
+    """One run of a driver against the instance: its report, with the instance's CPU and, towards its end, memory."""
+    driving = Driving(lone.port, rate, run_for, **habits)
+    cpu, at = lone.cpu(), time.monotonic()
+    time.sleep(0.8 * run_for)
+    memory = lone.memory()
+    told = driving.done()
+    cpu, took = lone.cpu() - cpu, time.monotonic() - at
+    return {**told, "cpu_ms": 1000.0 * cpu / max(1, told["answered"]), "core": cpu / took, "memory": memory, "took": took}
