--- a/mulleinhatch/standins/lone.py
+++ b/mulleinhatch/standins/lone.py
@@ -125,7 +125,7 @@
         while not self.counters().get("link_opened"):
             time.sleep(0.02)
         time.sleep(0.3)     # its greeting and first gauges
-        self.ready_bytes = self.memory()
+        self.ready_bytes, self.peak_bytes = self.memory(), self.peak()
 
     def ask(self, path: str) -> str:
         with socket.create_connection(("127.0.0.1", self.port), 5.0) as sock:
@@ -146,6 +146,18 @@
     def memory(self) -> int:
         return self.watched.memory_full_info().uss
 
+    def peak(self) -> int:
+        """The most that was resident since the start or the last `forget_peak`, shared libraries in, bytes."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return 1024 * int(status.partition("VmHWM:")[2].split()[0])
+
+    def forget_peak(self) -> None:
+        Path(f"/proc/{self.process.pid}/clear_refs").write_text("5")
+
+    def left(self) -> str:
+        """What the log of the last reload names as left until a restart."""
+        return self.log.read_text().rpartition("left_until_restart=")[2].split(maxsplit=1)[0] if self.log.exists() else ""
+
     def reload(self) -> None:
         self.process.send_signal(signal.SIGHUP)
 
--- /dev/null
+++ b/tests/test_scale_instance.py
@@ -0,0 +1,216 @@
+"""What measures an instance at the target size must itself be right: waits are seen, lost answers counted, settings taken."""
+from __future__ import annotations
+
+import json
+import os
+import re
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from benchmarks import scale_instance
+from mulleinhatch.program.placement import placement
+from mulleinhatch.standins.fits import fit, predicted
+from mulleinhatch.standins.heavy import Driver, Habits
+from mulleinhatch.standins.lone import Lone, cpu_seconds, driven, settings
+
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@contextmanager
+def server(answer: Callable[[bytes], bytes | None]) -> Iterator[int]:
+    """A server with a thread a connection; `answer` gets what came and tells what goes back, None to close."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+
+    def converse(sock: socket.socket) -> None:
+        with sock:
+            while data := sock.recv(65536):
+                if (words := answer(data)) is None:
+                    return
+                if words:
+                    sock.sendall(words)
+
+    def accept() -> None:
+        while True:
+            try:
+                sock = listener.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=converse, args=(sock,), daemon=True).start()
+    threading.Thread(target=accept, daemon=True).start()
+    try:
+        yield listener.getsockname()[1]
+    finally:
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+
+
+def played(port: int, **habits: object) -> dict:
+    driver = Driver(Habits(port=port, **{"rate": 100.0, "run_for": 0.6, "even": True, "keep": True, **habits}))
+    driver.settle()
+    driver.play()
+    return driver.report()
+
+
+def test_all_that_waited_for_a_server_that_stood_still_are_slow() -> None:
+    """With two connections only two requests are on their way in the standstill; those due behind them waited no less."""
+    begun = time.monotonic()
+    still = begun + 0.2, begun + 0.6
+
+    def answer(data: bytes) -> bytes:
+        now = time.monotonic()
+        if still[0] <= now < still[1]:
+            time.sleep(still[1] - now)
+        return GOOD
+    with server(answer) as port:
+        told = played(port, connections=2)
+    assert told["lost"] == 0 and told["answered"] == told["sent"] > 50
+    assert told["latency_ms"]["p100"] >= 350.0
+    assert sum(latency >= 0.1 for _, latency in told["kept"]) >= 25     # of 40 due in the standstill
+    assert told["waited"] >= 25
+
+
+def test_a_latency_counts_from_when_the_request_was_due() -> None:
+    with server(lambda data: GOOD) as port:
+        driver = Driver(Habits(port=port, rate=100.0, run_for=0.1))
+        driver.settle()
+        driver._send(time.monotonic() - 0.25, 0)     # it leaves a quarter of a second late
+        while driver.outstanding():
+            driver._hear(time.monotonic() + 0.1)
+    assert driver.report()["latency_ms"]["p100"] >= 250.0
+
+
+def test_what_has_no_answer_is_lost() -> None:
+    with server(lambda data: b"") as port:
+        told = played(port, run_for=0.2, drain=0.1, connections=50)
+    assert told["lost"] == told["sent"] > 10 and told["answered"] == 0
+
+
+def test_what_ends_with_its_connection_is_lost() -> None:
+    came: list[bytes] = []
+
+    def answer(data: bytes) -> bytes | None:
+        came.append(data)
+        return None if len(came) % 5 == 0 else GOOD
+    with server(answer) as port:
+        told = played(port)
+    assert told["broken"] == told["lost"] == len(came) // 5 > 5
+    assert told["answered"] + told["lost"] == told["sent"] == len(came)
+
+
+def test_an_answer_in_pieces_is_one_answer_and_a_rejection_is_no_good_one() -> None:
+    rejected = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
+
+    def answer(data: bytes) -> bytes:
+        return rejected if b"X-Retry" in data else GOOD
+    with server(answer) as port:
+        told = played(port, repeats=0.5)
+    assert told["lost"] == 0 and told["statuses"]["429"] + told["statuses"]["200"] == told["sent"]
+    assert told["statuses"]["429"] > 10
+
+
+def test_on_the_link_runs_without_a_notice_are_lost() -> None:
+    def answer(data: bytes) -> bytes:
+        refs = re.findall(rb'"rid":"([0-9a-f]{16})"', data)
+        return b"".join(b'{"t": "VALUE", "no": 1, "rid": "%b", "status": "good", "b64": ""}\n' % ref
+                        for ref in refs if ref < b"8")
+    with server(answer) as port:
+        told = played(port, wire="link", drain=0.1)
+    assert 10 < told["lost"] < told["sent"] - 10 and told["lost"] + told["answered"] == told["sent"]
+
+
+@pytest.mark.parametrize("tenants,classes", [(0, 1), (3, 2), (2000, 1), (5, 3000)])
+def test_settings_of_any_size_are_taken(tmp_path: Path, tenants: int, classes: int) -> None:
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:8080", "vm": "127.0.0.1:9300", "seed": "5",
+                                  "settings": settings(tenants, classes)}))
+    place = placement({}, str(config))
+    assert (len(place.tenants), len(place.op_types)) == (tenants, classes)
+    assert all(tenant["fraction"] > 0 and tenant["quota_per_s"] > 0 for tenant in place.deployment["tenants"])
+    environ = {name: text for name, text in os.environ.items() if not name.startswith("NODE_")}
+    said = subprocess.run([sys.executable, "-m", "mulleinhatch", "check", "--config", str(config)], capture_output=True,
+                          text=True, env=environ)
+    assert said.returncode == 0 and f"{classes} op types, {tenants} tenants" in said.stdout
+
+
+def test_an_instance_answers_by_name_for_each_tenant_and_refuses_those_it_never_heard_of(tmp_path: Path) -> None:
+    with Lone(tmp_path, settings(50)) as lone:
+        good = driven(lone, 100, 0.8, tenants=50)
+        unknown = driven(lone, 20, 0.3, tenants=50, tenant="x%07d", connections=50)
+        told = settings(50)
+        told["tenants"][0]["quota_per_s"] = 1.0
+        lone.write(told)
+        lone.reload()
+        until = time.monotonic() + 5.0
+        while not lone.counters().get("reloads") and time.monotonic() < until:
+            time.sleep(0.02)
+        left = lone.left()
+        assert cpu_seconds(lone.watched) > 0.05 and lone.memory() > 5e6 and lone.peak() > lone.memory()
+    assert good["lost"] == 0 and good["statuses"] == {"200": good["sent"]} and good["cpu_ms"] > 0.0
+    assert unknown["lost"] == 0 and unknown["statuses"] == {"400": unknown["sent"]}
+    assert left == "deployment"
+
+
+def test_an_instance_that_does_not_start_says_why(tmp_path: Path) -> None:
+    told = settings(2)
+    told["tenants"][1]["name"] = told["tenants"][0]["name"]
+    with pytest.raises(RuntimeError, match="ended with 2.*a name comes twice"):
+        Lone(tmp_path, told)
+
+
+@pytest.mark.parametrize("words,named", [(["--only", "everything"], "added, connections, callers"),
+                                         (["--seed", "x"], "no whole number")])
+def test_bad_arguments_are_named(capsys: pytest.CaptureFixture[str], words: list[str], named: str) -> None:
+    assert scale_instance.main(words) == 2
+    assert named in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("habits,named", [({"rate": -1, "run_for": 1}, "rate: -1.0 is not above zero"),
+                                          ({"rate": 1, "run_for": 1, "wire": "udp"}, "neither http nor link"),
+                                          ({"rate": 1, "run_for": 1, "raet": 1}, "unknown field `raet`")])
+def test_a_driver_names_what_is_wrong_with_its_habits(habits: dict, named: str) -> None:
+    said = subprocess.run([sys.executable, "-m", "mulleinhatch.standins.heavy"], capture_output=True, text=True,
+                          input=json.dumps({"port": 1, **habits}) + "\n")
+    assert said.returncode == 1 and named in said.stderr
+
+
+def test_sizes_below_zero_are_refused() -> None:
+    for sizes in ((-1, 1), (0, 0), (0, 1, 0)):
+        with pytest.raises(ValueError, match="below what there can be"):
+            settings(*sizes)
+    with pytest.raises(ValueError, match="a fit of 1 points"):
+        fit([[1, 1.0]])
+
+
+def test_the_largest_of_five_sizes_checks_the_fit_of_the_others() -> None:
+    book = scale_instance.Book(quick=False, seed=1)
+    straight = [(size, 10.0 + 0.01 * size) for size in (10, 100, 1000, 5000)]
+    book.cost("settings.straight", "MB", "tenants", [*straight, (50_000, 510.0)])
+    book.cost("settings.bent", "MB", "tenants", [*straight, (50_000, 1020.0)])
+    book.cost("settings.four", "MB", "tenants", straight)
+    cost = book.costs["instance.settings.straight"]
+    assert cost["form"] == "linear" and cost["checked"] == (50_000.0, 510.0) and len(cost["points"]) == 4
+    assert predicted(cost["form"], cost["constant"], cost["slope"], 50_000) == pytest.approx(510.0, rel=1e-3)
+    assert book.off("instance.settings.straight") < 0.01 and book.off("instance.settings.bent") == pytest.approx(0.5, abs=0.01)
+    assert book.off("instance.settings.four") is None
+
+
+def test_a_part_is_recorded_beside_the_others(tmp_path: Path) -> None:
+    path, points = tmp_path / "instance.json", [(1, 1.0), (2, 2.0), (3, 3.0), (4, 4.0)]
+    for part in ("tenants", "routes", "tenants"):
+        book = scale_instance.Book(quick=False, seed=1)
+        book.cost(f"settings.{part}_memory", "MB", part, points)
+        book.notes.append(f"{part}: calm")
+        scale_instance.record(path, book, "python -m benchmarks.scale_instance", [part])
+    told = json.loads(path.read_text())
+    assert sorted(told["costs"]) == ["instance.settings.routes_memory", "instance.settings.tenants_memory"]
+    assert len(told["notes"]) == 2 and told["mechanism"] == "instance" and told["benchmark"] == "scale_instance"
+    assert set(told["costs"]["instance.settings.routes_memory"]) == {
+        "unit", "size", "points", "form", "constant", "slope", "residual", "checked"}
