--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -48,6 +48,7 @@
 class Missing(NamedTuple):
     name: str
     on_it: tuple[str, ...]      # modules that stand on it
+    stands_on: tuple[str, ...]  # other missing ones that it needs itself
     why: str
 
 
@@ -139,10 +140,7 @@
             raise Unfit(f"{path.name}: {key}: missing")
     records = read_all(folder)
     bounds = {name: Bound(float(bound["value"]), bound["text"]) for name, bound in told["bounds"].items()}
-    missing = {one["name"]: Missing(one["name"], tuple(one["on_it"]), one["why"]) for one in told["missing"]}
-    for one in missing.values():
-        for module in one.on_it:
-            _importable(f"missing {one.name!r}", module)
+    missing = _missing(f"{path.name}: missing", told["missing"])
     rows = []
     for place, row in enumerate(told["row"]):
         where = f"{path.name}: row {place + 1} ({row.get('what', '?')})"
@@ -156,6 +154,18 @@
     return Book([(what, target) for what, target in told["target"]], roles, rows, missing, records)
 
 
+def _missing(where: str, told: list[dict[str, Any]]) -> dict[str, Missing]:
+    missing = {one["name"]: Missing(one["name"], tuple(one["on_it"]), tuple(one.get("stands_on", ())), one["why"])
+               for one in told}
+    for one in missing.values():
+        for module in one.on_it:
+            _importable(f"{where} {one.name!r}", module)
+        for name in one.stands_on:
+            if name not in missing:
+                raise Unfit(f"{where} {one.name!r}: stands_on: {name!r} is told of nowhere")
+    return missing
+
+
 def _recorded(told: str, records: dict[str, Record]) -> bool:
     """`record`, or `record:cost`, is there; nothing told asks for nothing."""
     name, _, cost = told.partition(":")
@@ -298,8 +308,9 @@
     if row.cost is None:
         return f"reckoned: {row.reckoned}"
     text = fit_text(row.cost)
-    if measured := [value for size, value in row.cost.points if size == row.target and row.cost.fit.residual > OFF]:
-        text += f"; measured there: {number(measured[0])}"
+    fit, told = row.cost.fit, [*row.cost.points, *([row.cost.checked] if row.cost.checked else [])]
+    for value in [value for size, value in told if size == row.target and abs(fit.at(size) - value) > OFF * abs(value)]:
+        text += f"; measured there: {number(row.factor * value)} {row.unit}"
     for cost in row.times:
         text += f"; times {fit_text(cost)}"
     reached = max([size for size, _ in row.cost.points] + ([row.cost.checked[0]] if row.cost.checked else []))
@@ -363,22 +374,34 @@
 
 
 def next_missing(book: Book) -> list[tuple[Missing, Row]]:
-    """By the page's rule: the smallest share of the target size, of those on which others stand; the rest behind."""
+    """By the page's rule: the smallest share of the target size, of those on which others stand; the rest behind. What
+    itself stands on a missing one comes after that."""
     first: dict[str, Row] = {}
     for row in breaking(book):
         if row.ratio > 1.0:
             first.setdefault(row.missing, row)
-    return sorted(((book.missing[name], row) for name, row in first.items()),
+    left = sorted(((book.missing[name], row) for name, row in first.items()),
                   key=lambda told: (not told[0].on_it, told[1].share, -told[1].ratio))
+    order: list[tuple[Missing, Row]] = []
+    while left:
+        names = {missing.name for missing, _ in left}
+        able = next((told for told in left if not names & set(told[0].stands_on)), None)
+        if able is None:
+            raise Unfit(f"rows.toml: missing: {', '.join(sorted(names))} stand on each other")
+        left.remove(able)
+        order.append(able)
+    return order
 
 
 def missing_table(book: Book) -> str:
     order = next_missing(book)
     lines = [(str(place + 1), missing.name, row.what, breaks_text(row)[1],
-              ", ".join(f"`{module}`" for module in missing.on_it) or "nothing", missing.why)
+              ", ".join(f"`{module}`" for module in missing.on_it) or "nothing", ", ".join(missing.stands_on) or "none missing",
+              missing.why)
              for place, (missing, row) in enumerate(order)]
     head = f"Missing first: **{order[0][0].name}**.\n\n" if order else "Nothing is missing.\n\n"
-    return head + table(("order", "mechanism", "its first bound to break", "at share", "stand on it", "why"), lines)
+    return head + table(("order", "mechanism", "its first bound to break", "at share", "stand on it", "stands itself on", "why"),
+                        lines)
 
 
 def events_table(book: Book) -> str:
--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -1,12 +1,13 @@
 """What single parts cost by size, in pure code: budgets, storm books, sketches, permits, decisions, the operator's answer.
 
 Usage:
-  parts [--quick] [--record] [--seed N]
+  parts [--quick] [--record] [--seed N] [--only PARTS]
 
 Options:
   --quick    Fewer sizes and turns; what it finds is not recorded.
   --record   Writes benchmarks/recorded/parts.json, from which docs/CAPACITY.md is made.
   --seed N   Of names and draws [default: 1].
+  --only PARTS  Some of budgets,few,storms,loudest,decisions,settings,voters,answers; the record keeps what it has of the others.
 
 Memory is what the structures hold (tracemalloc), time the process's own CPU, the median of several turns. Aims: what is said to
 be bounded is: the sketch of tenants, the storm books and an op's decision cost at their largest size at most twice what they
@@ -33,7 +34,7 @@
 from rich.console import Console
 from rich.table import Table as Shown
 
-from benchmarks.records import commit, cost, keep, rounded
+from benchmarks.records import RECORDED, commit, cost, keep, rounded
 from mulleinhatch.decide import Hatch
 from mulleinhatch.fleet import words
 from mulleinhatch.fleet.bounds import BudgetBounds, FleetBounds
@@ -419,19 +420,39 @@
     return side
 
 
-def measured(parts: Parts) -> Parts:
-    for part in (parts.budgets, parts.few, parts.storms, parts.loudest, parts.decisions, parts.settings, parts.voters,
-                 parts.answers):
+PARTS = ("budgets", "few", "storms", "loudest", "decisions", "settings", "voters", "answers")
+
+
+def measured(parts: Parts, names: list[str]) -> Parts:
+    for name in names:
         begun = time.monotonic()
-        part()
-        print(f"{part.__name__}: {time.monotonic() - begun:.1f} s", file=sys.stderr)
+        getattr(parts, name)()
+        print(f"{name}: {time.monotonic() - begun:.1f} s", file=sys.stderr)
     return parts
 
 
+def record(parts: Parts, names: list[str], at: str, load: float) -> None:
+    """Each run leaves a note of its commit and of how busy the machine was."""
+    busy = (f"{at}, {','.join(names)}: load average {load:.1f} at start, {os.getloadavg()[0]:.1f} at the end, "
+            f"on {os.cpu_count()} cores.")
+    path, old = RECORDED / "parts.json", {}
+    if len(names) < len(PARTS) and path.exists():
+        old = json.loads(path.read_text())
+    only = f" --only {','.join(names)}" if old else ""
+    keep("parts", {"commit": at, "benchmark": "parts", "command": f"python -m benchmarks.parts --record --seed {parts.seed}{only}",
+                   "seed": parts.seed, "mechanism": "parts", "costs": {**old.get("costs", {}), **parts.costs},
+                   "events": {**old.get("events", {}), **parts.events},
+                   "notes": [*NOTES, *(note for note in old.get("notes", []) if " load average " in note), busy]})
+
+
 def main(argv: list[str] | None = None) -> int:
     told = docopt(__doc__, argv)
+    names = told["--only"].split(",") if told["--only"] else list(PARTS)
+    if wrong := [name for name in names if name not in PARTS]:
+        print(f"parts: there is no part {wrong[0]!r}", file=sys.stderr)
+        return 1
     load, at = os.getloadavg()[0], commit()
-    parts = measured(Parts(told["--quick"], int(told["--seed"])))
+    parts = measured(Parts(told["--quick"], int(told["--seed"])), names)
     shown = Shown("cost", "unit", "by", "points", "fit", "residual")
     for name, one in parts.costs.items():
         points = ", ".join(f"{size:g}: {value:g}" for size, value in one["points"])
@@ -441,11 +462,8 @@
     grown = {name: rounded(points[-1][1] / points[-2][1], 3) for name, points in parts.bounded.items()}
     holds = {name: ratio <= 2.0 for name, ratio in grown.items()}
     if told["--record"] and not told["--quick"]:
-        command = f"python -m benchmarks.parts --record --seed {parts.seed}"
-        busy = f"Load average {load:.1f} at start, {os.getloadavg()[0]:.1f} at the end, on {os.cpu_count()} cores."
-        keep("parts", {"commit": at, "benchmark": "parts", "command": command, "seed": parts.seed, "mechanism": "parts",
-                       "costs": parts.costs, "events": parts.events, "notes": [*NOTES, busy]})
-    print(json.dumps({"grown": grown, "events": parts.events, "holds": holds}))
+        record(parts, names, at, load)
+    print(json.dumps({"benchmark": "parts", "grown": grown, "events": parts.events, "holds": holds}))
     return 0 if all(holds.values()) else 1
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -223,13 +223,29 @@
 
 
 def test_missing_first_by_the_rule(book: capacity.Book) -> None:
-    """The smallest share of those on which others stand; what nothing stands on comes behind."""
-    order = capacity.next_missing(book)
-    stood_on = [row.share for missing, row in order if missing.on_it]
-    assert stood_on == sorted(stood_on) and [bool(missing.on_it) for missing, _ in order] == sorted(
-        (bool(missing.on_it) for missing, _ in order), reverse=True)
-    broken = [row for row in book.rows if row.ratio > 1.0 and not row.replaced_by and book.missing[row.missing].on_it]
-    assert order[0][0].name == min(broken, key=lambda row: (row.share, -row.ratio)).missing
+    """The smallest share of those on which others stand and that stand on no missing one; what nothing stands on comes behind,
+    but for what it stands on itself."""
+    shares: dict[str, float] = {}
+    for row in book.rows:
+        if row.ratio > 1.0 and not row.replaced_by:
+            shares[row.missing] = min(row.share, shares.get(row.missing, math.inf))
+    order = [missing for missing, _ in capacity.next_missing(book)]
+    assert sorted(missing.name for missing in order) == sorted(shares)
+    for place, missing in enumerate(order):
+        behind = order[place + 1:]
+        assert not {one.name for one in behind} & set(missing.stands_on)
+        free = [one for one in behind if not {other.name for other in order[place:]} & set(one.stands_on)]
+        assert all((not missing.on_it, shares[missing.name]) <= (not one.on_it, shares[one.name]) for one in free)
+
+
+@pytest.mark.parametrize("was, now, why", [
+    ('stands_on = ["fleet state in levels"]', 'stands_on = ["fleet state"]', r"stands_on: 'fleet state' is told of nowhere"),
+    ('name = "fleet state in levels"', 'name = "fleet state in levels"\nstands_on = ["configuration in versions"]',
+     r"stand on each other")])
+def test_mechanisms_that_stand_on_each_other_are_found(folder: Path, was: str, now: str, why: str) -> None:
+    declared(folder, was, now)
+    with pytest.raises(Unfit, match=why):
+        capacity.next_missing(capacity.read_book(folder))
 
 
 SMALL = """
