--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -400,8 +400,8 @@
               missing.why)
              for place, (missing, row) in enumerate(order)]
     head = f"Missing first: **{order[0][0].name}**.\n\n" if order else "Nothing is missing.\n\n"
-    return head + table(("order", "mechanism", "its first bound to break", "at share", "stand on it", "stands itself on", "why"),
-                        lines)
+    head_line = ("order", "mechanism", "its first bound to break", "at share", "stand on it", "stands itself on", "why")
+    return head + table(head_line, lines)
 
 
 def events_table(book: Book) -> str:
--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -4,10 +4,10 @@
   parts [--quick] [--record] [--seed N] [--only PARTS]
 
 Options:
-  --quick    Fewer sizes and turns; what it finds is not recorded.
-  --record   Writes benchmarks/recorded/parts.json, from which docs/CAPACITY.md is made.
-  --seed N   Of names and draws [default: 1].
-  --only PARTS  Some of budgets,few,storms,loudest,decisions,settings,voters,answers; the record keeps what it has of the others.
+  --quick       Fewer sizes and turns; what it finds is not recorded.
+  --record      Writes benchmarks/recorded/parts.json, from which docs/CAPACITY.md is made.
+  --seed N      Of names and draws [default: 1].
+  --only PARTS  Some of budgets,few,storms,loudest,decisions,settings,voters,answers; the record keeps the others.
 
 Memory is what the structures hold (tracemalloc), time the process's own CPU, the median of several turns. Aims: what is said to
 be bounded is: the sketch of tenants, the storm books and an op's decision cost at their largest size at most twice what they
@@ -438,11 +438,11 @@
     path, old = RECORDED / "parts.json", {}
     if len(names) < len(PARTS) and path.exists():
         old = json.loads(path.read_text())
-    only = f" --only {','.join(names)}" if old else ""
-    keep("parts", {"commit": at, "benchmark": "parts", "command": f"python -m benchmarks.parts --record --seed {parts.seed}{only}",
-                   "seed": parts.seed, "mechanism": "parts", "costs": {**old.get("costs", {}), **parts.costs},
-                   "events": {**old.get("events", {}), **parts.events},
-                   "notes": [*NOTES, *(note for note in old.get("notes", []) if " load average " in note), busy]})
+    busy_before = [note for note in old.get("notes", []) if " load average " in note]
+    keep("parts", {"commit": old.get("commit", at), "benchmark": "parts",
+                   "command": f"python -m benchmarks.parts --record --seed {parts.seed}", "seed": parts.seed,
+                   "mechanism": "parts", "costs": {**old.get("costs", {}), **parts.costs},
+                   "events": {**old.get("events", {}), **parts.events}, "notes": [*NOTES, *busy_before, busy]})
 
 
 def main(argv: list[str] | None = None) -> int:
