--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -228,7 +228,8 @@
     changed(tmp_path / "flat.json", "bytes", checked=[100, 3300.0])
     row = capacity.read_book(tmp_path).rows[0]
     assert (row.ratio, row.breaks_at) == (pytest.approx(1.1), 100.0)
-    assert "MISSED by a run at 100 (-42%)" in capacity.slope_text(row) and "took 3,300, which counts" in capacity.slope_text(row)
+    text = capacity.slope_text(row)
+    assert "MISSED by a run at 100 (-42%)" in text and "took 3,300, which counts" in text
 
 
 def test_what_breaks_first_is_in_order(book: capacity.Book) -> None:
