--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -10,8 +10,8 @@
   --recorded FOLDER  Records and rows.toml; else those beside this file.
 
 A row's need is its cost's fit at the target size (times another cost, where the row says so), or what a run of that size took
-if that is more; the ratio is need over bound; it breaks where the fit reaches the bound, or where a run was over it. Rows without
-a run say their arithmetic and are marked as reckoned.
+if that is more; the ratio is need over bound; it breaks where the fit reaches the bound, or where a run was over it. Rows
+without a run say their arithmetic and are marked as reckoned.
 """
 from __future__ import annotations
 
