--- a/mulleinhatch/standins/heavy.py
+++ b/mulleinhatch/standins/heavy.py
@@ -26,6 +26,7 @@
 DONE = re.compile(rb'"t": ?"VALUE".*?"rid": ?"([0-9a-f]{16})"')
 QUANTILES = (50, 90, 99, 99.9, 100)
 CHECK = b"GET /status/live HTTP/1.1\r\nHost: x\r\n\r\n"
+SLICE = 0.1         # seconds over which the driver's own lateness is kept
 STRIDE = 7919       # a prime: the names are gone through out of order, each once before one comes again
 
 
@@ -50,7 +51,7 @@
     tenant: str = "t%07d"           # the form of their names
     classes: int = 1
     repeats: float = 0.0            # share that is marked as a further try
-    keep: bool = False              # report each answer: [when due, latency]
+    keep: bool = False              # report each answer, [when due, latency], and the driver's lateness by slices
 
 
 def checked(told: bytes) -> Habits:
@@ -93,6 +94,7 @@
         self.sent = self.answered = self.broken = self.waited = 0
         self.statuses: dict[str, int] = {}
         self.kept: list[tuple[float, float]] = []
+        self.late_in: dict[int, float] = {}     # by slice of the clock: how late at most
         self.count_from = 0.0
         self.rest: list[socket.socket] = []
 
@@ -141,6 +143,8 @@
         while due < until:
             while (now := time.monotonic()) >= due and due < until:
                 self.late.record_value(max(1, int(1e6 * (now - due))))
+                place = int(due / SLICE)
+                self.late_in[place] = max(self.late_in.get(place, 0.0), now - due)
                 self._send(due, number)
                 number += 1
                 due += 1.0 / habits.rate if habits.even else self.draw.expovariate(habits.rate)
@@ -247,7 +251,20 @@
             return {f"p{q:g}": histogram.get_value_at_percentile(q) / 1000.0 for q in QUANTILES}
         return {"sent": self.sent, "answered": self.answered, "lost": self.sent - self.answered, "broken": self.broken,
                 "waited": self.waited, "statuses": self.statuses, "latency_ms": quantiles(self.latency),
-                "late_ms": quantiles(self.late), "cpu_s": time.process_time(), "kept": self.kept}
+                "late_ms": quantiles(self.late), "cpu_s": time.process_time(), "kept": self.kept,
+                "late_in": self.late_in if self.habits.keep else {}}
+
+
+def calm_latencies(told: dict[str, Any], most: float) -> list[float]:
+    """Seconds, of the requests due in slices in which, and in the one before, the driver itself was late by `most` at most. Its
+    lateness tells of the machine, and owes nothing to who answers, so that this leaves out no wait of the server's.
+
+    >>> calm_latencies({"kept": [[0.05, 1.0], [0.15, 2.0], [0.25, 3.0], [0.35, 4.0]], "late_in": {"2": 0.1}}, 0.01)
+    [1.0, 2.0]
+    """
+    late = {int(place): seconds for place, seconds in told["late_in"].items()}
+    return [latency for due, latency in told["kept"]
+            if max(late.get(int(due / SLICE), 0.0), late.get(int(due / SLICE) - 1, 0.0)) <= most]
 
 
 def main() -> None:
