--- a/benchmarks/scale_instance.py
+++ b/benchmarks/scale_instance.py
@@ -60,7 +60,7 @@
         self.holds: dict[str, bool] = {}
         self.notes: list[str] = []
         self.late: list[float] = []     # p99 of the driver's own lateness, ms
-        self.lost = 0
+        self.lost = self.broken = 0     # requests without an answer; of these with a connection that ended or never stood
 
     def drive(self, lone: Lone, rate: float, run_for: float, **habits: Any) -> dict[str, Any]:
         return self.heard(driven(lone, rate, run_for, seed=self.seed, **habits))
@@ -68,6 +68,7 @@
     def heard(self, told: dict[str, Any]) -> dict[str, Any]:
         self.late.append(told["late_ms"]["p99"])
         self.lost += told["lost"]
+        self.broken += told["broken"]
         return told
 
     def cost(self, name: str, unit: str, size: str, points: list[tuple[float, float]]) -> None:
@@ -320,14 +321,15 @@
     book = Book(quick, seed)
     keep_environment()
     for part in parts:
-        before, since = os.getloadavg()[0], time.monotonic()
+        before, since, lost, broken = os.getloadavg()[0], time.monotonic(), book.lost, book.broken
         book.late.clear()
         with tempfile.TemporaryDirectory() as folder:
             PARTS[part](book, Path(folder))
         late = book.late or [0.0]
         book.notes.append(f"{part}: load average {before:.1f} at start, {os.getloadavg()[0]:.1f} at end of "
                           f"{time.monotonic() - since:.0f} s on {os.cpu_count()} cores; the driver itself was late by "
-                          f"{median(late):.2f} ms at p99 of its median run, {max(late):.2f} ms of its worst")
+                          f"{median(late):.2f} ms at p99 of its median run, {max(late):.2f} ms of its worst; "
+                          f"{book.lost - lost} requests lost, {book.broken - broken} of them with their connection")
     book.holds["no request lost"] = not book.lost
     off = {name: part for name, part in ((name, book.off(name)) for name in book.costs) if part is not None}
     steady = [part for name, part in off.items() if name.startswith("instance.settings.") and not book.is_wait(name)]
--- a/mulleinhatch/standins/heavy.py
+++ b/mulleinhatch/standins/heavy.py
@@ -40,7 +40,7 @@
     seed: int = 1
     even: bool = False              # evenly spaced, not by a Poisson process
     skip: float = 0.0               # from the start, in which latencies are not counted
-    drain: float = 3.0              # after the last request, in which answers may still come
+    drain: float = 6.0              # after the last request, in which answers may still come: longer than a request waits
     work_ms: float = 1.0            # of a request, on one core of the interpreter
     connections: int = 64           # at most; they are kept
     opened: int = 0                 # of these, before the first request: no connect then waits for a server that stands still
