A long head that comes whole no longer puts the instance into an endless loop

Seen: one request with a head of 9,000 bytes and a body of 2,048, sent in one piece, and a `serve` process answers nobody any more: 8.8 s of processor time in 12 s, no voluntary switch, health checks unanswered.

At fault: `RequestReader.message` judged the length of a head only while its end was still awaited. The buffer holds a head and a body at their most, 10,240 bytes. A head of 8,193 to 10,240 bytes that was read together with its end was let through; its body then had no room, `room()` gave an empty view, a read into nothing ended at once, and `_converse` went round without a wait. Whether such a head was taken or refused hung on how it was cut.

Changed: a head over the limit is 431 however it comes. A reader that waits for more and has no room costs its connection (`errors_inside`), not the loop: a second guard, in `Connections._exchange`.

--- a/mulleinhatch/protocol/http.py
+++ b/mulleinhatch/protocol/http.py
@@ -81,6 +81,10 @@
         head_end = self.buffer.find(HEAD_END, max(0, self.searched - len(HEAD_END)), self.end)
         if head_end < 0:
             return self._no_head_yet()
+        if head_end + len(HEAD_END) > MOST_HEAD:
+            # Not only while its end is awaited: the buffer holds a head and a body at their most. A longer head that came whole
+            # in one read would leave no room for the rest of its body, and who waits for that reads nothing for ever.
+            raise BadRequest("head too long", 431)
         line_end = self.buffer.find(LINE_END, 0, head_end + len(LINE_END))
         words = bytes(self.view[:line_end]).split(b" ")
         if len(words) != 3 or words[2] not in (b"HTTP/1.1", b"HTTP/1.0") or b"\n" in words[1]:
--- a/mulleinhatch/transport/connections.py
+++ b/mulleinhatch/transport/connections.py
@@ -45,7 +45,8 @@
 
 
 class Reader(Protocol):
-    """Finds whole messages in the bytes of one connection; a broken one raises ValueError."""
+    """Finds whole messages in the bytes of one connection; a broken one raises ValueError. After `message` gave None there is
+    room for more."""
 
     def room(self) -> memoryview: ...
     def filled(self, count: int) -> None: ...
@@ -210,7 +211,11 @@
             return
         if message is None:
             was_started = reader.started()
-            reader.filled(await stream.read_into(reader.room(), partial=True))
+            room = reader.room()
+            if not room:
+                # A read into nothing ends at once, without a wait: this coroutine would go round for ever, and no other run.
+                raise BufferError("no room for the rest of a message")
+            reader.filled(await stream.read_into(room, partial=True))
             if not was_started:
                 connection.due = self.clock() + MESSAGE_WAIT
             return
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -345,6 +345,63 @@
     run(cross())
 
 
+class Counted(http.RequestReader):
+    """Gives room so often that any request would be read, and then an error: what would go round for ever fails here."""
+    rooms = 0
+
+    def room(self) -> memoryview:
+        self.rooms += 1
+        assert self.rooms < 100, "it goes round without a wait"
+        return super().room()
+
+
+class Full(Counted):
+    """Waits for more, and has no room for it."""
+
+    def room(self) -> memoryview:
+        return super().room()[:0]
+
+
+@pytest.mark.parametrize("head", [http.MOST_HEAD, http.MOST_HEAD + 1, http.MOST_HEAD + 1000, http.MOST_HEAD + http.MOST_BODY])
+def test_a_long_head_that_comes_whole_with_a_part_of_its_body_leaves_the_others_served(head: int) -> None:
+    """It lies there whole before the first read: its end is found in the same read in which it grew too long."""
+    async def cross() -> None:
+        place = Place()
+        place.connections.reader = Counted
+        long, other = place.caller(), place.caller()
+        await place.taken(2)
+        words = b"POST /svc/a HTTP/1.1\r\nContent-Length: %d\r\nX-Long: " % http.MOST_BODY
+        sent = words + (head - len(words) - len(http.HEAD_END)) * b"a" + http.HEAD_END + http.MOST_BODY * b"b"
+        assert long.send(sent) == len(sent)
+        arrived(long_end := next(iter(place.connections.open.values())).stream.socket)
+        assert len(long_end.recv(len(sent), socket.MSG_PEEK)) == len(sent)
+        other.send(CHECK)
+        loop = asyncio.get_running_loop()
+        assert (await asyncio.wait_for(loop.sock_recv(other, 4096), SOON)).startswith(b"HTTP/1.1 200")
+        answer = await asyncio.wait_for(loop.sock_recv(long, 4096), SOON)
+        assert answer.startswith(b"HTTP/1.1 200" if head <= http.MOST_HEAD else b"HTTP/1.1 400")
+        assert not place.counts["errors_inside"]
+        for caller in (long, other):
+            caller.close()
+    run(cross())
+
+
+def test_a_reader_without_room_costs_its_connection_and_no_other() -> None:
+    async def cross() -> None:
+        place, full = Place(), Full()
+        place.connections.reader = lambda: full
+        stuck = place.caller()
+        await until(lambda: place.counts["errors_inside"])
+        assert full.rooms == 1
+        place.connections.reader = http.RequestReader
+        other = place.caller()
+        other.send(CHECK)
+        assert (await asyncio.wait_for(asyncio.get_running_loop().sock_recv(other, 4096), SOON)).startswith(b"HTTP/1.1 200")
+        assert await read_to_end(stuck) == b""
+        other.close()
+    run(cross())
+
+
 # Background work.
 
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -19,7 +19,7 @@
 
 from mulleinhatch.decide import Hatch
 from mulleinhatch.interface import Advice, Decision, Effect, StopMode, Verb
-from mulleinhatch.protocol.http import RequestReader
+from mulleinhatch.protocol.http import HEAD_END, MOST_BODY, MOST_HEAD, BadRequest, RequestReader
 from mulleinhatch.transport.connections import Connections
 from mulleinhatch.transport.stream import GatheringStream
 from standins import Interpreter, SocketPlay, told_at_start
@@ -199,6 +199,26 @@
         assert found == [(b"/svc/read", b"\r\n!"), (b"/x", b"")], cut
 
 
+@pytest.mark.parametrize("first", [1, 2048, MOST_HEAD - 1, MOST_HEAD, MOST_HEAD + MOST_BODY])
+def test_a_head_of_any_length_is_judged_alike_however_it_comes(first: int) -> None:
+    """Whole in one read, or with more behind it; a reader that waits for more always has room for it."""
+    for length in (MOST_HEAD - 1, MOST_HEAD, MOST_HEAD + 1, MOST_HEAD + 500, MOST_HEAD + MOST_BODY - 1, MOST_HEAD + MOST_BODY):
+        words = b"POST /svc/a HTTP/1.1\r\nContent-Length: %d\r\nX-Long: " % MOST_BODY
+        text = words + (length - len(words) - len(HEAD_END)) * b"a" + HEAD_END + MOST_BODY * b"b"
+        reader, found, most = RequestReader(), None, first
+        while text and not found:
+            room = reader.room()
+            assert room, f"waits for more of a head of {length}, and has no room"
+            count = min(most, len(room), len(text))
+            room[:count], text, most = text[:count], text[count:], len(room)
+            reader.filled(count)
+            try:
+                found = reader.message()
+            except BadRequest as error:
+                found = error.status
+        assert (found == 431) == (length > MOST_HEAD) and found, length
+
+
 def command(folder: Path, told: dict, *words: str) -> subprocess.CompletedProcess:
     (folder / "told.json").write_text(json.dumps(told))
     return subprocess.run([sys.executable, "-m", "mulleinhatch", *words, "--config", folder / "told.json"],
