Levels: words between groups come as often as a zone has bits of groups; who is alone asks little

Seen with 3,600 members started within a minute: mates joined 13.5 s after it, but 30 s later the sums counted 1,343 to 2,259 of them at 2,499 bytes a second a member, and one seed had 13,900 a second in its worst 10 s. Checked in one zone of 400: rows of 16 groups passed their staleness between two words of a round (a word a second, steps 1, 2, 4, 8) and each return was passed on as news to all; the seed's bytes were answers with sums to members that knew nobody yet and spoke for themselves alone.

--- a/mulleinhatch/fleet/levels.py
+++ b/mulleinhatch/fleet/levels.py
@@ -27,12 +27,12 @@
 SUMMED = FIGURES[:11]   # what is a sum over members; the rest are means with evidence of their own
 MOST_GROUP = 96         # members of a group
 MOST_ROWS = (63, 15, 15)            # other groups of the zone, zones of the region, regions
-STALE = (8.0, 10.0, 14.0)           # seconds without a word of it, by level: its members count as silent
+STALE = (10.0, 12.0, 16.0)           # seconds without a word of it, by level: its members count as silent
 PATIENCE = 2.0          # times as long for who speaks for nobody
-MESH_EVERY, STANDBY_EVERY = 1.0, 4.0    # seconds between words of a speaker to other groups, and of who would be the next
+MESH_ROUND, STANDBY_EVERY = 2.0, 4.0    # seconds for as many words of a speaker as its zone's groups have bits; of the next one
 LINK_EVERY, LINK_AGAIN = 2.5, 5.0   # seconds between words to another zone or region, by who keeps the link and by the second
 BEYOND_EVERY, SEEDS_EVERY = 5.0, 20.0
-ALONE_EVERY = 1.0       # seconds between words to a seed of who knows no mate
+ALONE_EVERY, ALONE_MOST, ALONE_MORE = 1.0, 8.0, 0.7     # seconds between words to seeds of who knows no mate: growing
 SETTLE = 5.0            # seconds after its start for which a member speaks for nobody: it knows too few yet
 GAP = 0.1               # seconds between words about news
 TELL_ALL_EVERY = 0.5    # seconds between words of all mates, to those that see others there
@@ -169,12 +169,14 @@
         self.told_at = self.mesh_at = self.urgent_at = self.seeds_at = self.beyond_at = now - 0.01 * self.draw(70)
         self.told_all_at = now
         self.own_news, self.step = 0, 0
+        self.asks, self.turn = 0, self.draw(64)     # of seeds while alone; whose turn it is
         self.link_at: dict[Names, float] = {}
         self.link_told: dict[Names, tuple[list[int], int]] = {}     # members that we told of on it last, and how often
         self.newcomers: dict[Names, list[str]] = {}
         self.asked_at: dict[str, float] = {}
         self.counts: Counter[str] = Counter()
         self.ranked: list[str] = []
+        self.mesh_every = MESH_ROUND / max(2, (place.groups - 1).bit_length())
         self.patience = 1.0     # who does not speak hears of other parts by its mates alone, which takes longer
 
     # Who speaks.
@@ -390,13 +392,16 @@
         alone = len(self.ranked) == 1
         groups = 1 + sum(level == GROUP for level, _ in self.rows)
         every = SEEDS_EVERY if groups >= self.place.groups else LINK_AGAIN
-        if alone and now - self.seeds_at >= ALONE_EVERY or rank == 0 and now - self.seeds_at >= every:
+        if alone:       # each seed once: then whoever of our group asks any of them is told of us
+            every = min(ALONE_MOST, ALONE_EVERY + ALONE_MORE * max(0, self.asks - len(self.bounds.seeds)))
+        if (alone or rank == 0) and now - self.seeds_at >= every:
             self.seeds_at = now
+            self.asks = self.asks + 1 if alone else 0
             yield from self._introduced(now, self.bounds.seeds)
         if rank > 1 or now - self.started < SETTLE:
             yield from self.pass_on(now)
             return
-        since, every = now - self.mesh_at, MESH_EVERY if rank == 0 else STANDBY_EVERY
+        since, every = now - self.mesh_at, self.mesh_every if rank == 0 else STANDBY_EVERY
         if rank == 0 or since >= every:
             self._tell_own(now)
         if rank == 0:
@@ -422,7 +427,7 @@
     def _contact(self, now: float, row: Known) -> str:
         """Mostly the first: the second in case that it can't hear us, earlier ones where nothing is heard from there."""
         known = len(row.contacts) if now - row.seen_at > 0.5 * STALE[row.sum.level] else min(2, len(row.contacts))
-        return row.contacts[0 if self.draw(4) else self.draw(known)]
+        return row.contacts[0 if self.draw(8) else self.draw(known)]
 
     def pass_on(self, now: float) -> Iterator[tuple[str, dict]]:
         """News goes at once where the bytes allow it, and else with the next turn."""
@@ -466,16 +471,18 @@
             yield from self._introduced(now, self.bounds.beyond)
 
     def _introduced(self, now: float, addresses: tuple[str, ...] | list[str]) -> Iterator[tuple[str, dict]]:
+        """The next of them in turn."""
         others = [address for address in addresses if address != self.members.address] or self.bounds.beyond
         if others:
-            yield self._ask(now, others[self.draw(len(others))])
+            self.turn += 1
+            yield self._ask(now, others[self.turn % len(others)])
 
     def _ask(self, now: float, address: str) -> tuple[str, dict]:
         self.asked_at[address] = now
         if len(self.asked_at) > 64:
             del self.asked_at[min(self.asked_at, key=lambda other: self.asked_at[other])]
         sums = []
-        if self.rank() == 0:
+        if self.speaks(now) and len(self.ranked) > 1:   # who is alone wants nothing but contacts
             sums = [*((own,) if (own := self._own_sum(now)) else ()), *self._abroad(now, REGION), *self._abroad(now, ZONE)[:1]]
         upward = self._fitting(self._named(wants=True, sums=sums, view=self.view()))
         return address, {"what": "ping", "number": 0, "short": True, "upward": upward}
@@ -531,7 +538,8 @@
         elif made_at <= row.made_at + 0.05:
             return False
         else:
-            news = told.members != row.sum.members or now - row.seen_at > STALE[told.level]
+            # One that was silent for a moment, and is as it was, is none: passed on at once it would cost a word to everybody.
+            news = told.members != row.sum.members or now - row.seen_at > PATIENCE * STALE[told.level]
             row.sum, row.made_at, row.seen_at = told, made_at, max(made_at, row.seen_at)
             if not news:
                 self._learn(row, told)
@@ -573,7 +581,9 @@
                 if near in self.newcomers or len(self.newcomers) < NEWCOMERS:
                     self.newcomers[near] = [letter.address, *(other for other in self.newcomers.get(near, ())
                                                               if other != letter.address)][:2]
-            told["upward"] = self._fitting(self._named(contacts=pack(contacts), sums=self._for(now, upward)))
+            # Who told of no sum speaks for nobody: it wants to know where to go, and that soon.
+            sums = self._for(now, upward) if upward.sums else []
+            told["upward"] = self._fitting(self._named(contacts=pack(contacts), sums=sums))
         return letter.address, told
 
     def _for(self, now: float, upward: Upward) -> list[Sum]:
