Levels: a zone tells another of those beside both, so that all find each other

Seen at 3,600 members 25 s after all had joined: sums of 3,404 to 3,600 and 1,971 bytes a second, none of it needed. In six zones of 100 the sum of one region went from 200 to 300 and back each second or two, and each turn was news to all: two of its three zones did not know each other, so the keepers of its links told different sums. At fault: Levels._abroad told a zone of regions, and of no third zone; only an ask of one of 16 addresses beyond, each 5 s, found it.

--- a/mulleinhatch/fleet/levels.py
+++ b/mulleinhatch/fleet/levels.py
@@ -354,14 +354,15 @@
         return self._fitting(self._named(ages=self._ages(now, self.rank() == 0), sums=chosen))
 
     def _abroad(self, now: float, level: int) -> list[Sum]:
-        """What another zone or region is told: our zone's sum and the other regions', or our region's."""
+        """What another zone or region is told: our zone's sum or our region's, and those of the others that it stands beside:
+        by them it finds those."""
         totals = self.totals(now)
         contacts = [self.members.address, *self._others_contacts(now)]
-        if level == REGION:
-            return [self._sum(REGION, self.place.region, totals["region"], contacts)]
+        own = (self._sum(REGION, self.place.region, totals["region"], contacts) if level == REGION else
+               self._sum(ZONE, self.place.zone, totals["zone"], contacts))
         rows = [self._aged(now, row) for (row_level, _), row in self.rows.items()
-                if row_level == REGION and now - row.seen_at <= STALE[REGION]]
-        return [self._sum(ZONE, self.place.zone, totals["zone"], contacts), *rows]
+                if row_level >= level and now - row.seen_at <= STALE[row_level]]
+        return [own, *rows]
 
     def _others_contacts(self, now: float) -> list[str]:
         """A speaker of another group, to be asked if all of ours are gone."""
@@ -466,7 +467,10 @@
                 self.link_at[names], self.link_told[names] = now, (counted, times + 1)
                 upward = self._fitting(self._named(sums=self._abroad(now, names[0])))
                 yield self._contact(now, row), {"what": "word", "short": True, "upward": upward}
-        if self.bounds.beyond and now - self.beyond_at >= BEYOND_EVERY and self._keeps(now, (ZONE, "")) == 0:
+        # Where other zones are heard they are asked seldom, only for those that nobody here knows of yet.
+        abroad = [now - row.seen_at <= STALE[level] for (level, _), row in self.rows.items() if level != GROUP]
+        every = SEEDS_EVERY if abroad and all(abroad) else BEYOND_EVERY
+        if self.bounds.beyond and now - self.beyond_at >= every and self._keeps(now, (ZONE, "")) == 0:
             self.beyond_at = now
             yield from self._introduced(now, self.bounds.beyond)
 
@@ -483,7 +487,7 @@
             del self.asked_at[min(self.asked_at, key=lambda other: self.asked_at[other])]
         sums = []
         if self.speaks(now) and len(self.ranked) > 1:   # who is alone wants nothing but contacts
-            sums = [*((own,) if (own := self._own_sum(now)) else ()), *self._abroad(now, REGION), *self._abroad(now, ZONE)[:1]]
+            sums = [*((own,) if (own := self._own_sum(now)) else ()), *self._abroad(now, REGION)[:1], *self._abroad(now, ZONE)]
         upward = self._fitting(self._named(wants=True, sums=sums, view=self.view()))
         return address, {"what": "ping", "number": 0, "short": True, "upward": upward}
 
