Levels: a speaker that missed news of a group is answered at once by who knows it

Seen at 3,600 members 24 s after all had joined: sums of 3,383 to 3,600, 1,988 bytes a second, and in two zones of 400 rows of groups 14 to 20 s behind. Checked: news is told to three groups and its rest by turns of 8 s; a speaker whose ages showed that it had missed one was noted, and the row went with the next word, to another group. At fault: Levels._take_ages.

--- a/mulleinhatch/fleet/levels.py
+++ b/mulleinhatch/fleet/levels.py
@@ -34,7 +34,7 @@
 BEYOND_EVERY, SEEDS_EVERY = 5.0, 20.0
 ALONE_EVERY, ALONE_MOST, ALONE_MORE = 1.0, 8.0, 0.7     # seconds between words to seeds of who knows no mate: growing
 SETTLE = 5.0            # seconds after its start for which a member speaks for nobody: it knows too few yet
-GAP = 0.1               # seconds between words about news
+GAP, AGAIN = 0.1, 0.4   # seconds between words about news, and of what another group's speaker missed
 TELL_ALL_EVERY = 0.5    # seconds between words of all mates, to those that see others there
 REFRESH = (8.0, 4.0, 4.0)           # seconds after which a row is passed on between groups though nothing changed
 REFRESH_MATES = 12.0                # and between mates
@@ -167,7 +167,7 @@
         self.own: Row | None = None     # our own report, for what is counted a second
         self.told: Sum | None = None    # of our group, as we told it last
         self.told_at = self.mesh_at = self.urgent_at = self.seeds_at = self.beyond_at = now - 0.01 * self.draw(70)
-        self.told_all_at = now
+        self.told_all_at = self.again_at = now
         self.own_news, self.step = 0, 0
         self.asks, self.turn = 0, self.draw(64)     # of seeds while alone; whose turn it is
         self.link_at: dict[Names, float] = {}
@@ -289,8 +289,9 @@
                 ages += b"\xff\0"
         return bytes(ages)
 
-    def _take_ages(self, now: float, ages: bytes, mate: bool) -> None:
-        """What the other heard lately we need not hear again; what it missed it is told with our next word."""
+    def _take_ages(self, now: float, ages: bytes) -> list[Known]:
+        """What the other heard lately we need not hear again; told are the parts of which one of us missed news."""
+        differ: list[Known] = []
         parts, check = self._parts()
         same = ages[:2] == check and len(ages) == 2 + 2 * len(parts)    # else only the groups' places are sure
         told = struct.iter_unpack("2B", ages[2:len(ages) // 2 * 2])
@@ -301,16 +302,19 @@
             if age < 255 and members == row.sum.members & 0xff:
                 row.seen_at = max(row.seen_at, now - age / 10.0)
             elif now - row.seen_at <= STALE[row.sum.level]:
-                self._tell_again(row, mate)
-        for names in parts[self.place.groups:] if not same else ():
-            self._tell_again(self.rows[names], mate)
+                differ.append(row)
+        return differ + [self.rows[names] for names in parts[self.place.groups:] if not same]
 
-    @staticmethod
-    def _tell_again(row: Known, mate: bool) -> None:
-        if mate:
-            row.to_mates = max(1, row.to_mates)
-        else:
-            row.to_groups = max(1, row.to_groups)
+    def _told_again(self, now: float, address: str, differ: list[Known]) -> Iterator[tuple[str, dict]]:
+        """To another group's speaker at once: our next word would go to somebody else. Where it knows better than we do, it
+        finds that by our ages and answers in the same way."""
+        if not differ or now - self.again_at < AGAIN or self.pace.over > OPTIONAL:
+            return
+        self.again_at = now
+        sums = [self._aged(now, row) for row in sorted(differ, key=lambda row: -row.made_at)[:SUMS_TO_GROUPS]]
+        own = [own] if self.rank() == 0 and (own := self._own_sum(now)) else []
+        upward = self._fitting(self._named(ages=self._ages(now, self.rank() == 0), sums=[*own, *sums]))
+        yield address, {"what": "word", "short": True, "upward": upward}
 
     def to_mate(self, now: float, asks: bool) -> bytes:
         """News, and of the rest what a mate heard longest ago; in an ask the ages too, and by whom we see there the wish to be
@@ -506,8 +510,12 @@
         for told in upward.sums:
             news |= self._take(now, told, mate, upward)
             yield from self._of_our_group(now, told)
-        if upward.ages and (mate or self._in_our_zone(upward)):
-            self._take_ages(now, upward.ages, mate)
+        differ = self._take_ages(now, upward.ages) if upward.ages and (mate or self._in_our_zone(upward)) else []
+        if mate:        # it has asked us, or is answered soon: with our next word to it
+            for row in differ:
+                row.to_mates = max(1, row.to_mates)
+        else:
+            yield from self._told_again(now, letter.address, differ)
         if news:
             yield from self.pass_on(now)
         if not mate and letter.what == "ping":
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -171,13 +171,25 @@
     assert row.sum.members == 20
     row.to_mates = 0
     ages = bytearray(one.levels._ages(10.2, False))
-    one.levels._take_ages(10.2, bytes(ages), True)
+    one.datagram(10.2, word(mate, upward=Upward(ages=bytes(ages))))
     assert row.to_mates == 0, "it knows the same"
     ages[2 + 2 * 1 + 1] = 25
-    one.levels._take_ages(10.2, bytes(ages), True)
+    one.datagram(10.2, word(mate, upward=Upward(ages=bytes(ages))))
     assert row.to_mates == 1
 
 
+def test_a_speaker_that_missed_news_of_a_group_is_answered_at_once() -> None:
+    """With the next word another group would hear it: 14 s passed in a zone of 16 groups until all knew of one."""
+    one, mate, other = core(names(0, 1)[0]), names(0, 2)[1], names(2, 1)[0]
+    one.datagram(10.0, word(mate, upward=Upward(sums=[total(GROUP, "1/4", 20)])))
+    ages = bytearray(one.levels._ages(10.1, False))
+    assert not one.datagram(10.1, word(other, upward=Upward("r", "z", "2/4", ages=bytes(ages))))
+    ages[2 + 2 * 1:2 + 2 * 1 + 2] = 3, 12
+    (address, data), = one.datagram(10.5, word(other, upward=Upward("r", "z", "2/4", ages=bytes(ages))))
+    told = words.decode_upward(words.decode(data, "f").upward)
+    assert address.startswith("10.0.0.2") and [(row.name, row.members) for row in told.sums] == [("1/4", 20)]
+
+
 @pytest.mark.parametrize("upward", [b"\xc1", b"\x00" * 40, msgspec.msgpack.encode(["r", "z", "0/4", False, b"", b"", [[7]]]),
                                     msgspec.msgpack.encode(["r" * 400])])
 def test_what_is_no_upward_is_counted_and_the_rest_of_the_letter_holds(upward: bytes) -> None:
