--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -185,9 +185,20 @@
         for name in one.stands_on:
             if name not in missing:
                 raise Unfit(f"{where} {one.name!r}: stands_on: {name!r} is told of nowhere")
+    _grounded(missing)
     return missing
 
 
+def _grounded(missing: dict[str, Missing]) -> None:
+    """None of them stands on itself over others, whichever of them are missing today."""
+    left = dict(missing)
+    while able := [name for name, one in left.items() if not left.keys() & set(one.stands_on)]:
+        for name in able:
+            del left[name]
+    if left:
+        raise Unfit(f"rows.toml: missing: {', '.join(sorted(left))} stand on each other")
+
+
 def _recorded(told: str, records: dict[str, Record]) -> bool:
     """`record`, or `record:cost`, is there; nothing told asks for nothing."""
     name, _, cost = told.partition(":")
