Levels: a word cut to its bytes keeps all it tells; an upward part is read in one place

Found on rereading. Levels._fitting built the word anew from its fields when sums had to go, and left out the view, by which a mate learns that it sees others there: such a probe asked for nothing. It is the same word with fewer sums now. Letters of mates and of strangers read and counted the upward part in two places; Levels.upward does it for both.

--- a/mulleinhatch/fleet/core.py
+++ b/mulleinhatch/fleet/core.py
@@ -126,7 +126,7 @@
             return []
         errands = list(self.members.heard(now, letter))
         if self.levels:
-            upward = words.decode_upward(letter.upward) if letter.upward else None
+            upward = self.levels.upward(letter)
             if letter.what == "ping" and self.levels.tells_all(now, upward):
                 errands = [(address, {**told, "new": True}) for address, told in errands]
             errands += self.levels.heard(now, letter, upward)
@@ -155,7 +155,7 @@
         else:
             self.members.stranger(now, letter)
         if letter.place:
-            return list(self.levels.heard(now, letter, words.decode_upward(letter.upward) if letter.upward else None))
+            return list(self.levels.heard(now, letter, self.levels.upward(letter)))
         self.counts["letters_without_levels"] += 1
         if letter.what != "ping":
             return []
--- a/mulleinhatch/fleet/levels.py
+++ b/mulleinhatch/fleet/levels.py
@@ -22,7 +22,7 @@
 from mulleinhatch.fleet.bounds import FleetBounds
 from mulleinhatch.fleet.counts import FIGURES, Counts, Row
 from mulleinhatch.fleet.mates import Mates
-from mulleinhatch.fleet.words import ALIVE, GROUP, REGION, SUSPECT, ZONE, Letter, Sum, Upward, encode_upward
+from mulleinhatch.fleet.words import ALIVE, GROUP, REGION, SUSPECT, ZONE, Letter, Sum, Upward, decode_upward, encode_upward
 
 SUMMED = FIGURES[:11]   # what is a sum over members; the rest are means with evidence of their own
 MOST_GROUP = 96         # members of a group
@@ -41,7 +41,7 @@
 TOLD_MESH, TOLD_MATES = 3, 3        # times that news is passed on
 FAN_MESH, FAN_MATES = 2, 2          # groups and mates to whom it is passed on at once; the other times go with other words
 LINK_TOLD = 2           # times that news goes over a link at once: one may be lost
-WORTH = 0.125           # change of a figure that makes a new version
+WORTH = 0.125           # change of a figure from which our sum is told anew
 SUMS_TO_MATES, SUMS_TO_GROUPS = 3, 6
 MOST_UPWARD = 640       # bytes
 HEADERS = 28            # bytes of IP and UDP a datagram
@@ -337,9 +337,9 @@
                 seen ^= score(member.name)
         return seen & 0xffff or 1
 
-    def tells_all(self, now: float, upward: Upward | None) -> bool:
+    def tells_all(self, now: float, upward: Upward) -> bool:
         """Whether who asked is told of all mates: it sees others there than we do. Not often, where many come and go."""
-        if (upward is None or not upward.view or upward.view == self.view() or now - self.told_all_at < TELL_ALL_EVERY
+        if (not upward.view or upward.view == self.view() or now - self.told_all_at < TELL_ALL_EVERY
                 or self.pace.over > 2.0 * OPTIONAL):
             return False
         self.told_all_at = now
@@ -382,7 +382,7 @@
         sums = list(upward.sums)
         while len(data := encode_upward(upward)) > MOST_UPWARD and sums:
             sums.pop()
-            upward = Upward(upward.region, upward.zone, upward.group, upward.wants, upward.contacts, upward.ages, sums)
+            upward = msgspec.structs.replace(upward, sums=sums)
         return data
 
     # The beat.
@@ -500,11 +500,14 @@
     def is_mate(self, letter: Letter) -> bool:
         return letter.place == self.place.key
 
-    def heard(self, now: float, letter: Letter, upward: Upward | None) -> Iterator[tuple[str, dict]]:
+    def upward(self, letter: Letter) -> Upward:
+        """What a letter tells upward; what can't be read is counted, and tells nothing."""
+        upward = decode_upward(letter.upward) if letter.upward else Upward()
+        self.counts["upward_unfit"] += upward is None
+        return upward or Upward()
+
+    def heard(self, now: float, letter: Letter, upward: Upward) -> Iterator[tuple[str, dict]]:
         """Of mates and strangers; the letter's own matter (members, reports, trades) is not looked at here."""
-        if upward is None:
-            self.counts["upward_unfit"] += bool(letter.upward)
-            upward = Upward()
         mate = self.is_mate(letter)
         news = False
         for told in upward.sums:
