Scale: one least squares and one name of what is measured, those of the records

Found on rereading: benchmarks/fits.py had its own Fit, least squares of relative errors and commit beside those of benchmarks/records.py. It keeps the choice of a form and the record of a cost, and calls the others.

--- a/benchmarks/fits.py
+++ b/benchmarks/fits.py
@@ -1,39 +1,15 @@
-"""Costs by size: a fit of constant, line or logarithm, its residual, and the record that the capacity page is made of."""
+"""Which form a cost by size has: constant, line or logarithm; and the cost as the record that the capacity page is made of."""
 from __future__ import annotations
 
 import json
-import math
-import subprocess
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
+
+from benchmarks.records import Fit, fitted
 
 FLAT = 0.03             # a constant that is off by no more than this is the whole truth
 CHECK = 0.15            # by which a fit may be off at a size that it was not made from
-FORMS = {"constant": lambda size: 0.0, "linear": float, "log2": math.log2}
-
-
-class Fit(NamedTuple):
-    form: str
-    constant: float
-    slope: float
-    residual: float     # the largest relative error at the points
-
-    def at(self, size: float) -> float:
-        return self.constant + self.slope * FORMS[self.form](size)
-
-
-def fitted(points: list[tuple[float, float]], form: str) -> Fit:
-    """Least squares of relative errors: a small size counts as much as a large one."""
-    shape = FORMS[form]
-    weights = [1.0 / max(abs(value), 1e-12) ** 2 for _, value in points]
-    whole = sum(weights)
-    mean_x = sum(weight * shape(size) for weight, (size, _) in zip(weights, points)) / whole
-    mean_y = sum(weight * value for weight, (_, value) in zip(weights, points)) / whole
-    spread = sum(weight * (shape(size) - mean_x) ** 2 for weight, (size, _) in zip(weights, points))
-    slope = sum(weight * (shape(size) - mean_x) * (value - mean_y)
-                for weight, (size, value) in zip(weights, points)) / spread if spread else 0.0
-    fit = Fit(form, mean_y - slope * mean_x, slope, 0.0)
-    return fit._replace(residual=max(abs(fit.at(size) - value) / max(abs(value), 1e-12) for size, value in points))
+FORMS = ("constant", "linear", "log2")
 
 
 def fit(points: list[tuple[float, float]]) -> Fit:
@@ -52,12 +28,6 @@
     return Fit(best.form, *(round(value, 9) for value in best[1:]))
 
 
-def commit() -> str:
-    told = subprocess.run(["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True,
-                          cwd=Path(__file__).parent, check=False)
-    return told.stdout.strip() or "unknown"
-
-
 def cost(unit: str, points: list[tuple[int, float]], checked: tuple[int, float] | None = None) -> dict[str, Any]:
     best = fit([(float(size), value) for size, value in points])
     return {"unit": unit, "size": "members", "points": [[size, rounded(value)] for size, value in points], "form": best.form,
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -48,7 +48,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from benchmarks import fits
+from benchmarks import fits, records
 from mulleinhatch.fleet.core import MOST_MEMBERS
 from mulleinhatch.standins.faults import BadScript
 from mulleinhatch.standins.hollow import RACK, BadPlan, Ground, Plan, churn, knows_levels, listed, restart_all
@@ -161,7 +161,7 @@
     """What is measured in one call of the benchmark: parts add to it."""
 
     def __init__(self, told: Told) -> None:
-        self.told, self.commit = told, fits.commit()
+        self.told, self.commit = told, records.commit()
         self.by_size: dict[int, Figures] = {}
         self.full: tuple[int, Figures] | None = None
         self.events: dict[str, Figures] = {}
@@ -217,8 +217,8 @@
                     self.judge("full", {aim: off <= fits.CHECK})
 
     @staticmethod
-    def fit_of(cost: Figures) -> fits.Fit:
-        return fits.Fit(cost["form"], cost["constant"], cost["slope"], cost["residual"])
+    def fit_of(cost: Figures) -> records.Fit:
+        return records.Fit(cost["form"], cost["constant"], cost["slope"], cost["residual"])
 
     def costs(self) -> dict[str, Figures]:
         if not self.by_size:
