Scale of one instance: its costs are fitted by the records' least squares too

Found on rereading: standins/fits.py was a third least squares of relative errors, and no stand-in. The choice of a form that it made stays as fits.worthwhile, with its doctests; Fit.at takes the place of predicted.

--- a/benchmarks/fits.py
+++ b/benchmarks/fits.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 FLAT = 0.03             # a constant that is off by no more than this is the whole truth
 CHECK = 0.15            # by which a fit may be off at a size that it was not made from
+WORTH = 0.02            # of residual that a slope must take away, where a cost is not flat by that bound
 FORMS = ("constant", "linear", "log2")
 
 
@@ -28,6 +30,22 @@
     return Fit(best.form, *(round(value, 9) for value in best[1:]))
 
 
+def worthwhile(points: Sequence[Sequence[float]]) -> Fit:
+    """A slope only where it takes away enough of the error of a constant.
+
+    >>> worthwhile([[10, 105.0], [100, 150.0], [1000, 600.0], [10_000, 5100.0]])
+    Fit(form='linear', constant=100.0, slope=0.5, residual=0.0)
+    >>> worthwhile([[1, 3.0], [2, 5.0], [4, 7.0], [8, 9.0]]).form, worthwhile([[1, 3.0], [2, 3.01], [4, 3.0], [8, 2.99]]).form
+    ('log2', 'constant')
+    """
+    if len(points) < 2:
+        raise ValueError(f"a fit of {len(points)} points")
+    constant, *grown = (fitted([(size, value) for size, value in points], form) for form in FORMS)
+    best = min(grown, key=lambda one: one.residual)
+    best = best if best.residual < constant.residual - WORTH else constant
+    return Fit(best.form, rounded(best.constant), rounded(best.slope), round(best.residual, 4))
+
+
 def cost(unit: str, points: list[tuple[int, float]], checked: tuple[int, float] | None = None) -> dict[str, Any]:
     best = fit([(float(size), value) for size, value in points])
     return {"unit": unit, "size": "members", "points": [[size, rounded(value)] for size, value in points], "form": best.form,
--- a/benchmarks/scale_instance.py
+++ b/benchmarks/scale_instance.py
@@ -14,7 +14,7 @@
 link to another interpreter of the same kind: the same requests with the same work, in turns, in the slices of time in which the
 driver itself was on time, if they are enough. The wait of what the instance holds back is in it, and what the driver needs for
 HTTP instead of the link's lines. A route is a class, which the last part of a request's path names: there is no other notion
-of one. Costs by size are fitted (`standins/fits.py`); without --quick the largest size is left out of the fit and checks it.
+of one. Costs by size are fitted (`benchmarks/fits.py`); without --quick the largest size is left out of the fit and checks it.
 Aims: 2.6 ms added at p99 at 275 requests a second and when a zone or a region is gone; no request lost, also while the settings
 are read anew; in full, fits of CPU and memory of settings within 15% of their checks. What a size needs beside its bound is no
 aim here: docs/CAPACITY.md has that table. A busy machine shows in how late the driver itself is, and misses the first aim.
@@ -36,7 +36,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from mulleinhatch.standins.fits import fit, predicted
+from benchmarks.fits import worthwhile
+from benchmarks.records import Fit
 from mulleinhatch.standins.heavy import calm_latencies
 from mulleinhatch.standins.lone import Driving, Lone, driven, settings
 from mulleinhatch.standins.rig import free_port, keep_environment
@@ -76,7 +77,8 @@
         points = [(float(at), float(f"{value:.5g}")) for at, value in points]
         kept = points if len(points) < 5 else points[:-1]
         self.costs[f"instance.{name}"] = {
-            "unit": unit, "size": size, "points": kept, **fit(kept), "checked": None if kept is points else points[-1]}
+            "unit": unit, "size": size, "points": kept, **worthwhile(kept)._asdict(),
+            "checked": None if kept is points else points[-1]}
 
     def is_wait(self, name: str) -> bool:
         """Whether it is time on the clock, in which others on the machine have their part; CPU and memory are the process's."""
@@ -88,7 +90,7 @@
         if not cost["checked"]:
             return None
         at, value = cost["checked"]
-        return abs(predicted(cost["form"], cost["constant"], cost["slope"], at) - value) / value
+        return abs(Fit(cost["form"], cost["constant"], cost["slope"]).at(at) - value) / value
 
 
 # What it adds to a request.
--- a/tests/test_scale_instance.py
+++ b/tests/test_scale_instance.py
@@ -16,8 +16,9 @@
 import pytest
 
 from benchmarks import scale_instance
+from benchmarks.fits import worthwhile
+from benchmarks.records import Fit
 from mulleinhatch.program.placement import placement
-from mulleinhatch.standins.fits import fit, predicted
 from mulleinhatch.standins.heavy import Driver, Habits
 from mulleinhatch.standins.lone import Lone, cpu_seconds, driven, settings
 
@@ -188,7 +189,7 @@
         with pytest.raises(ValueError, match="below what there can be"):
             settings(*sizes)
     with pytest.raises(ValueError, match="a fit of 1 points"):
-        fit([[1, 1.0]])
+        worthwhile([[1, 1.0]])
 
 
 def test_the_largest_of_five_sizes_checks_the_fit_of_the_others() -> None:
@@ -199,7 +200,7 @@
     book.cost("settings.four", "MB", "tenants", straight)
     cost = book.costs["instance.settings.straight"]
     assert cost["form"] == "linear" and cost["checked"] == (50_000.0, 510.0) and len(cost["points"]) == 4
-    assert predicted(cost["form"], cost["constant"], cost["slope"], 50_000) == pytest.approx(510.0, rel=1e-3)
+    assert Fit(cost["form"], cost["constant"], cost["slope"]).at(50_000) == pytest.approx(510.0, rel=1e-3)
     assert book.off("instance.settings.straight") < 0.01 and book.off("instance.settings.bent") == pytest.approx(0.5, abs=0.01)
     assert book.off("instance.settings.four") is None
 
