--- /dev/null
+++ b/mulleinhatch/control_plane/orders.py
@@ -0,0 +1,307 @@
+"""Carries out the plan: the holder of orders sends them to stubs, follows each to its end, and tells where models stand.
+
+What a stub holds is believed from its reports. An order without an answer may have been taken: it counts as coming until a report
+shows another count of orders, or enough time has passed.
+"""
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mulleinhatch.configuration.routes import Engine, RouteTable, build_table
+from mulleinhatch.control_plane.ceiling import LoadCeiling
+from mulleinhatch.control_plane.core import Core
+from mulleinhatch.control_plane.demand import Demand
+from mulleinhatch.control_plane.placement import Holding, Operation, Order, Planner, StubView
+from mulleinhatch.leadership.holder import HolderRole, RoleState, Sight
+from mulleinhatch.messages.cluster import DemandAnswer, DemandReport, HeldModel, PendingLoad, Stub
+from mulleinhatch.services.http_client import CallFailed, Caller, WholeAnswer
+from mulleinhatch.services.web import JSON_TYPE
+
+LOG = logging.getLogger(__name__)
+TICK_S = 0.1
+ORDER_S = 0.8           # for the answer to an order
+REPORT_S = 0.6          # for the answer to a report
+LOOK_AGAIN_S = 0.12     # between reports while an order should be done
+SETTLE_S = 0.35         # reports show the state of some hundred ms earlier
+REST_S = 1.0            # a stub that did not answer is left alone so long
+GIVE_UP_S = 6.0         # beyond what an order should take: then it counts as never taken
+REVISION_SHIFT = 32     # fencing token above, count of changes below
+
+
+@dataclass
+class UnderWay:
+    """An order that a stub carries out, or may."""
+
+    order: Order
+    begun: float
+    expected_at: float
+    revision: int       # the stub's count of orders before it
+    certain: bool = True
+
+
+@dataclass
+class StubWork:
+    """What the holder knows of one stub."""
+
+    models: dict[str, Holding] = field(default_factory=dict)
+    revision: int = 0
+    known: bool = False             # a report came since we hold the role
+    under_way: UnderWay | None = None
+    look_at: float = 0.0
+    looking: bool = False
+    busy_elsewhere: bool = False    # it carries out an order that is not ours
+    failures: int = 0
+
+
+@dataclass(frozen=True)
+class Report:
+    """What a stub's report says that matters here."""
+
+    models: dict[str, set[str]]
+    busy: bool
+    revision: int
+
+
+def read_report(body: bytes) -> Report:
+    """ValueError where it is none."""
+    value = json.loads(body)
+    try:
+        models = {model["name"]: set(model.get("adapters", ())) for model in value.get("models", ())}
+        return Report(models, bool(value.get("busy")), int(value.get("sequence", 0)))
+    except (AttributeError, KeyError, TypeError) as error:
+        raise ValueError(f"no report: {error!r}") from None
+
+
+class Orders:
+    """The role's work on one core machine; it acts only while it holds the role."""
+
+    def __init__(self, core: Core, caller: Caller, clock: Callable[[], float], lease_s: float, window_s: float) -> None:
+        self._core, self._caller, self._clock = core, caller, clock
+        self.role = HolderRole(lease_s)
+        self.demand = Demand()
+        self._ceiling = LoadCeiling(window_s)
+        self._work: dict[str, StubWork] = {}
+        self._held_before: dict[str, set[str]] = {}     # by address: what a stub's own disk has
+        self._table = RouteTable()
+        self._last_order_at = -1e6
+        self._changes = 0
+        self._soon = asyncio.Event()
+        self.log: list[str] = []
+
+    # The role.
+
+    def idle_s(self) -> float:
+        """How long this machine has given no order."""
+        return self._clock() - self._last_order_at
+
+    async def run(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._soon.wait()
+            except TimeoutError:
+                pass
+            self._soon.clear()
+            await self._look()
+
+    async def _look(self) -> None:
+        state = self.role.observe(self._sight(), self._clock())
+        if state is RoleState.CLAIMING:
+            first = not self._core.state.holder
+            token = await self._core.claim_orders()
+            self.role.claimed(token)
+            if self.role.acting:
+                self._begin(first)
+        elif state is RoleState.ACTING:
+            self._act()
+
+    def _sight(self) -> Sight:
+        core = self._core
+        former = core.peers.by_identity.get(core.state.holder)
+        idle = former.orders_idle_s if former is not None and former.leaving else 0.0
+        return Sight(core.replica.is_head and core.authoritative() and not core.leaving, core.member.identity,
+                     core.state.holder, core.state.fence_token, idle)
+
+    def _begin(self, first: bool) -> None:
+        """The role is ours: nothing is known of what the former holder had under way."""
+        LOG.info("holds the orders", extra={"token": self.role.token})
+        self._work.clear()
+        self._changes = 0
+        if not first:
+            self._ceiling.assume_full(self._clock())
+
+    async def on_demand(self, report: DemandReport) -> DemandAnswer:
+        """A data plane tells what is asked for there."""
+        self.demand.take(report, self._clock())
+        if any(one.held for one in report.demand):
+            self._soon.set()
+        return DemandAnswer(taken=self.role.acting)
+
+    # One look.
+
+    def _act(self) -> None:
+        now = self._clock()
+        document = self._core.state.document
+        if self._table.version != document.version:
+            self._table = build_table(document)
+        for service in self._table.services.values():
+            if service.engine is not None:
+                self._act_for(service.name, service.engine, now)
+
+    def _act_for(self, service: str, engine: Engine, now: float) -> None:
+        stubs = [entry.stub for entry in self._core.registry.entries.values()
+                 if entry.stub.service == service and not entry.stub.gone and not entry.stub.silent]
+        for stub in stubs:
+            self._remember(stub)
+            self._follow(stub, now)
+        wanted = self.demand.totals(service, now)
+        if not wanted:
+            return
+        self._ceiling.configure(engine.loads_per_s)
+        views = [self._view(stub, now) for stub in stubs]
+        for order in Planner(engine, views, wanted, now, self._ceiling.room(now)).plan():
+            stub = next(stub for stub in stubs if stub.id == order.stub_id)
+            if order.from_store and not self._ceiling.take(now):
+                continue
+            self._give(stub, order, now)
+
+    def _remember(self, stub: Stub) -> None:
+        held = self._held_before.setdefault(stub.address, set())
+        held.update(model.name for model in stub.models)
+
+    def _view(self, stub: Stub, now: float) -> StubView:
+        work = self._work[stub.id]
+        coming: set[tuple[str, str]] = set()
+        leaving: set[tuple[str, str]] = set()
+        if work.under_way is not None:
+            order = work.under_way.order
+            (coming if order.operation is Operation.LOAD else leaving).add((order.model, order.adapter))
+        free = work.known and work.under_way is None and not work.busy_elsewhere
+        return StubView(stub.id, stub.address, work.models, self._held_before.get(stub.address, set()), free,
+                        not stub.draining and not stub.remaining_ms, coming, leaving)
+
+    def _follow(self, stub: Stub, now: float) -> None:
+        """Asks for a report where one is needed."""
+        work = self._work.get(stub.id)
+        if work is None:
+            work = self._work[stub.id] = StubWork()
+        due = not work.known or work.busy_elsewhere or (work.under_way is not None and now >= work.under_way.expected_at)
+        if due and not work.looking and now >= work.look_at:
+            work.looking = True
+            self._core.spawn(self._look_at(stub, work))
+
+    async def _look_at(self, stub: Stub, work: StubWork) -> None:
+        asked_at = self._clock()
+        try:
+            answer = await self._caller.request(stub.address, "GET", "/report", b"", REPORT_S)
+            report = read_report(answer.body) if answer.status == 200 else None
+        except (CallFailed, ValueError):
+            self._caller.forget(stub.address)
+            report = None
+        finally:
+            work.looking = False
+        now = self._clock()
+        if report is None:
+            work.failures += 1
+            work.look_at = now + min(4.0, REST_S * work.failures)
+            return
+        work.failures = 0
+        work.look_at = now + LOOK_AGAIN_S
+        self._take_report(stub, work, report, asked_at, now)
+
+    def _take_report(self, stub: Stub, work: StubWork, report: Report, asked_at: float, now: float) -> None:
+        under_way = work.under_way
+        if under_way is not None:
+            if report.busy or not self._ended(under_way, report, asked_at):
+                return
+            LOG.debug("order ended", extra={"stub": stub.id, "order": str(under_way.order)})
+            work.under_way = None
+        work.busy_elsewhere = report.busy and under_way is None
+        work.known = True
+        work.revision = report.revision
+        work.models = {name: Holding(adapters, work.models[name].since if name in work.models else now)
+                       for name, adapters in report.models.items()}
+        self._tell(stub, work)
+        self._soon.set()
+
+    @staticmethod
+    def _ended(under_way: UnderWay, report: Report, asked_at: float) -> bool:
+        """Whether a report that shows no work under way speaks of the time after the order."""
+        if report.revision > under_way.revision:
+            return True
+        waited = asked_at - under_way.begun
+        return waited > (GIVE_UP_S + under_way.expected_at - under_way.begun if under_way.certain else SETTLE_S + ORDER_S + 1.0)
+
+    def _tell(self, stub: Stub, work: StubWork) -> None:
+        """Where models stand now, and what is under way, for all data planes."""
+        self._changes += 1
+        models, loads = dict(work.models), []
+        if work.under_way is not None:
+            order = work.under_way.order
+            if order.operation is Operation.LOAD:
+                remaining = max(0.0, work.under_way.expected_at - self._clock())
+                loads.append(PendingLoad(model=order.model, adapter=order.adapter, remaining_ms=int(1000 * remaining) + 150))
+            else:
+                models = _without(models, order)
+        told = [HeldModel(name=name, version=0, adapters=sorted(holding.adapters)) for name, holding in sorted(models.items())]
+        revision = (self.role.token << REVISION_SHIFT) + self._changes
+        if self._core.registry.set_holdings(stub.id, told, loads, revision):
+            self._core.beat_soon()
+
+    # Orders.
+
+    def _give(self, stub: Stub, order: Order, now: float) -> None:
+        work = self._work[stub.id]
+        work.under_way = UnderWay(order, now, now + order.expected_s, work.revision)
+        self._tell(stub, work)
+        LOG.info("order", extra={"stub": stub.id, "operation": order.operation.value, "model": order.model,
+                                 "adapter": order.adapter, "why": order.why})
+        self._core.spawn(self._send(stub, work, order))
+
+    async def _send(self, stub: Stub, work: StubWork, order: Order) -> None:
+        under_way = work.under_way
+        sight = self._sight()
+        if self.role.observe(sight, self._clock()) is not RoleState.ACTING:
+            work.under_way = None
+            return
+        body = {"operation": order.operation.value, "model": order.model, "if_revision": work.revision,
+                "holder": self._core.member.name, "fence_token": self.role.token}
+        if order.adapter:
+            body["adapter"] = order.adapter
+        self._last_order_at = self._clock()
+        try:
+            answer = await self._caller.request(stub.address, "POST", "/order", json.dumps(body).encode(), ORDER_S, JSON_TYPE,
+                                                ((b"Expect-Instance", stub.id.encode()),))
+        except CallFailed as error:
+            self._caller.forget(stub.address)
+            under_way.certain = False
+            under_way.expected_at = self._clock() + SETTLE_S
+            LOG.info("order without an answer", extra={"stub": stub.id, "error": str(error)})
+            return
+        self._answered(stub, work, under_way, answer)
+
+    def _answered(self, stub: Stub, work: StubWork, under_way: UnderWay, answer: WholeAnswer) -> None:
+        now = self._clock()
+        if answer.status == 202:
+            under_way.expected_at = now + under_way.order.expected_s + SETTLE_S / 3
+            return
+        LOG.info("order not begun", extra={"stub": stub.id, "status": answer.status, "order": str(under_way.order)})
+        if answer.status == 412:
+            self.role.outranked()
+        work.under_way, work.known = None, False
+        work.look_at = now + (REST_S if answer.status not in (200, 409) else LOOK_AGAIN_S)
+        self._tell(stub, work)
+
+
+def _without(models: dict[str, Holding], order: Order) -> dict[str, Holding]:
+    """What is left when an unload is done: nothing new is sent there."""
+    left = dict(models)
+    if not order.adapter:
+        left.pop(order.model, None)
+    elif order.model in left:
+        left[order.model] = Holding(left[order.model].adapters - {order.adapter}, left[order.model].since)
+    return left
--- a/mulleinhatch/control_plane/process.py
+++ b/mulleinhatch/control_plane/process.py
@@ -10,6 +10,7 @@
 from mulleinhatch.control_plane.api import ControlApi, internal_api
 from mulleinhatch.control_plane.core import Core
 from mulleinhatch.control_plane.distribution import Distribution
+from mulleinhatch.control_plane.orders import Orders
 from mulleinhatch.messages import cluster
 from mulleinhatch.services.http_client import Caller
 from mulleinhatch.services.settings import Settings
@@ -29,6 +30,8 @@
         self.caller = Caller()
         self.core = Core(settings, self.caller, self.clock, self._changed)
         self.distribution = Distribution(self.core, self.clock)
+        self.orders = Orders(self.core, self.caller, self.clock, settings.bounds.lease_s, settings.bounds.ceiling_window_s)
+        self.core.orders_idle_s = self.orders.idle_s
         self.core.data_planes = self.distribution.data_planes
         self.core.on_stub_change = lambda stub_id: self._changed()
         self.stopped = asyncio.Event()
@@ -43,17 +46,19 @@
         api = ControlApi(self.core, self.clock, self.status)
         internal = internal_api(self.core)
         internal.add("poll", cluster.PollRequest, self.distribution.poll)
+        internal.add("demand", cluster.DemandReport, self.orders.on_demand)
         hub.listen(self.settings.internal_address, internal.answer)
         hub.listen(self.settings.listen["control"], api.answer)
         self.loop.add_signal_handler(signal.SIGTERM, self._leave)
         self.loop.add_signal_handler(signal.SIGHUP, lambda: LOG.info("settings are read at start only"))
         gc.freeze()
         LOG.info("control plane started", extra={"identity": self.core.member.identity, "epoch": self.core.view.epoch})
-        work = asyncio.ensure_future(self.core.run())
+        work = [asyncio.ensure_future(self.core.run()), asyncio.ensure_future(self.orders.run())]
         stop = asyncio.ensure_future(self.stopped.wait())
-        await asyncio.wait([work, stop], return_when=asyncio.FIRST_COMPLETED)
-        if work.done():
-            work.result()
+        await asyncio.wait([*work, stop], return_when=asyncio.FIRST_COMPLETED)
+        for task in work:
+            if task.done():
+                task.result()
 
     def _leave(self) -> None:
         LOG.info("leaving")
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -26,6 +26,7 @@
 UNKNOWN_LOAD_S = 1.0    # until a model stands somewhere, where the configuration tells nothing
 ORDER_S = 0.4           # from the demand to the order, and from its end to our hearing of it
 ADAPTER_S = 0.3
+TOP_WORTH = 3.0         # of a request of the highest priority, against 1 for the lowest: the configuration tells ranks only
 ABSENT_S = 0.05         # a stub that reports another set of models is not asked for this one so long
 
 
@@ -96,7 +97,7 @@
 
     def _arrive(self, exchange: ClientExchange, now: float) -> None:
         if exchange.name.model:
-            self.demand.asked(exchange.name, 1.0, now)
+            self.demand.asked(exchange.name, max(1.0, TOP_WORTH - exchange.route.priority), now)
         refused = self.admission.arrive(exchange.held, now)
         if exchange.name.model and not self._holders(exchange.name, now):
             self._on_demand(exchange.name)
