--- a/mulleinhatch/data_plane/admission.py
+++ b/mulleinhatch/data_plane/admission.py
@@ -153,6 +153,7 @@
             group.running += 1
             group.accounts[pick.account] += 1
             started.append(pick)
+        group.pass_time(now)
 
     def _pick(self, group: Group, now: float) -> Held:
         """The lowest effective priority whose account is under its cap; where all are over theirs, none waits for others."""
--- /dev/null
+++ b/tests/system/test_control_plane.py
@@ -0,0 +1,311 @@
+"""The control plane's pure parts: registry, peers, placement, ceiling, the holder of orders, settings."""
+from __future__ import annotations
+
+import unittest
+
+from result import Err
+
+from mulleinhatch.configuration.routes import Engine, ModelFacts
+from mulleinhatch.control_plane.api import read_stub
+from mulleinhatch.control_plane.demand import Demand, Wanted
+from mulleinhatch.control_plane.orders import read_report
+from mulleinhatch.control_plane.peers import ALIVE_S, Peers
+from mulleinhatch.control_plane.placement import Holding, Operation, Planner, StubView, used_mb
+from mulleinhatch.control_plane.registry import Registry
+from mulleinhatch.leadership.holder import HolderRole, RoleState, Sight
+from mulleinhatch.messages.cluster import (
+    DemandReport,
+    HeartbeatAnswer,
+    HeldModel,
+    Member,
+    ModelDemand,
+    PendingLoad,
+    Stub,
+    View,
+)
+from mulleinhatch.services.settings import parse_settings
+
+
+def stub(sequence: int, **more) -> Stub:
+    return Stub(id="i-1", service="llm", address="s:1", zone="z", slots=4, sequence=sequence, **more)
+
+
+class RegistryTrace(unittest.TestCase):
+    def setUp(self):
+        self.changes: list[str] = []
+        self.registry = Registry(1.0, self.changes.append)
+
+    def test_late_heartbeats_change_nothing(self):
+        self.registry.merge(stub(5, draining=True), 0.0)
+        self.assertFalse(self.registry.merge(stub(4), 0.1))
+        self.assertTrue(self.registry.entries["i-1"].stub.draining)
+
+    def test_who_drains_does_not_come_back(self):
+        self.registry.merge(stub(5, draining=True), 0.0)
+        self.registry.merge(stub(6), 0.1)
+        self.assertTrue(self.registry.entries["i-1"].stub.draining)
+
+    def test_gone_is_final_whatever_comes_late(self):
+        self.registry.merge(stub(5), 0.0)
+        self.registry.leave("i-1", 0.1)
+        self.registry.merge(stub(9), 0.2)
+        self.assertTrue(self.registry.entries["i-1"].stub.gone)
+
+    def test_a_word_of_gone_for_a_stub_never_heard_of_is_kept(self):
+        self.registry.leave("i-1", 0.0)
+        self.registry.merge(stub(9), 0.2)
+        self.assertTrue(self.registry.entries["i-1"].stub.gone)
+
+    def test_silence_is_told_and_a_heartbeat_ends_it(self):
+        self.registry.merge(stub(1), 0.0)
+        self.registry.expire(5.0)
+        self.assertTrue(self.registry.entries["i-1"].stub.silent)
+        self.registry.merge(stub(2), 6.0)
+        self.assertFalse(self.registry.entries["i-1"].stub.silent)
+        self.assertEqual(len(self.changes), 3)
+
+    def test_a_relayed_record_counts_from_when_its_stub_spoke(self):
+        self.registry.merge(stub(1), 0.0)
+        self.registry.merge(stub(2, age_ms=3000), 4.0)
+        self.assertEqual(self.registry.entries["i-1"].heard_at, 1.0)
+
+    def test_orders_and_heartbeats_are_ordered_each_by_its_own(self):
+        self.registry.merge(stub(1, models=[HeldModel(name="m0")]), 0.0)
+        self.registry.set_holdings("i-1", [HeldModel(name="m0")], [PendingLoad(model="m1")], [PendingLoad(model="m0")], 7)
+        self.registry.merge(stub(2, models=[HeldModel(name="m0")]), 1.0)
+        entry = self.registry.entries["i-1"].stub
+        self.assertEqual(([one.model for one in entry.loads], [one.model for one in entry.unloads]), (["m1"], ["m0"]))
+        self.registry.merge(stub(1, models=[HeldModel(name="m1")], order_revision=8), 1.1)
+        entry = self.registry.entries["i-1"].stub
+        self.assertEqual((entry.sequence, [one.name for one in entry.models], entry.loads), (2, ["m1"], []))
+
+    def test_a_poll_hears_what_changed_since_its_cursor_and_all_from_a_new_source(self):
+        self.registry.merge(stub(1), 0.0)
+        cursor = self.registry.cursor
+        self.assertEqual(self.registry.since(self.registry.source, cursor), (False, []))
+        self.registry.merge(stub(2, draining=True), 1.0)
+        whole, told = self.registry.since(self.registry.source, cursor)
+        self.assertEqual((whole, [one.id for one in told]), (False, ["i-1"]))
+        self.assertTrue(self.registry.since("another", 0)[0])
+
+    def test_loads_from_the_store_are_counted_whoever_ordered_them(self):
+        counted = []
+        self.registry.on_store_load = lambda: counted.append(1)
+        self.registry.merge(stub(1), 0.0)
+        load = PendingLoad(model="m1", from_store=True)
+        self.registry.merge(stub(0, loads=[load], order_revision=3), 0.1)
+        self.registry.merge(stub(0, loads=[load], order_revision=4), 0.2)
+        self.assertEqual(len(counted), 1)
+
+
+class Reading(unittest.TestCase):
+    def test_a_heartbeat_that_can_not_be_used_names_the_field(self):
+        read = read_stub("i-1", b'{"service":"s","address":"nowhere","sequence":1}')
+        self.assertIsInstance(read, Err)
+        self.assertIn("address", read.err_value)
+
+    def test_a_heartbeat(self):
+        read = read_stub("i-1", b'{"service":"s","address":"a:1","sequence":4,"state":"draining","slots":6,"remaining_ms":700,'
+                                b'"models":[{"name":"m","version":2,"adapters":["a1"]}],"new":[1]}').ok_value
+        self.assertEqual((read.draining, read.slots, read.remaining_ms, read.models[0].adapters), (True, 6, 700, ["a1"]))
+
+    def test_a_report_of_another_form_is_none(self):
+        with self.assertRaises(ValueError):
+            read_report(b'{"models":[{"no":1}]}')
+        self.assertEqual(read_report(b'{"models":[{"name":"m"}],"busy":true,"sequence":3}').revision, 3)
+
+
+class PeersHeard(unittest.TestCase):
+    def setUp(self):
+        self.own, self.other, self.third = (Member(identity=name, name=name, internal_address=f"{name}:2") for name in "abc")
+        self.peers = Peers(self.own)
+        self.view = View(epoch=1, voters=[self.own, self.other, self.third], chain=[self.own, self.other, self.third])
+
+    def test_a_majority_counts_ourselves(self):
+        self.assertFalse(self.peers.reaches_majority(self.view, 0.0))
+        self.peers.answered(HeartbeatAnswer(sender=self.other), 0.0)
+        self.assertTrue(self.peers.reaches_majority(self.view, ALIVE_S / 2))
+        self.assertFalse(self.peers.reaches_majority(self.view, ALIVE_S * 2))
+
+    def test_a_new_identity_at_an_address_ends_the_former(self):
+        self.peers.answered(HeartbeatAnswer(sender=self.other), 0.0)
+        reborn = Member(identity="b2", name="b", internal_address="b:2")
+        self.peers.answered(HeartbeatAnswer(sender=reborn), 0.1)
+        self.assertFalse(self.peers.alive("b", 0.2))
+        self.assertTrue(self.peers.alive("b2", 0.2))
+
+
+ENGINE = Engine(64, 220.0, 2, 2.0, 1000,
+                {f"m{number}": ModelFacts(f"m{number}", 70.0, 5.0, 4, 1.0) for number in range(10)})
+
+
+def view(name: str, models: str = "", adapters: dict[str, set[str]] | None = None, **more) -> StubView:
+    holdings = {f"m{digit}": Holding(set((adapters or {}).get(f"m{digit}", ())), -100.0) for digit in models}
+    return StubView(name, name, holdings, more.pop("held_before", set()), True, True, **more)
+
+
+def planned(stubs: list[StubView], wanted: dict[str, Wanted], room: int = 5) -> list[tuple[str, str, str, str]]:
+    orders = Planner(ENGINE, stubs, wanted, 0.0, room).plan()
+    return [(order.stub_id, order.operation.value, order.model, order.adapter) for order in orders]
+
+
+class Placement(unittest.TestCase):
+    def test_a_wanted_model_that_stands_nowhere_is_loaded_where_there_is_room(self):
+        self.assertEqual(planned([view("s1", "123"), view("s2", "12")], {"m5": Wanted(held=1)}), [("s2", "load", "m5", "")])
+
+    def test_room_is_made_by_what_is_asked_for_least(self):
+        wanted = {"m8": Wanted(held=1), "m1": Wanted(rate=5, worth=10), "m2": Wanted(rate=3, worth=6)}
+        self.assertEqual(planned([view("s1", "129")], wanted), [("s1", "unload", "m9", "")])
+
+    def test_models_that_follow_busy_ones_in_the_list_are_kept_before_others(self):
+        wanted = {"m8": Wanted(held=1), "m1": Wanted(rate=5, worth=10)}
+        self.assertEqual(planned([view("s1", "129")], wanted), [("s1", "unload", "m9", "")])
+
+    def test_nothing_asked_for_more_is_given_up_for_less(self):
+        wanted = {"m5": Wanted(rate=0.1, worth=0.1), **{f"m{number}": Wanted(rate=5, worth=9) for number in (1, 2, 3)}}
+        self.assertEqual(planned([view("s1", "123")], wanted), [])
+
+    def test_the_stub_whose_disk_has_the_model_is_preferred(self):
+        stubs = [view("s1", "1"), view("s2", "2", held_before={"m5"})]
+        self.assertEqual(planned(stubs, {"m5": Wanted(held=1)}), [("s2", "load", "m5", "")])
+
+    def test_without_room_under_the_ceiling_only_own_disks_serve(self):
+        self.assertEqual(planned([view("s1", "1")], {"m5": Wanted(held=1)}, room=0), [])
+        self.assertEqual(planned([view("s1", "1", held_before={"m5"})], {"m5": Wanted(held=1)}, room=0), [("s1", "load", "m5", "")])
+
+    def test_what_is_under_way_counts_as_room_taken_and_as_a_copy(self):
+        coming = view("s1", "12", coming={("m5", "")})
+        self.assertEqual(used_mb(coming, ENGINE), 210.0)
+        self.assertEqual(planned([coming, view("s2", "1")], {"m5": Wanted(held=1)}), [])
+
+    def test_room_that_was_made_is_used_for_its_model(self):
+        stubs = [view("s1", "12", reserved="m5"), view("s2", "12")]
+        self.assertEqual(planned(stubs, {"m5": Wanted(held=1), "m6": Wanted(held=2)}),
+                         [("s1", "load", "m5", ""), ("s2", "load", "m6", "")])
+
+    def test_busy_models_get_further_copies(self):
+        stubs = [view("s1", "1"), view("s2", "2")]
+        self.assertEqual(planned(stubs, {"m1": Wanted(rate=9, worth=18, running=20)}), [("s2", "load", "m1", "")])
+
+    def test_an_adapter_goes_to_a_stub_that_holds_its_model_and_has_a_place(self):
+        wanted = {"m1": Wanted(rate=1, worth=1, adapters={"a3": Wanted(held=1)})}
+        stubs = [view("s1", "1", {"m1": {"a1", "a2"}}), view("s2", "1"), view("s3", "2")]
+        self.assertEqual(planned(stubs, wanted), [("s2", "load", "m1", "a3")])
+
+    def test_adapters_never_exceed_their_places(self):
+        wanted = {"m1": Wanted(rate=1, worth=1, adapters={"a3": Wanted(held=1), "a1": Wanted(rate=1, worth=1)})}
+        self.assertEqual(planned([view("s1", "1", {"m1": {"a1", "a2"}})], wanted), [("s1", "unload", "m1", "a2")])
+
+    def test_never_over_the_limit_of_a_stub_whatever_is_asked(self):
+        """Any sequence of plans carried out at once stays within weights and places."""
+        stubs = [view(f"s{number}") for number in range(3)]
+        for step in range(200):
+            model = f"m{step * 7 % 10}"
+            wanted = {model: Wanted(held=3, rate=1, worth=3, adapters={f"a{step % 4}": Wanted(held=2)})}
+            for order in Planner(ENGINE, stubs, wanted, 10.0 * step, 5).plan():
+                target = next(one for one in stubs if one.id == order.stub_id)
+                if order.operation is Operation.UNLOAD:
+                    target.models[order.model].adapters.discard(order.adapter) if order.adapter else target.models.pop(order.model)
+                elif order.adapter:
+                    target.models[order.model].adapters.add(order.adapter)
+                else:
+                    target.models[order.model] = Holding(set(), 10.0 * step - 5.0)
+                self.assertLessEqual(used_mb(target, ENGINE), ENGINE.weights_mb)
+                self.assertLessEqual(sum(len(held.adapters) for held in target.models.values()), ENGINE.adapter_slots)
+
+
+class DemandSums(unittest.TestCase):
+    def test_reports_are_summed_and_old_ones_left_out(self):
+        demand = Demand()
+        for node, at in (("n1", 0.0), ("n2", 3.0)):
+            demand.take(DemandReport(node=node, demand=[ModelDemand(service="s", model="m", adapter="a", held=2, rate=1.5)]), at)
+        total = demand.totals("s", 3.5)["m"]
+        self.assertEqual((total.held, total.rate, total.adapters["a"].held), (4, 3.0, 4))
+        self.assertEqual(demand.totals("s", 6.0)["m"].held, 2)
+        self.assertEqual(demand.totals("other", 6.0), {})
+
+
+def sight(leads: bool = True, holder: str = "b", token: int = 4, **more) -> Sight:
+    return Sight(leads, "a", holder, token, **more)
+
+
+class Holder(unittest.TestCase):
+    def test_waits_a_lease_after_another_holder(self):
+        role = HolderRole(3.0)
+        self.assertIs(role.observe(sight(), 0.0), RoleState.WAITING)
+        self.assertIs(role.observe(sight(), 3.2), RoleState.WAITING)
+        self.assertIs(role.observe(sight(), 3.4), RoleState.CLAIMING)
+        role.claimed(9)
+        self.assertIs(role.observe(sight(holder="a", token=9), 3.5), RoleState.ACTING)
+
+    def test_a_claim_that_failed_is_made_again(self):
+        role = HolderRole(0.0)
+        role.observe(sight(holder=""), 0.0)
+        role.claimed(0)
+        self.assertIs(role.observe(sight(holder=""), 0.1), RoleState.CLAIMING)
+
+    def test_no_wait_for_the_first_holder_or_ourselves(self):
+        for holder in ("", "a"):
+            self.assertIs(HolderRole(3.0).observe(sight(holder=holder), 0.0), RoleState.CLAIMING)
+
+    def test_losing_the_lead_ends_it_and_the_wait_begins_anew(self):
+        role = HolderRole(3.0)
+        role.observe(sight(), 0.0)
+        role.observe(sight(leads=False), 2.9)
+        self.assertIs(role.observe(sight(), 3.5), RoleState.WAITING)
+
+    def test_a_former_holder_that_hands_over_is_waited_for_less(self):
+        role = HolderRole(3.0)
+        self.assertIs(role.observe(sight(former_idle_s=2.0), 0.0), RoleState.WAITING)
+        self.assertIs(role.observe(sight(former_idle_s=2.0), 1.4), RoleState.CLAIMING)
+
+    def test_a_fenced_holder_out_of_reach_is_waited_for_less_but_one_in_reach_is_not(self):
+        role = HolderRole(3.0)
+        role.observe(sight(former_fenced=True), 0.0)
+        self.assertIs(role.observe(sight(former_fenced=False), 1.2), RoleState.WAITING)
+        self.assertIs(role.observe(sight(former_fenced=True), 1.3), RoleState.CLAIMING)
+
+    def test_a_higher_token_elsewhere_ends_it(self):
+        role = HolderRole(0.0)
+        role.observe(sight(holder=""), 0.0)
+        role.claimed(5)
+        self.assertIs(role.observe(sight(holder="b", token=6), 0.1), RoleState.OUTSIDE)
+        self.assertFalse(role.acting)
+
+
+SETTINGS = b"""node_name=n1
+ip_address=10.0.0.1
+zone=z1
+internal_port_range=7000,7010
+seeds=10.0.0.1:80,10.0.0.2:80
+listen.control=10.0.0.1:80
+first_start=true
+fault_tolerance.machines=1
+bounds.drain_ms=2500
+bounds.fenced=true
+some.new.field=1
+"""
+
+
+class SettingsFile(unittest.TestCase):
+    def test_is_read_in_seconds_and_unknown_keys_are_passed_over(self):
+        read = parse_settings(SETTINGS).ok_value
+        self.assertEqual((read.internal_address, read.bounds.drain_s, read.bounds.fenced, read.first_start, len(read.seeds)),
+                         ("10.0.0.1:7000", 2.5, True, True, 2))
+
+    def test_each_fault_names_its_key(self):
+        faults = {"node_name": b"node_name=", "seeds": b"seeds=nowhere", "bounds.drain_ms": b"bounds.drain_ms=soon",
+                  "first_start": b"first_start=perhaps", "internal_port_range": b"internal_port_range=7"}
+        for key, line in faults.items():
+            read = parse_settings(SETTINGS + line + b"\n", "boot.conf")
+            self.assertIsInstance(read, Err, key)
+            self.assertIn(key, str(read.err_value))
+            self.assertIn("boot.conf", str(read.err_value))
+
+    def test_a_missing_key_is_named(self):
+        read = parse_settings(SETTINGS.replace(b"ip_address=10.0.0.1\n", b""))
+        self.assertIn("ip_address", str(read.err_value))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/system/test_views.py
@@ -0,0 +1,156 @@
+"""Views: recorded traces of votes, and which view follows who is alive."""
+from __future__ import annotations
+
+import unittest
+from collections.abc import Container
+
+from mulleinhatch.messages.cluster import AcceptRequest, Ballot, Member, PrepareRequest, View, VoterState
+from mulleinhatch.views.ballots import Outcome, Proposal, Voter, identities
+from mulleinhatch.views.planning import REPLACED_AFTER_S, Health, next_view
+
+
+def member(name: str, place: str = "") -> Member:
+    return Member(identity=name, name=name, control_address=f"{place or name}:1", internal_address=f"{place or name}:2")
+
+
+A, B, C, D, E = (member(name) for name in "abcde")
+FIRST = View(epoch=1, voters=[A, B, C], chain=[A, B, C])
+
+
+def voters(*names: str, view: View = FIRST) -> dict[str, Voter]:
+    return {name: Voter(name, VoterState(view=view)) for name in names}
+
+
+def carry_out(proposal: Proposal, machines: dict[str, Voter], reached: str, until: str = "accept") -> Outcome:
+    """Plays one proposal against the voters that can be reached."""
+    for name in reached:
+        answer = machines[name].prepare(PrepareRequest(base=proposal.base, ballot=proposal.ballot))
+        if proposal.prepared(answer):
+            break
+    if proposal.chosen is None or until == "prepare":
+        return proposal.outcome
+    for name in reached:
+        request = AcceptRequest(base=proposal.base, ballot=proposal.ballot, proposed=proposal.chosen)
+        if proposal.accepted(machines[name].accept(request)):
+            break
+    return proposal.outcome
+
+
+def proposal(number: int, proposer: str, chain: list[Member], base: View = FIRST) -> Proposal:
+    return Proposal(base, Ballot(number=number, proposer=proposer), View(epoch=base.epoch + 1, voters=base.voters, chain=chain))
+
+
+class Votes(unittest.TestCase):
+    def test_a_majority_decides(self):
+        machines = voters("a", "b", "c")
+        self.assertIs(carry_out(proposal(1, "a", [A, B]), machines, "ab"), Outcome.DECIDED)
+
+    def test_a_minority_does_not(self):
+        machines = voters("a", "b", "c")
+        self.assertIs(carry_out(proposal(1, "a", [A]), machines, "a"), Outcome.RUNNING)
+
+    def test_what_may_have_been_chosen_is_proposed_again(self):
+        machines = voters("a", "b", "c")
+        first = proposal(1, "a", [A, B])
+        carry_out(first, machines, "ab")
+        second = proposal(2, "c", [B, C])
+        self.assertIs(carry_out(second, machines, "bc"), Outcome.DECIDED)
+        self.assertEqual(identities(second.chosen.chain), ("a", "b"))
+
+    def test_a_lower_ballot_is_outbid(self):
+        machines = voters("a", "b", "c")
+        carry_out(proposal(5, "c", [B, C]), machines, "bc", until="prepare")
+        late = proposal(1, "a", [A, B])
+        self.assertIs(carry_out(late, machines, "bca"), Outcome.OUTBID)
+        self.assertEqual(late.highest, 5)
+
+    def test_a_promise_given_after_a_prepare_stops_the_accept_of_a_lower_ballot(self):
+        machines = voters("a", "b", "c")
+        early = proposal(1, "a", [A, B])
+        carry_out(early, machines, "ab", until="prepare")
+        carry_out(proposal(2, "c", [B, C]), machines, "bc")
+        for name in "ab":
+            request = AcceptRequest(base=FIRST, ballot=early.ballot, proposed=early.chosen)
+            early.accepted(machines[name].accept(request))
+        self.assertIsNot(early.outcome, Outcome.DECIDED)
+
+    def test_a_disk_that_forgot_has_another_identity_and_no_vote(self):
+        machines = voters("a", "b", "c")
+        machines["c"] = Voter("c2", VoterState(view=FIRST))
+        self.assertIs(carry_out(proposal(1, "a", [A, B]), machines, "ac"), Outcome.RUNNING)
+
+    def test_who_is_behind_learns_the_base_and_votes(self):
+        second = View(epoch=2, voters=[A, B, C], chain=[B, C])
+        machines = {"b": Voter("b", VoterState(view=second)), "a": Voter("a", VoterState(view=FIRST))}
+        self.assertIs(carry_out(proposal(1, "b", [B, C, A], second), machines, "ba"), Outcome.DECIDED)
+
+    def test_who_is_ahead_tells_its_view(self):
+        second = View(epoch=2, voters=[A, B, C], chain=[B, C])
+        machines = {"b": Voter("b", VoterState(view=second))}
+        late = proposal(9, "a", [A])
+        self.assertIs(carry_out(late, machines, "b"), Outcome.OVERTAKEN)
+        self.assertEqual(late.newest.epoch, 2)
+
+    def test_a_vote_for_a_later_view_is_no_confirmation(self):
+        machines = voters("a", "b", "c")
+        self.assertTrue(machines["b"].undisturbed(1))
+        carry_out(proposal(1, "a", [A, B]), machines, "ab")
+        self.assertFalse(machines["b"].undisturbed(1))
+        self.assertTrue(machines["c"].undisturbed(1))
+
+
+def health(alive: Container[str], caught_up: Container[str] = "", extra: tuple[Member, ...] = (), gone_s: float = 0.0) -> dict[str, Health]:
+    members = [A, B, C, *extra]
+    return {one.identity: Health(one, one.identity in alive, one.identity in caught_up,
+                                 0.0 if one.identity in alive else gone_s) for one in members}
+
+
+class Planning(unittest.TestCase):
+    def names(self, view: View | None) -> tuple[str, str]:
+        return "".join(identities(view.chain)), "".join(identities(view.voters))
+
+    def test_stays_while_all_are_well(self):
+        self.assertIsNone(next_view(FIRST, health("abc"), 1))
+
+    def test_a_silent_member_leaves_the_chain_and_keeps_its_vote(self):
+        self.assertEqual(self.names(next_view(FIRST, health("bc"), 1)), ("bc", "abc"))
+
+    def test_never_shorter_than_the_disks_that_may_be_lost_and_one(self):
+        self.assertIsNone(next_view(FIRST, health("c"), 1))
+
+    def test_who_is_back_joins_at_the_tail_once_it_caught_up(self):
+        view = View(epoch=2, voters=[A, B, C], chain=[B, C])
+        self.assertIsNone(next_view(view, health("abc"), 1))
+        self.assertEqual(self.names(next_view(view, health("abc", "a"), 1)), ("bca", "abc"))
+
+    def test_an_emptied_disk_takes_the_vote_of_its_former_identity(self):
+        reborn = member("a2", "a")
+        view = View(epoch=2, voters=[A, B, C], chain=[B, C])
+        planned = next_view(view, health(("b", "c", "a2"), ("a2",), (reborn,)), 1)
+        self.assertEqual(identities(planned.voters), ("a2", "b", "c"))
+        self.assertEqual(identities(planned.chain), ("b", "c", "a2"))
+
+    def test_no_joiner_without_a_survivor(self):
+        view = View(epoch=2, voters=[A, B, C], chain=[B, C])
+        self.assertIsNone(next_view(view, health("a", "a"), 1))
+
+    def test_a_newcomer_takes_the_vote_of_one_long_silent_else_a_further_one(self):
+        view = View(epoch=2, voters=[A, B, C], chain=[B, C])
+        long_gone = health("bcd", "d", (D,), REPLACED_AFTER_S + 1)
+        self.assertEqual(self.names(next_view(view, long_gone, 1)), ("bcd", "dbc"))
+        just_gone = health("bcd", "d", (D,), 1.0)
+        self.assertEqual(self.names(next_view(view, just_gone, 1)), ("bcd", "abcd"))
+
+    def test_one_voter_changes_at_a_time(self):
+        view = View(epoch=1, voters=[A, B, C], chain=[A, B, C])
+        planned = next_view(view, health("abcde", "de", (D, E)), 2)
+        self.assertEqual(self.names(planned), ("abcde", "abcd"))
+
+    def test_a_further_voter_that_fell_silent_goes_when_enough_are_left(self):
+        view = View(epoch=3, voters=[A, B, C, D], chain=[B, C, D])
+        planned = next_view(view, health("bcd", "", (D,), REPLACED_AFTER_S + 1), 1)
+        self.assertEqual(self.names(planned), ("bcd", "bcd"))
+
+
+if __name__ == "__main__":
+    unittest.main()
