Stubs are recalled after a restart of the core; a restarted former holder is not waited for a whole lease

Cause: after all machines lost power no stub was known for 1.2 s (worst windows); a holder's restart cost 3.4 s without orders, and models counted as just loaded for 1.5 s more.

--- a/mulleinhatch/control_plane/core.py
+++ b/mulleinhatch/control_plane/core.py
@@ -15,7 +15,7 @@
 from result import Err
 
 from mulleinhatch.control_plane.answers import Answers
-from mulleinhatch.control_plane.disk import REWRITE_AT, Disk, Restored, commit_record, entry_records, settled_record
+from mulleinhatch.control_plane.disk import REWRITE_AT, Disk, Restored, commit_record, entry_records, settled_record, stubs_record
 from mulleinhatch.control_plane.peers import ALIVE_S, Peers
 from mulleinhatch.control_plane.registry import Registry
 from mulleinhatch.messages.cluster import (AcceptRequest, AppendAnswer, AppendRequest, Ballot, ConfirmAnswer,
@@ -40,6 +40,7 @@
 CHANGE_WAIT_S = 0.9     # how long an operator's change waits before it gets no clear answer
 RETRY_S = 0.1
 DISK_RETRY_S = 0.5
+KEEP_STUBS_S = 1.0
 COMMIT_WAIT_S = 0.6     # how long an append's answer waits for the rest of the chain
 ENTRIES_BEFORE_SNAPSHOT = 128
 
@@ -69,7 +70,7 @@
         self.disk = disk or Disk(settings.data_directory, clock)
         self.state = ControlState()
         self.leaving = False
-        self.orders_idle_s: Callable[[], float] = lambda: 1e6
+        self.orders_idle_s: Callable[[], float] = lambda: 1e5
         self.data_planes: Callable[[], int] = lambda: 0
         self.on_stub_change: Callable[[str], None] = lambda stub_id: None
         self.on_store_load: Callable[[], None] = lambda: None
@@ -115,6 +116,8 @@
             self.replica.adopt(self.voter.view)
             self.replica.found()
         self._learn_members(self.voter.view)
+        for stub in restored.stubs:
+            self.registry.recall(stub, self.clock())
         self._apply()
 
     def _restore(self, restored: Restored) -> None:
@@ -125,7 +128,8 @@
     async def run(self) -> None:
         while not await self._kept_first_vote():
             await asyncio.sleep(DISK_RETRY_S)
-        work = (self._beat_forever(), self._plan_forever(), self._replicate_forever(), self._catch_up_forever())
+        work = (self._beat_forever(), self._plan_forever(), self._replicate_forever(), self._catch_up_forever(),
+                self._keep_stubs_forever())
         await asyncio.gather(*work)
 
     async def _kept_first_vote(self) -> bool:
@@ -136,6 +140,19 @@
             return False
         return True
 
+    async def _keep_stubs_forever(self) -> None:
+        """The list of stubs is told anew by the stubs; what is on disk bridges the time until then after a restart of all."""
+        kept = -1
+        while True:
+            await asyncio.sleep(KEEP_STUBS_S)
+            if self.registry.cursor == kept:
+                continue
+            kept = self.registry.cursor
+            try:
+                await self.disk.append([stubs_record(self.registry.present())])
+            except OSError:
+                kept = -1
+
     def spawn(self, work: Any) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
@@ -377,7 +394,7 @@
         message = Heartbeat(sender=self.member, epoch=self.view.epoch, caught_up_epoch=self.view.epoch if self._is_caught_up() else 0,
                             last_index=self.replica.last, settled=self.replica.settled, committed=self.replica.committed, leaving=self._unfit(),
                             stubs=self.registry.for_peer(owed, begun), data_planes=self.data_planes(),
-                            orders_idle_ms=int(1000 * min(1e6, self.orders_idle_s())))
+                            orders_idle_ms=int(1000 * self.orders_idle_s()))
         answer = await self._ask(address, "heartbeat", message, HeartbeatAnswer())
         now = self.clock()
         heard = self.peers.answered(answer, now)
@@ -532,7 +549,8 @@
                        Record(RecordKind.SNAPSHOT, bytes(self.replica.base)), *entry_records(kept),
                        commit_record(self.replica.committed)]
             async with self._vote_lock:
-                records += [Record(RecordKind.VOTER, bytes(self.voter.state)), settled_record(self.replica.settled)]
+                records += [Record(RecordKind.VOTER, bytes(self.voter.state)), settled_record(self.replica.settled),
+                            stubs_record(self.registry.present())]
                 await self.disk.rewrite(records)
 
     async def _catch_up_forever(self) -> None:
--- a/mulleinhatch/control_plane/disk.py
+++ b/mulleinhatch/control_plane/disk.py
@@ -8,7 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
-from mulleinhatch.messages.cluster import Entry, Snapshot, VoterState
+from mulleinhatch.messages.cluster import Entry, Heartbeat, Snapshot, Stub, VoterState
 from mulleinhatch.storage.journal import Journal
 from mulleinhatch.storage.records import Record, RecordKind
 
@@ -28,6 +28,7 @@
     entries: list[Entry] = field(default_factory=list)
     committed: int = 0
     settled: bool = False
+    stubs: list[Stub] = field(default_factory=list)
 
 
 def replay(records: list[Record]) -> Restored:
@@ -49,6 +50,8 @@
             state.committed = int.from_bytes(record.body, "little")
         elif record.kind == RecordKind.SETTLED:
             state.settled = record.body == SETTLED
+        elif record.kind == RecordKind.STUBS:
+            state.stubs = Heartbeat().parse(record.body).stubs
     return state
 
 
@@ -60,6 +63,10 @@
     return Record(RecordKind.SETTLED, SETTLED if settled else b"\x00")
 
 
+def stubs_record(stubs: list[Stub]) -> Record:
+    return Record(RecordKind.STUBS, bytes(Heartbeat(stubs=stubs)))
+
+
 def commit_record(index: int) -> Record:
     return Record(RecordKind.COMMIT, index.to_bytes(8, "little"))
 
--- a/mulleinhatch/control_plane/orders.py
+++ b/mulleinhatch/control_plane/orders.py
@@ -32,6 +32,8 @@
 TELL_MS = 150           # from the end of an order to the data planes' hearing of it
 UNKNOWN_LOADS = 3       # loads that a former holder may have begun without our hearing of them
 LOGGED = 50
+NEVER = -1e9
+NO_ORDER_S = 1e5        # told by a process that gave no order since its start
 RESERVED_S = 4.0        # how long room that was made is kept for its model
 REST_S = 1.0            # a stub that did not answer is left alone so long
 GIVE_UP_S = 6.0         # beyond what an order should take: then it counts as never taken
@@ -97,7 +99,7 @@
         self._work: dict[str, StubWork] = {}
         self._held_before: dict[str, set[str]] = {}     # by address: what a stub's own disk has
         self._table = RouteTable()
-        self._last_order_at = -1e6
+        self._last_order_at = NEVER
         self._changes = 0
         self._soon = asyncio.Event()
         self.log: deque[dict[str, str]] = deque(maxlen=LOGGED)     # the latest orders, with why they were given
@@ -110,7 +112,7 @@
 
     def idle_s(self) -> float:
         """How long this machine has given no order."""
-        return self._clock() - self._last_order_at
+        return min(NO_ORDER_S, self._clock() - self._last_order_at)
 
     async def run(self) -> None:
         while True:
@@ -138,6 +140,8 @@
         former = core.peers.by_identity.get(core.state.holder)
         idle = former.orders_idle_s if former is not None and former.leaving else 0.0
         reached = former is not None and core.peers.alive(core.state.holder, self._clock()) and not former.leaving
+        if reached and former.epoch >= core.view.epoch and former.orders_idle_s >= NO_ORDER_S:
+            reached = False     # started anew and knows that it does not lead: it has given no order and will give none
         return Sight(core.replica.is_head and core.authoritative() and not core.leaving, core.member.identity,
                      core.state.holder, core.state.fence_token, idle, self._fenced and not reached)
 
@@ -237,10 +241,11 @@
                 return
             LOG.debug("order ended", extra={"stub": stub.id, "order": str(under_way.order)})
             work.under_way = None
+        arrived = now if work.known else NEVER      # what stood before we looked has stood for long, as far as we know
         work.busy_elsewhere = report.busy and under_way is None
         work.known = True
         work.revision = report.revision
-        work.models = {name: Holding(adapters, work.models[name].since if name in work.models else now)
+        work.models = {name: Holding(adapters, work.models[name].since if name in work.models else arrived)
                        for name, adapters in report.models.items()}
         self._tell(stub, work)
         self._soon.set()
--- a/mulleinhatch/control_plane/registry.py
+++ b/mulleinhatch/control_plane/registry.py
@@ -12,6 +12,7 @@
 from mulleinhatch.messages.cluster import HeldModel, PendingLoad, Stub
 
 SILENT_INTERVALS = 3.2      # heartbeats that may be missed before a stub counts as silent
+RECALLED_S = 2.5            # a stub known from before a restart is believed so long
 FORGET_S = 90.0             # a silent or gone stub is remembered so long
 
 
@@ -73,6 +74,15 @@
             fresh = replace(fresh, gone=True)
         return fresh
 
+    def recall(self, stub: Stub, now: float) -> None:
+        """A stub that was present before a restart: believed until it should have been heard of again."""
+        if stub.id not in self.entries:
+            self.merge(replace(stub, sequence=0, loads=[], unloads=[], order_revision=0, age_ms=0), now - self._silent_after + RECALLED_S)
+
+    def present(self) -> list[Stub]:
+        """What is worth keeping over a restart."""
+        return [entry.stub for entry in self.entries.values() if not entry.stub.gone and not entry.stub.silent and not entry.stub.draining]
+
     def leave(self, stub_id: str, now: float) -> None:
         """A stub said that it has ended."""
         entry = self.entries.get(stub_id)
--- a/mulleinhatch/data_plane/control_link.py
+++ b/mulleinhatch/data_plane/control_link.py
@@ -30,7 +30,8 @@
     """Keeps `on_snapshot` told of the newest snapshot. Versions never go back within the life of the process."""
 
     def __init__(self, settings: Settings, caller: Caller, clock: Callable[[], float],
-                 on_snapshot: Callable[[Snapshot], None]) -> None:
+                 on_snapshot: Callable[[Snapshot], None], on_holder: Callable[[], None] = lambda: None) -> None:
+        self._on_holder = on_holder     # called when another machine holds the orders: it knows nothing of the demand yet
         self._settings, self._caller, self._clock, self._on_snapshot = settings, caller, clock, on_snapshot
         self._document: Document = EMPTY
         self._table = RouteTable()
@@ -89,7 +90,9 @@
         self._source, self._cursor = answer.registry_source, answer.registry_cursor
         if answer.authoritative or not self._known:
             self._known = list(answer.control_addresses) or self._known
-            self.holder = answer.holder_address or self.holder
+            if answer.holder_address and answer.holder_address != self.holder:
+                self.holder = answer.holder_address
+                self._on_holder()
         data_planes = max(1, answer.data_planes) if answer.authoritative else max(self.snapshot.data_planes, answer.data_planes)
         self.snapshot = Snapshot(self._table, stubs, data_planes, answer.authoritative)
         self._on_snapshot(self.snapshot)
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -29,17 +29,19 @@
         self.settings = settings
         self.loop = asyncio.get_running_loop()
         self.caller = Caller()
+        self._report_now = asyncio.Event()
         self.router = Router(settings, self.loop, self._urgent)
         self.front = Front(lambda: self.router.snapshot.table.limits, self.router.begin)
-        self.link = ControlLink(settings, self.caller, self.loop.time, self._swap)
+        self.link = ControlLink(settings, self.caller, self.loop.time, self._swap, self._new_holder)
         self.leaving = False
         self.stopped = asyncio.Event()
-        self._report_now = asyncio.Event()
-        self._limits_of = 0
 
     def _swap(self, snapshot: Snapshot) -> None:
         self.router.swap(snapshot)
 
+    def _new_holder(self) -> None:
+        self._report_now.set()
+
     def _urgent(self, name: ModelName) -> None:
         self._report_now.set()
 
