--- a/mulleinhatch/control_plane/core.py
+++ b/mulleinhatch/control_plane/core.py
@@ -53,6 +53,7 @@
 
 LOG = logging.getLogger(__name__)
 HEARTBEAT_S = 0.3
+BEAT_GAP_S = 0.03  # between heartbeats that are sent for news
 MOST_BEATS = 3  # on their way to one machine: one that is lost must not look like a machine that is
 CALL_S = 0.7  # for a message between core machines
 APPEND_S = 1.0
@@ -113,6 +114,7 @@
         self._ballot = 0
         self._tasks: set[asyncio.Task[Any]] = set()
         self._beating: Counter[str] = Counter()  # heartbeats on their way, by address
+        self._beat_planned, self._beat_at = False, -1e9
         self._quiet_until = 0.0  # until then the others' silence is not believed
         self._started_at = clock()
         self._stubs_asked = False
@@ -427,7 +429,16 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def beat_soon(self) -> None:
-        """Sends a heartbeat to every core machine now."""
+        """Sends a heartbeat to every core machine now, or a little later where the last one was just sent."""
+        if self._beat_planned:
+            return
+        now = self.clock()
+        self._beat_planned = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(max(0.0, self._beat_at + BEAT_GAP_S - now), self._beat_all)
+
+    def _beat_all(self) -> None:
+        self._beat_planned, self._beat_at = False, self.clock()
         seeds = [self.internal_of(seed) for seed in self.settings.seeds]
         for address in self.peers.addresses(self.view, seeds):
             if self._beating[address] < MOST_BEATS:
@@ -601,7 +612,7 @@
                 self.replica.commit_to(answer.committed)
                 self._apply()
             elif self.replica.committed < self.replica.last:
-                await self._moved(RETRY_S)      # the rest of the chain took longer than the answer waits: asked again
+                await self._moved(RETRY_S)  # the rest of the chain took longer than the answer waits: asked again
             await self._compact()
 
     async def _compact(self) -> None:
--- a/mulleinhatch/control_plane/distribution.py
+++ b/mulleinhatch/control_plane/distribution.py
@@ -15,13 +15,15 @@
 GATHER_S = 0.004  # changes that come together are told together
 PRESENT_S = 12.0  # a data plane that did not poll for so long is gone
 MOST_PATCHES = 32
+GAP_A_DATA_PLANE_S = 0.002
 
 
 @dataclass
 class _Poller:
-    """A data plane that polls here."""
+    """A data plane that polls here, and when it was last answered."""
 
     polled_at: float
+    answered_at: float = -1e9
 
 
 class Distribution:
@@ -54,23 +56,38 @@
 
     async def poll(self, request: PollRequest) -> PollAnswer:
         """Waits until there is news for the asker, or its wait is over."""
-        self._pollers[request.node] = _Poller(self._clock())
+        poller = self._pollers.setdefault(request.node, _Poller(self._clock()))
+        poller.polled_at = self._clock()
         end = self._clock() + min(LONGEST_WAIT_S, request.wait_ms / 1000.0)
         said = self._standing()
-        while not self._news(request) and said == self._standing():
+        while not self._due(request, poller) and said == self._standing():
             left = end - self._clock()
             if left <= 0 or not self._core.authoritative():
                 break
+            if self._news(request):
+                left = min(left, max(0.001, poller.answered_at + self._gap() - self._clock()))
             try:
                 async with asyncio.timeout(min(left, 0.5)):
                     await self._event.wait()
                 await asyncio.sleep(GATHER_S)
             except TimeoutError:
                 pass
-        if request.node in self._pollers:
-            self._pollers[request.node].polled_at = self._clock()
+        poller.polled_at = poller.answered_at = self._clock()
         return self._answer(request)
 
+    def _gap(self) -> float:
+        """The least time between two answers to one data plane, so that many of them cost no more than few."""
+        return GAP_A_DATA_PLANE_S * self.all_data_planes()
+
+    def _due(self, request: PollRequest, poller: _Poller) -> bool:
+        """Whether there is news, and it is urgent or the last answer is long enough ago."""
+        core = self._core
+        if core.state.document.version > request.configuration_version or request.registry_source != core.registry.source:
+            return True
+        if core.registry.urgent_cursor > request.registry_cursor:
+            return True
+        return core.registry.cursor > request.registry_cursor and self._clock() >= poller.answered_at + self._gap()
+
     def _standing(self) -> tuple[int, bool]:
         return self._core.view.epoch, self._core.authoritative()
 
--- a/mulleinhatch/control_plane/orders.py
+++ b/mulleinhatch/control_plane/orders.py
@@ -27,6 +27,7 @@
 
 LOG = logging.getLogger(__name__)
 TICK_S = 0.1
+LOOK_PART = 5.0  # a look is followed by this many times its length without one, a tick at most
 ORDER_S = 0.8  # for the answer to an order
 REPORT_S = 0.6  # for the answer to a report
 LOOK_AGAIN_S = 0.12  # between reports while an order should be done
@@ -125,7 +126,9 @@
             except TimeoutError:
                 pass
             self._soon.clear()
+            begun = self._clock()
             await self._look()
+            await asyncio.sleep(min(TICK_S, LOOK_PART * (self._clock() - begun)))
 
     async def _look(self) -> None:
         state = self.role.observe(self._sight(), self._clock())
--- a/mulleinhatch/control_plane/registry.py
+++ b/mulleinhatch/control_plane/registry.py
@@ -50,6 +50,7 @@
     def __init__(self, heartbeat_s: float, on_change: Callable[[str], None]) -> None:
         self.source = uuid.uuid4().hex[:12]
         self.cursor = 0
+        self.urgent_cursor = 0  # of the newest change after which a stub must not be used any more, or is new
         self.entries: dict[str, Entry] = {}
         self._silent_after = SILENT_INTERVALS * heartbeat_s
         self._on_change = on_change
@@ -129,18 +130,21 @@
 
     def _replace(self, entry: Entry, stub: Stub) -> bool:
         changed = _told(entry.stub) != _told(stub)
+        urgent = (entry.stub.draining, entry.stub.gone, entry.stub.silent) != (stub.draining, stub.gone, stub.silent)
         known = {load.model for load in entry.stub.loads if load.from_store}
         for load in stub.loads:
             if load.from_store and load.model not in known:
                 self.on_store_load()
         entry.stub = stub
         if changed:
-            self._changed(entry)
+            self._changed(entry, urgent)
         return changed
 
-    def _changed(self, entry: Entry) -> None:
+    def _changed(self, entry: Entry, urgent: bool = True) -> None:
         self.cursor += 1
         entry.cursor = self.cursor
+        if urgent:
+            self.urgent_cursor = self.cursor
         self._on_change(entry.stub.id)
 
     def expire(self, now: float) -> None:
--- a/mulleinhatch/data_plane/demand.py
+++ b/mulleinhatch/data_plane/demand.py
@@ -11,8 +11,8 @@
 from mulleinhatch.messages.cluster import ModelDemand
 
 DECAY_S = 8.0
-LEAST_RATE = 0.005  # requests a second below which a model is not told of
-LOUDEST = 64  # models told of at a time
+LEAST_RATE = 0.01  # requests a second below which a model is not told of
+LOUDEST = 32  # models told of at a time
 
 
 @dataclass
