--- a/mulleinhatch/control_plane/core.py
+++ b/mulleinhatch/control_plane/core.py
@@ -47,6 +47,7 @@
 from mulleinhatch.replication.state import ControlState, EntryKind, Refusal, Verdict
 from mulleinhatch.services.http_client import Caller, CallFailed
 from mulleinhatch.services.settings import Settings
+from mulleinhatch.services.supervisor import supervise
 from mulleinhatch.storage.records import Record, RecordKind
 from mulleinhatch.views.ballots import Outcome, Proposal, Voter, identities, majority, member_of
 from mulleinhatch.views.planning import Health, next_view
@@ -164,14 +165,14 @@
     async def run(self) -> None:
         while not await self._kept_first_vote():
             await asyncio.sleep(DISK_RETRY_S)
-        work = (
-            self._beat_forever(),
-            self._plan_forever(),
-            self._replicate_forever(),
-            self._catch_up_forever(),
-            self._keep_stubs_forever(),
-        )
-        await asyncio.gather(*work)
+        loops = {
+            "heartbeats": self._beat_forever,
+            "views": self._plan_forever,
+            "replication": self._replicate_forever,
+            "catching up": self._catch_up_forever,
+            "stubs on disk": self._keep_stubs_forever,
+        }
+        await asyncio.gather(*(supervise(name, loop) for name, loop in loops.items()))
 
     async def _kept_first_vote(self) -> bool:
         """Whether the view that we start from is on disk; one that refuses writes for now is no reason to end."""
--- a/mulleinhatch/control_plane/orders.py
+++ b/mulleinhatch/control_plane/orders.py
@@ -134,13 +134,20 @@
         state = self.role.observe(self._sight(), self._clock())
         if state is RoleState.CLAIMING:
             first = not self._core.state.holder
-            token = await self._core.claim_orders()
+            token = await self._claim()
             self.role.claimed(token)
             if self.role.acting:
                 self._begin(first)
         elif state is RoleState.ACTING:
             self._act()
 
+    async def _claim(self) -> int:
+        """The token of a claim; 0 where the core could not take it, as with a disk that refuses."""
+        try:
+            return await self._core.claim_orders()
+        except OSError:
+            return 0
+
     def _sight(self) -> Sight:
         core = self._core
         former = core.peers.by_identity.get(core.state.holder)
--- a/mulleinhatch/control_plane/process.py
+++ b/mulleinhatch/control_plane/process.py
@@ -15,6 +15,7 @@
 from mulleinhatch.messages import cluster
 from mulleinhatch.services.http_client import Caller
 from mulleinhatch.services.settings import Settings
+from mulleinhatch.services.supervisor import supervise
 from mulleinhatch.services.web import WebHub
 
 LOG = logging.getLogger(__name__)
@@ -54,7 +55,7 @@
         self.loop.add_signal_handler(signal.SIGHUP, lambda: LOG.info("settings are read at start only"))
         gc.freeze()
         LOG.info("control plane started", extra={"identity": self.core.member.identity, "epoch": self.core.view.epoch})
-        work = [asyncio.ensure_future(self.core.run()), asyncio.ensure_future(self.orders.run())]
+        work = [asyncio.ensure_future(self.core.run()), asyncio.ensure_future(supervise("orders", self.orders.run))]
         stop = asyncio.ensure_future(self.stopped.wait())
         await asyncio.wait([*work, stop], return_when=asyncio.FIRST_COMPLETED)
         for task in work:
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -14,6 +14,7 @@
 from mulleinhatch.data_plane.snapshot import ModelName, Snapshot
 from mulleinhatch.services.http_client import Caller
 from mulleinhatch.services.settings import Settings
+from mulleinhatch.services.supervisor import supervise
 from mulleinhatch.services.web import WebAnswer, WebHub, WebRequest
 
 LOG = logging.getLogger(__name__)
@@ -55,7 +56,8 @@
         self.loop.add_signal_handler(signal.SIGHUP, lambda: LOG.info("settings are read at start only"))
         gc.freeze()
         LOG.info("data plane started")
-        work = [asyncio.ensure_future(one) for one in (self.link.run(), self._sweep_forever(), self._report_forever())]
+        loops = {"control link": self.link.run, "sweep": self._sweep_forever, "demand": self._report_forever}
+        work = [asyncio.ensure_future(supervise(name, loop)) for name, loop in loops.items()]
         stop = asyncio.ensure_future(self.stopped.wait())
         await asyncio.wait([*work, stop], return_when=asyncio.FIRST_COMPLETED)
         for task in work:
--- /dev/null
+++ b/tests/system/test_supervisor.py
@@ -0,0 +1,56 @@
+"""What a disk that refuses, or a fault in one loop, may not do: end the process or the other work."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import unittest
+
+from mulleinhatch.control_plane.orders import Orders
+from mulleinhatch.services.settings import Bounds
+from mulleinhatch.services.supervisor import supervise
+from mulleinhatch.standins.virtual_time import VirtualLoop
+
+
+class Supervised(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.loop = VirtualLoop()
+        self.addCleanup(self.loop.close)
+
+    def test_work_that_raises_or_ends_is_begun_again(self):
+        begun = []
+
+        async def work() -> None:
+            begun.append(self.loop.time())
+            if len(begun) < 3:
+                raise OSError("full") if len(begun) == 1 else ValueError("a fault")
+
+        async def main() -> None:
+            task = asyncio.ensure_future(supervise("work", work, 1.0))
+            await asyncio.sleep(3.5)
+            task.cancel()
+
+        self.loop.run_until_complete(main())
+        self.assertEqual(begun, [0.0, 1.0, 2.0, 3.0])
+
+
+class RefusingCore:
+    """As much of a core as a claim needs; its disk is full."""
+
+    on_store_load = None
+
+    async def claim_orders(self) -> int:
+        raise OSError(28, "No space left on device")
+
+
+class Claims(unittest.IsolatedAsyncioTestCase):
+    async def test_a_claim_that_the_disk_refuses_is_no_claim(self):
+        """Found by a hunt: a control plane ended itself when its disk was full as it claimed the orders."""
+        orders = Orders(RefusingCore(), None, lambda: 0.0, Bounds())
+        self.assertEqual(await orders._claim(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
