A file that kept its name while its records went elsewhere; a torn header of zeros; the core by its jobs

A header whose bytes are zeros after a loss of power was taken for another's file at each start, for good.

A header that is ours but for zeros was never synced, and holds nothing. A file that is not ours is set aside under another name; one of another version ends the start with the remedy.

The same commit carries the control plane's split by job: votes, heartbeats, log, catching up, changes.

--- a/mulleinhatch/control_plane/api.py
+++ b/mulleinhatch/control_plane/api.py
@@ -10,13 +10,14 @@
 from schema import And, Optional, Or, Schema, SchemaError
 
 from mulleinhatch.configuration.document import read_json
-from mulleinhatch.control_plane.core import ChangeAnswer, Core
+from mulleinhatch.control_plane.changes import ChangeAnswer
+from mulleinhatch.control_plane.core import Core
 from mulleinhatch.messages import cluster
 from mulleinhatch.services.web import BINARY_TYPE, WebAnswer, WebRequest
 
 LOG = logging.getLogger(__name__)
 INSTANCES, CONFIGURATION, STATUS = "/instances/", "/configuration", "/status"
-DRAIN_TELL_S = 0.35  # how long the acknowledgement of `draining` waits for the other core machines
+CUT_OFF = "this machine is not in touch with the core; call another one"
 RETRY_AFTER_S = "0.2"
 NOT_NEGATIVE = And(int, lambda value: value >= 0)
 MODEL_SCHEMA = Schema({"name": str, Optional("version"): NOT_NEGATIVE, Optional("adapters"): [str], Optional(str): object})
@@ -71,6 +72,10 @@
     return WebAnswer.of_json(status, {"error": message}, headers)
 
 
+def _cut_off() -> WebAnswer:
+    return _error(503, CUT_OFF, {"Retry-After": RETRY_AFTER_S})
+
+
 class ControlApi:
     """What stubs and the operator call."""
 
@@ -109,9 +114,7 @@
         if not stub_id or "/" in stub_id:
             return _error(404, "name one instance: /instances/ID")
         if request.method == "DELETE":
-            self._core.registry.leave(stub_id, self._clock())
-            await self._core.tell_peers(stub_id, DRAIN_TELL_S)
-            return WebAnswer.of_json(200, {})
+            return await self._gone(stub_id)
         if request.method != "PUT":
             return _error(405, "use PUT or DELETE")
         read = read_stub(stub_id, request.body)
@@ -119,19 +122,23 @@
             return _error(400, read.err_value)
         return await self._heartbeat(read.ok_value)
 
+    async def _gone(self, stub_id: str) -> WebAnswer:
+        """A stub that leaves without a word before, or that ends: acknowledged once it is recorded for good."""
+        recorded = await self._core.stub_leaves(stub_id)
+        self._core.registry.leave(stub_id, self._clock())
+        self._core.beat_soon()
+        return WebAnswer.of_json(200, {}) if recorded else _cut_off()
+
     async def _heartbeat(self, stub: cluster.Stub) -> WebAnswer:
         core = self._core
         known = core.registry.entries.get(stub.id)
-        news = core.registry.merge(stub, self._clock())
-        if news:
-            core.stub_refreshed(stub.id)
-        if stub.draining and (known is None or not known.stub.draining):
-            await core.tell_peers(stub.id, DRAIN_TELL_S)
-        elif known is None:
+        if core.registry.merge(stub, self._clock()):
+            core.heartbeats.stub_changed(stub.id)
+        if known is None or (stub.draining and not known.stub.draining):
             core.beat_soon()
-        if not core.authoritative():
-            return _error(503, "this machine is cut off from the core; call another one", {"Retry-After": RETRY_AFTER_S})
-        return WebAnswer.of_json(200, {})
+        if stub.draining and stub.id not in core.state.left and not await core.stub_leaves(stub.id):
+            return _cut_off()
+        return WebAnswer.of_json(200, {}) if core.authoritative() else _cut_off()
 
 
 Handler = Callable[[Any], Awaitable[Any]]
@@ -166,10 +173,11 @@
 def internal_api(core: Core) -> InternalApi:
     """The messages between core machines."""
     api = InternalApi()
-    api.add("heartbeat", cluster.Heartbeat, core.on_heartbeat)
-    api.add("prepare", cluster.PrepareRequest, core.on_prepare)
-    api.add("accept", cluster.AcceptRequest, core.on_accept)
-    api.add("confirm", cluster.ConfirmRequest, core.on_confirm)
-    api.add("append", cluster.AppendRequest, core.on_append)
-    api.add("snapshot", cluster.SnapshotRequest, core.on_snapshot)
+    api.add("heartbeat", cluster.Heartbeat, core.heartbeats.on_heartbeat)
+    api.add("prepare", cluster.PrepareRequest, core.votes.on_prepare)
+    api.add("accept", cluster.AcceptRequest, core.votes.on_accept)
+    api.add("confirm", cluster.ConfirmRequest, core.votes.on_confirm)
+    api.add("append", cluster.AppendRequest, core.log.on_append)
+    api.add("snapshot", cluster.SnapshotRequest, core.catching_up.on_snapshot)
+    api.add("leave", cluster.LeaveRequest, core.changes.on_leave)
     return api
--- a/mulleinhatch/control_plane/distribution.py
+++ b/mulleinhatch/control_plane/distribution.py
@@ -16,6 +16,7 @@
 PRESENT_S = 12.0  # a data plane that did not poll for so long is gone
 MOST_PATCHES = 32
 GAP_A_DATA_PLANE_S = 0.002
+STANDING_S = 0.25  # between two looks whether we may still speak
 
 
 @dataclass
@@ -67,7 +68,7 @@
             if self._news(request):
                 left = min(left, max(0.001, poller.answered_at + self._gap() - self._clock()))
             try:
-                async with asyncio.timeout(min(left, 0.5)):
+                async with asyncio.timeout(min(left, STANDING_S)):
                     await self._event.wait()
                 await asyncio.sleep(GATHER_S)
             except TimeoutError:
@@ -84,6 +85,8 @@
         core = self._core
         if core.state.document.version > request.configuration_version or request.registry_source != core.registry.source:
             return True
+        if core.state.left_index > request.left_index:
+            return True
         if core.registry.urgent_cursor > request.registry_cursor:
             return True
         return core.registry.cursor > request.registry_cursor and self._clock() >= poller.answered_at + self._gap()
@@ -96,6 +99,7 @@
         return (
             self._core.state.document.version > request.configuration_version
             or request.registry_source != registry.source
+            or self._core.state.left_index > request.left_index
             or registry.cursor > request.registry_cursor
         )
 
@@ -105,6 +109,9 @@
         head = core.head
         answer = PollAnswer(
             authoritative=core.authoritative(),
+            epoch=core.view.epoch,
+            left=core.state.left_since(request.left_index),
+            left_index=max(request.left_index, core.state.left_index),
             configuration_version=core.state.document.version,
             registry_source=core.registry.source,
             registry_cursor=core.registry.cursor,
--- a/mulleinhatch/control_plane/peers.py
+++ b/mulleinhatch/control_plane/peers.py
@@ -10,6 +10,8 @@
 from mulleinhatch.views.planning import Health
 
 ALIVE_S = 1.0  # a peer that did not answer for so long is out of reach
+AUTHORITY_S = 1.0  # how long the word of a majority that our view is the newest may be relied on, from when it was asked
+MISSED_S = 1.6  # a machine that has not answered for so long is told of to others
 FORGET_S = 60.0
 NEVER = -1e9
 
@@ -21,13 +23,17 @@
     member: Member
     answered_at: float = NEVER  # when it last answered us
     known_since: float = 0.0
-    epoch: int = 0
+    epoch: int = 0  # the newest that it said it is in
+    confirmed_epoch: int = 0  # it said that the view of this epoch is the newest it knows of,
+    confirmed_at: float = NEVER  # in answer to what was sent then
+    committed: int = 0
     caught_up_epoch: int = 0
     last_index: int = 0
     leaving: bool = False
     settled_epoch: int = 0  # the epoch in which it said that it is settled
     data_planes: int = 0
     orders_idle_s: float = 0.0
+    misses: frozenset[str] = frozenset()  # identities of machines that have not answered it for long
     owed_stubs: set[str] = field(default_factory=set)  # hinted handoff: what it has not acknowledged yet
 
 
@@ -45,6 +51,11 @@
             peer = self.by_identity[member.identity] = Peer(member, known_since=now)
         return peer
 
+    def at(self, internal_address: str) -> Peer | None:
+        """The peer that speaks from an address: of several that did, the one that answered last."""
+        there = [peer for peer in self.by_identity.values() if peer.member.internal_address == internal_address]
+        return max(there, key=lambda peer: peer.answered_at, default=None)
+
     def heard(self, heartbeat: Heartbeat, now: float) -> Peer | None:
         """A peer's heartbeat: what it says of itself."""
         peer = self.learn(heartbeat.sender, now)
@@ -53,18 +64,23 @@
         peer.member = heartbeat.sender
         peer.epoch, peer.caught_up_epoch = heartbeat.epoch, heartbeat.caught_up_epoch
         peer.last_index, peer.leaving = heartbeat.last_index, heartbeat.leaving
+        peer.committed, peer.misses = heartbeat.committed, frozenset(heartbeat.misses)
         peer.settled_epoch = heartbeat.epoch if heartbeat.settled else 0
         peer.data_planes = heartbeat.data_planes
         peer.orders_idle_s = heartbeat.orders_idle_ms / 1000.0
         self._replace_at(peer)
         return peer
 
-    def answered(self, answer: HeartbeatAnswer, now: float) -> Peer | None:
-        """A peer answered our heartbeat: there is a way in both directions."""
+    def answered(self, answer: HeartbeatAnswer, now: float, asked_at: float | None = None) -> Peer | None:
+        """A peer answered our heartbeat, which was sent at `asked_at`: there is a way in both directions."""
         peer = self.learn(answer.sender, now)
         if peer is None:
             return None
         peer.answered_at, peer.member = now, answer.sender
+        peer.epoch = max(peer.epoch, answer.epoch)
+        asked_at = now if asked_at is None else asked_at
+        if answer.current and asked_at >= peer.confirmed_at:
+            peer.confirmed_epoch, peer.confirmed_at = answer.epoch, asked_at
         self._replace_at(peer)
         return peer
 
@@ -72,7 +88,7 @@
         """Who speaks from an address is the only one there: an emptied disk has a new identity."""
         for other in self.by_identity.values():
             if other is not peer and other.member.internal_address == peer.member.internal_address:
-                other.answered_at = NEVER
+                other.answered_at = other.confirmed_at = NEVER
 
     def forget(self, view: View, now: float) -> None:
         """Drops machines that are in no list and silent."""
@@ -92,6 +108,33 @@
         count = sum(self.alive(identity, now) for identity in identities(view.voters))
         return 2 * count > len(view.voters)
 
+    def confirm(self, view: View, now: float) -> bool:
+        """Whether more than half of the voters said lately that this view is the newest they know of, ourselves among them.
+
+        Once a later view is decided, more than half have accepted it and say so no more."""
+
+        def confirms(identity: str) -> bool:
+            if identity == self.own.identity:
+                return True
+            peer = self.by_identity.get(identity)
+            return peer is not None and peer.confirmed_epoch == view.epoch and now - peer.confirmed_at < AUTHORITY_S
+
+        return 2 * sum(confirms(identity) for identity in identities(view.voters)) > len(view.voters)
+
+    def know(self, view: View) -> bool:
+        """Whether more than half of its voters have the view on disk, ourselves among them."""
+        known = {identity for identity, peer in self.by_identity.items() if peer.epoch >= view.epoch} | {self.own.identity}
+        return 2 * sum(identity in known for identity in identities(view.voters)) > len(view.voters)
+
+    def missed(self, view: View, now: float) -> list[str]:
+        """Members of the view that have not answered us for long."""
+        known = (self.by_identity.get(identity) for identity in {*identities(view.voters), *identities(view.chain)})
+        return sorted(
+            peer.member.identity
+            for peer in known
+            if peer is not None and now - max(peer.answered_at, peer.known_since) > MISSED_S
+        )
+
     def health(self, view: View, now: float, own: Health) -> dict[str, Health]:
         """Every known machine by identity, ourselves too."""
         states = {self.own.identity: own}
@@ -104,6 +147,7 @@
                 peer.caught_up_epoch == view.epoch,
                 0.0 if alive else now - since,
                 peer.settled_epoch == view.epoch,
+                peer.misses if alive else frozenset(),
             )
         for member in list(view.voters) + list(view.chain):
             states.setdefault(member.identity, Health(member, False, False, settled=False))
--- a/mulleinhatch/control_plane/process.py
+++ b/mulleinhatch/control_plane/process.py
@@ -19,7 +19,10 @@
 from mulleinhatch.services.web import WebHub
 
 LOG = logging.getLogger(__name__)
-LEAVE_S = 2.5  # from the notice to leave to the end, so that the chain can go on without us
+LEAST_LEAVE_S = 1.0  # from the notice to leave to the end: what was asked before is answered
+GRACE_MARGIN_S = 1.0  # before the grace period ends, we end
+LOOK_S = 0.1
+DISK_RETRY_S = 0.5
 
 
 class ControlPlane:
@@ -43,7 +46,7 @@
 
     async def run(self) -> None:
         """Serves until SIGTERM, and then until the chain goes on without us."""
-        self.core.open()
+        await self._open()
         hub = WebHub(self.loop)
         api = ControlApi(self.core, self.clock, self.status)
         internal = internal_api(self.core)
@@ -63,10 +66,31 @@
                 task.result()
 
     def _leave(self) -> None:
+        if self.core.leaving:
+            return
         LOG.info("leaving")
         self.core.leaving = True
         self.core.beat_soon()
-        self.loop.call_later(LEAVE_S, self.stopped.set)
+        self.core.spawn(self._end_when_replaced())
+
+    async def _end_when_replaced(self) -> None:
+        """Ends once the core does not need us; the grace period bounds it."""
+        begun = self.clock()
+        latest = begun + max(LEAST_LEAVE_S, self.settings.bounds.grace_s - GRACE_MARGIN_S)
+        await asyncio.sleep(LEAST_LEAVE_S)
+        while self.clock() < latest and not self.core.may_end():
+            await asyncio.sleep(LOOK_S)
+        LOG.info("left", extra={"seconds": round(self.clock() - begun, 2), "replaced": self.core.may_end()})
+        self.stopped.set()
+
+    async def _open(self) -> None:
+        """Reads the disk; one that refuses for now is tried again."""
+        while True:
+            try:
+                return self.core.open()
+            except OSError as error:
+                LOG.error("the disk can't be used; free space or replace it", extra={"error": str(error)})
+                await asyncio.sleep(DISK_RETRY_S)
 
     def status(self) -> dict[str, Any]:
         """What an operator may look at."""
--- a/mulleinhatch/control_plane/registry.py
+++ b/mulleinhatch/control_plane/registry.py
@@ -45,9 +45,13 @@
 
 
 class Registry:
-    """`on_change` hears the id of each stub whose record changed in a way that matters."""
+    """`on_change` hears the id of each stub whose record changed in a way that matters; `has_left` tells of an id whether the
+    control state says that the stub leaves, whatever its records say."""
 
-    def __init__(self, heartbeat_s: float, on_change: Callable[[str], None]) -> None:
+    def __init__(
+        self, heartbeat_s: float, on_change: Callable[[str], None], has_left: Callable[[str], bool] = lambda stub_id: False
+    ) -> None:
+        self._has_left = has_left
         self.source = uuid.uuid4().hex[:12]
         self.cursor = 0
         self.urgent_cursor = 0  # of the newest change after which a stub must not be used any more, or is new
@@ -58,6 +62,8 @@
 
     def merge(self, stub: Stub, now: float) -> bool:
         """Takes a record if it is newer than what is known; whether it was."""
+        if not stub.draining and self._has_left(stub.id):
+            stub = replace(stub, draining=True)
         entry = self.entries.get(stub.id)
         if entry is None:
             entry = self.entries[stub.id] = Entry(replace(stub, silent=False), now - stub.age_ms / 1000.0)
@@ -105,11 +111,13 @@
 
     def present(self) -> list[Stub]:
         """What is worth keeping over a restart."""
-        return [
-            entry.stub
-            for entry in self.entries.values()
-            if not entry.stub.gone and not entry.stub.silent and not entry.stub.draining
-        ]
+        return [entry.stub for entry in self.entries.values() if not entry.stub.gone and not entry.stub.silent]
+
+    def drain(self, stub_id: str) -> None:
+        """The control state says that a stub leaves."""
+        entry = self.entries.get(stub_id)
+        if entry is not None and not entry.stub.draining:
+            self._replace(entry, replace(entry.stub, draining=True))
 
     def leave(self, stub_id: str, now: float) -> None:
         """A stub said that it has ended."""
--- /dev/null
+++ b/mulleinhatch/control_plane/votes.py
@@ -0,0 +1,152 @@
+"""A core machine's votes on views: kept on disk before they are said, and views proposed to the other voters."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from mulleinhatch.control_plane.answers import Answers
+from mulleinhatch.control_plane.disk import Restored, settled_record
+from mulleinhatch.messages.cluster import (
+    AcceptRequest,
+    Ballot,
+    ConfirmAnswer,
+    ConfirmRequest,
+    PrepareRequest,
+    View,
+    VoteAnswer,
+    VoterState,
+)
+from mulleinhatch.storage.records import Record, RecordKind
+from mulleinhatch.views.ballots import Outcome, Proposal, Voter, identities, majority
+
+if TYPE_CHECKING:
+    from mulleinhatch.control_plane.core import Core
+
+Said = TypeVar("Said")
+
+
+class Votes:
+    """The durable voter of one core machine. Memory follows the disk: what the disk refused was never learned or voted, and is
+    tried again when it is told again."""
+
+    def __init__(self, core: Core, restored: Restored) -> None:
+        self._core = core
+        self._voter = Voter(restored.identity, restored.voter)
+        self._ballot = 0
+        self.lock = asyncio.Lock()  # held while a vote goes to disk
+        self._stepping = False  # a step of the voter goes to disk
+
+    @property
+    def view(self) -> View:
+        return self._voter.view
+
+    @property
+    def state(self) -> VoterState:
+        return self._voter.state
+
+    def found(self, view: View) -> None:
+        """The first view of a first start; `keep` makes it last."""
+        self._voter.learn(view)
+
+    async def keep(self) -> None:
+        """Writes the vote as it stands. OSError where the disk refuses."""
+        async with self.lock:
+            await self._write(self._voter.state)
+
+    def records(self, state: VoterState | None = None) -> list[Record]:
+        """The vote, and whether the log is settled in the view that it brings."""
+        state = state or self._voter.state
+        settled = self._core.replica.settled and self._core.member.identity in identities(state.view.chain)
+        return [Record(RecordKind.VOTER, bytes(state)), settled_record(settled)]
+
+    async def _write(self, state: VoterState) -> None:
+        await self._core.disk.append(self.records(state))
+
+    async def _step(self, step: Callable[[Voter], Said]) -> Said:
+        """Takes a step of the voter once it lasts. OSError where the disk refuses: the step was not taken."""
+        async with self.lock:
+            trial = Voter(self._voter.identity, self._voter.state)
+            said = step(trial)
+            if trial.state is not self._voter.state:
+                self._stepping = True
+                try:
+                    await self._write(trial.state)
+                    self._voter = trial
+                finally:
+                    self._stepping = False
+        self._core.take_force(self.view)
+        return said
+
+    async def learn(self, view: View) -> None:
+        """A decided view that was told: durable before it takes force."""
+        if view.epoch > self.view.epoch:
+            await self._step(lambda voter: voter.learn(view))
+
+    # What the others ask.
+
+    async def on_prepare(self, request: PrepareRequest) -> VoteAnswer:
+        return await self._step(lambda voter: voter.prepare(request))
+
+    async def on_accept(self, request: AcceptRequest) -> VoteAnswer:
+        return await self._step(lambda voter: voter.accept(request))
+
+    async def on_confirm(self, request: ConfirmRequest) -> ConfirmAnswer:
+        async with self.lock:
+            current = self._voter.undisturbed(request.epoch)
+        return ConfirmAnswer(voter=self._voter.identity, current=current, newest=self.view)
+
+    def undisturbed(self, epoch: int) -> bool:
+        """Whether the view of `epoch` is the newest known here and no later one was accepted, nor is being written."""
+        return not self._stepping and self._voter.undisturbed(epoch)
+
+    # What we ask the others.
+
+    async def confirm(self) -> bool:
+        """Whether a majority of the voters says, after this call began, that our view is the newest."""
+        core = self._core
+        epoch, voters = core.view.epoch, core.view.voters
+        request = ConfirmRequest(epoch=epoch)
+        others = [voter for voter in voters if voter.identity != core.member.identity]
+        answers = Answers([core.ask(voter.internal_address, "confirm", request, ConfirmAnswer()) for voter in others])
+        count = int((await self.on_confirm(request)).current)
+        while count < majority(core.view) and (answer := await answers.next()) is not None:
+            await self.learn(answer.newest)
+            count += int(answer.current and answer.voter in identities(voters))
+        return epoch == core.view.epoch and count >= majority(core.view)
+
+    async def propose(self, wanted: View) -> None:
+        """One try to have a view chosen. OSError where our own disk refuses what was decided."""
+        base = self.view
+        if wanted.epoch != base.epoch + 1:
+            return
+        self._ballot = max(self._ballot, self.state.promised.number) + 1
+        proposal = Proposal(base, Ballot(number=self._ballot, proposer=self._core.member.identity), wanted)
+        prepare = PrepareRequest(base=base, ballot=proposal.ballot)
+        await self._round(proposal, "prepare", prepare, self.on_prepare, proposal.prepared)
+        if proposal.chosen is not None and proposal.outcome is Outcome.RUNNING:
+            accept = AcceptRequest(base=base, ballot=proposal.ballot, proposed=proposal.chosen)
+            await self._round(proposal, "accept", accept, self.on_accept, proposal.accepted)
+        self._ballot = max(self._ballot, proposal.highest)
+        if proposal.outcome is Outcome.DECIDED:
+            await self.learn(proposal.chosen)
+        elif proposal.outcome is Outcome.OVERTAKEN:
+            await self.learn(proposal.newest)
+
+    async def _round(
+        self, proposal: Proposal, path: str, request: Any, own: Callable[[Any], Any], heard: Callable[[VoteAnswer], bool]
+    ) -> None:
+        """Asks all voters at once; returns when `heard` says that it is enough, or all have answered."""
+        core = self._core
+        answers = Answers(
+            [
+                own(request)
+                if voter.identity == core.member.identity
+                else core.ask(voter.internal_address, path, request, VoteAnswer())
+                for voter in proposal.base.voters
+            ]
+        )
+        while (answer := await answers.next()) is not None:
+            if heard(answer) or proposal.outcome is not Outcome.RUNNING:
+                break
--- a/mulleinhatch/data_plane/control_link.py
+++ b/mulleinhatch/data_plane/control_link.py
@@ -48,6 +48,9 @@
         self._known: list[str] = []
         self._rests: dict[str, float] = {}
         self._spoke: set[str] = set()
+        self._epoch = 0  # the newest view that a control plane told of
+        self._left_index = 0
+        self._unsure_since: float | None = None  # when first a configuration was offered by a machine not sure of it
         self.snapshot = Snapshot()
         self.holder = ""
 
@@ -87,6 +90,7 @@
             registry_source=self._source,
             registry_cursor=self._cursor,
             wait_ms=int(1000 * wait),
+            left_index=self._left_index,
         )
         whole = await self._caller.request(
             address, "POST", "/internal/poll", bytes(request), max(FIRST_POLL_S, wait + POLL_SLACK_S)
@@ -94,6 +98,9 @@
         if whole.status != 200:
             raise CallFailed(address, f"status {whole.status}")
         answer = PollAnswer().parse(whole.body)
+        if answer.epoch < self._epoch:
+            answer.authoritative = False  # it lives in a view that is over
+        self._epoch = max(self._epoch, answer.epoch)
         self._spoke.add(address)
         self._take(answer)
         if not answer.authoritative:
@@ -106,8 +113,9 @@
         stubs = self.snapshot.stubs
         # A machine that is cut off hears of no stubs: its silence about them is no news.
         whole = answer.whole_registry and answer.authoritative
-        if answer.stubs or whole or stubs.unconfirmed:
-            stubs = stubs.updated(answer.stubs, whole, now)
+        if answer.stubs or whole or stubs.unconfirmed or answer.left:
+            stubs = stubs.updated(answer.stubs, whole, now, answer.left)
+        self._left_index = max(self._left_index, answer.left_index)
         self._source, self._cursor = answer.registry_source, answer.registry_cursor
         if answer.authoritative or not self._known:
             self._known = list(answer.control_addresses) or self._known
@@ -123,6 +131,8 @@
             return
         if answer.base_version and answer.base_version != self._document.version:
             return
+        if not self._document.version and not answer.authoritative and not self._waited_for_the_sure():
+            return
         document = self._read(answer)
         if document is None or document.version != answer.configuration_version:
             LOG.error(
@@ -134,6 +144,13 @@
         self._document, self._table = document, build_table(document)
         LOG.info("configuration in force", extra={"version": document.version})
 
+    def _waited_for_the_sure(self) -> bool:
+        """Whether a first configuration has been offered long enough by machines only that are not sure that it is the newest:
+        beside a core that has no majority an older one serves better than none."""
+        if self._unsure_since is None:
+            self._unsure_since = self._clock()
+        return self._clock() - self._unsure_since >= self._settings.bounds.configuration_apply_s
+
     def _read(self, answer: PollAnswer) -> Document | None:
         value = json.loads(zlib.decompress(answer.configuration))
         if not answer.base_version:
--- a/mulleinhatch/data_plane/snapshot.py
+++ b/mulleinhatch/data_plane/snapshot.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mulleinhatch.configuration.routes import RouteTable
 from mulleinhatch.messages.cluster import Stub
 
+LEFT_KEPT = 2048  # ids of stubs that left, so that a source that lags does not bring one back
 UNCONFIRMED_S = 6.0  # a stub that a new source of the list does not know is kept so long
 
 
@@ -70,12 +71,14 @@
     by_id: Mapping[str, KnownStub] = field(default_factory=dict)
     by_service: Mapping[str, tuple[KnownStub, ...]] = field(default_factory=dict)
     unconfirmed: Mapping[str, float] = field(default_factory=dict)  # since when a new source has not told of them
+    left: Mapping[str, None] = field(default_factory=dict)  # stubs that said that they leave, the newest last
 
-    def updated(self, stubs: Iterable[Stub], whole: bool, now: float) -> StubList:
+    def updated(self, stubs: Iterable[Stub], whole: bool, now: float, left: Iterable[str] = ()) -> StubList:
         """The list after news. A whole list from a new source that leaves a stub out is no proof that it is gone: that source
         may just have started. It goes when it stays left out."""
         by_id, unconfirmed = dict(self.by_id), dict(self.unconfirmed)
         told = {stub.id for stub in stubs}
+        all_left = {**self.left, **dict.fromkeys(left)}
         if whole:
             for stub_id in by_id:
                 if stub_id not in told:
@@ -86,18 +89,25 @@
                 by_id.pop(stub.id, None)
             else:
                 by_id[stub.id] = known_stub(stub, now)
+            if stub.gone or stub.draining:
+                all_left[stub.id] = None
+        for stub_id in all_left:
+            if stub_id in by_id and not by_id[stub_id].draining:
+                by_id[stub_id] = replace(by_id[stub_id], draining=True)
         for stub_id, since in list(unconfirmed.items()):
             if stub_id not in by_id or now - since > UNCONFIRMED_S:
                 by_id.pop(stub_id, None)
                 del unconfirmed[stub_id]
-        return _listed(by_id, unconfirmed)
+        for stub_id in list(all_left)[:-LEFT_KEPT]:
+            del all_left[stub_id]
+        return _listed(by_id, unconfirmed, all_left)
 
 
-def _listed(by_id: dict[str, KnownStub], unconfirmed: dict[str, float]) -> StubList:
+def _listed(by_id: dict[str, KnownStub], unconfirmed: dict[str, float], left: dict[str, None]) -> StubList:
     by_service: dict[str, list[KnownStub]] = {}
     for stub_id in sorted(by_id):
         by_service.setdefault(by_id[stub_id].service, []).append(by_id[stub_id])
-    return StubList(by_id, {service: tuple(stubs) for service, stubs in by_service.items()}, unconfirmed)
+    return StubList(by_id, {service: tuple(stubs) for service, stubs in by_service.items()}, unconfirmed, left)
 
 
 @dataclass(frozen=True)
--- a/mulleinhatch/messages/cluster.py
+++ b/mulleinhatch/messages/cluster.py
@@ -96,6 +96,11 @@
     digests: List[str] = betterproto.string_field(5)
     holder: str = betterproto.string_field(6)
     fence_token: int = betterproto.uint64_field(7)
+    # Stubs that said that they leave, the newest last: "ID INDEX" with the index
+    # of the entry that says so.
+    left: List[str] = betterproto.string_field(8)
+    # Changes that made this version or an older one may have been forgotten.
+    forgotten_version: int = betterproto.uint64_field(9)
 
 
 @dataclass
@@ -163,6 +168,10 @@
     orders_idle_ms: int = betterproto.uint64_field(11)
     # Holds, for certain, all that was committed before its view began.
     settled: bool = betterproto.bool_field(12)
+    # The sender's view, where the receiver is known to have an older one.
+    newest: "View" = betterproto.message_field(13)
+    # Identities of machines that have not answered the sender for long.
+    misses: List[str] = betterproto.string_field(14)
 
 
 @dataclass
@@ -172,6 +181,24 @@
     newest: "View" = betterproto.message_field(3)
     known: List["Member"] = betterproto.message_field(4)
     wants_all_stubs: bool = betterproto.bool_field(5)
+    # The view of `epoch` is the newest that the answerer knows of, and it
+    # accepted no later one.
+    current: bool = betterproto.bool_field(6)
+
+
+@dataclass
+class LeaveRequest(betterproto.Message):
+    """
+    Stubs that leave, for the head to record; `taken` once every replica of the
+    chain has it on disk.
+    """
+
+    stubs: List[str] = betterproto.string_field(1)
+
+
+@dataclass
+class LeaveAnswer(betterproto.Message):
+    taken: bool = betterproto.bool_field(1)
 
 
 @dataclass
@@ -239,6 +266,8 @@
     registry_cursor: int = betterproto.uint64_field(5)
     demand: List["ModelDemand"] = betterproto.message_field(6)
     wait_ms: int = betterproto.uint32_field(7)
+    # The newest entry that told the asker of stubs that leave.
+    left_index: int = betterproto.uint64_field(8)
 
 
 @dataclass
@@ -254,6 +283,11 @@
     control_addresses: List[str] = betterproto.string_field(9)
     holder_address: str = betterproto.string_field(10)
     data_planes: int = betterproto.uint32_field(11)
+    epoch: int = betterproto.uint64_field(12)
+    # Stubs that leave, of the entries behind the asker's `left_index` up to this
+    # one.
+    left: List[str] = betterproto.string_field(13)
+    left_index: int = betterproto.uint64_field(14)
 
 
 @dataclass
--- a/mulleinhatch/replication/chain.py
+++ b/mulleinhatch/replication/chain.py
@@ -42,11 +42,17 @@
         self.entries: list[Entry] = []  # behind `base`, without gaps
         self.committed = 0
         self.settled = False  # holds, for certain, all that was committed before its view began
+        self._held_at_start = 0  # entries on disk when the process began: each may have been acknowledged
 
     @property
     def last(self) -> int:
         return self.base.index + len(self.entries)
 
+    @property
+    def current(self) -> bool:
+        """Whether what is committed here shows all that was acknowledged in this view so far, or before it."""
+        return self.settled and self.committed >= min(self._held_at_start, self.last)
+
     @property
     def position(self) -> int:
         """Place in the chain, -1 outside it."""
@@ -76,6 +82,7 @@
         self.view = view
         if self.position < 0 or not was_inside:
             self.settled = False
+            self._held_at_start = 0
         self._commit_at_tail()
 
     def found(self) -> None:
@@ -87,6 +94,7 @@
         self.view, self.base, self.entries = view, snapshot, entries
         self.settled = settled and self.position >= 0
         self.committed = max(snapshot.index, min(committed, self.last))
+        self._held_at_start = self.last
 
     def entry(self, index: int) -> Entry:
         return self.entries[index - self.base.index - 1]
--- a/mulleinhatch/replication/state.py
+++ b/mulleinhatch/replication/state.py
@@ -1,4 +1,5 @@
-"""The state that the chain replicates: the configuration, digests of all changes taken, and the holder of orders. Pure.
+"""The state that the chain replicates: the configuration, digests of the changes taken, the stubs that leave, and the holder of
+orders. Pure, and bounded: neither memory nor snapshots grow with the number of changes.
 
 `check` says what a change would do on the committed state; `apply` carries out a committed entry. Two replicas that applied the
 same entries hold the same state."""
@@ -29,6 +30,13 @@
     CONFIGURATION = 1  # body: a whole configuration as JSON
     PATCH = 2  # body: a patch of it as JSON
     HOLDER = 3  # body: the identity that gives orders from here on; the entry's index is its fencing token
+    LEAVE = 4  # body: a JSON list of the ids of stubs that leave
+
+
+CHANGES = (EntryKind.CONFIGURATION, EntryKind.PATCH)
+DIGESTS_KEPT = 2048  # changes that are known when they are sent again: some nine hours of the target's rate
+RECENT_KEPT = 64  # patches that are told on as they came; who is further behind gets the whole configuration
+LEFT_KEPT = 1024  # stubs that left: each serves on for seconds only, and its heartbeats come seconds late at most
 
 
 class Verdict(IntEnum):
@@ -37,6 +45,7 @@
     TAKEN_BEFORE = 200
     INVALID = 400
     CONFLICT = 412
+    FORGOTTEN = 503  # it may have been taken so long ago that nothing is known of it any more
 
 
 @dataclass(frozen=True)
@@ -63,6 +72,8 @@
         self.digests: dict[str, int] = {}  # of the changes taken, with their versions
         self.holder = ""
         self.fence_token = 0
+        self.left: dict[str, int] = {}  # stubs that said that they leave, with the index of the entry, the newest last
+        self.forgotten_version = 0  # changes up to this version may have been taken without being known any more
         self.recent: list[tuple[int, Entry]] = []  # patches with the versions that they followed
 
     def check(self, method: str, base: int | None, body: bytes) -> Result[Change, Refusal]:
@@ -72,6 +83,9 @@
             return Err(Refusal(Verdict.TAKEN_BEFORE, "taken before"))
         if isinstance(read := read_json(body), Err):
             return Err(Refusal(Verdict.INVALID, str(read.err_value)))
+        version = read.ok_value.get("version")
+        if isinstance(version, int) and version <= self.forgotten_version:
+            return Err(Refusal(Verdict.FORGOTTEN, "so old a change may have been taken; read the configuration"))
         if base is None:
             return Err(Refusal(Verdict.INVALID, "If-Match must give the version that the change builds on, 0 for the first"))
         made = self._make(method, read.ok_value)
@@ -91,10 +105,27 @@
         assert entry.index == self.index + 1
         if entry.kind == EntryKind.HOLDER:
             self.holder, self.fence_token = entry.body.decode(), entry.index
+        elif entry.kind == EntryKind.LEAVE:
+            self._apply_leave(entry)
         else:
             self._apply_change(entry)
         self.index, self.epoch = entry.index, entry.epoch
 
+    def _apply_leave(self, entry: Entry) -> None:
+        for stub_id in json.loads(entry.body):
+            self.left.setdefault(stub_id, entry.index)
+        while len(self.left) > LEFT_KEPT:
+            del self.left[next(iter(self.left))]
+
+    def left_since(self, index: int) -> list[str]:
+        """Stubs of which entries behind an index say that they leave."""
+        return [stub_id for stub_id, at in self.left.items() if at > index]
+
+    @property
+    def left_index(self) -> int:
+        """The newest entry that tells of a stub that leaves, 0 where there is none."""
+        return next(reversed(self.left.values()), 0)
+
     def _apply_change(self, entry: Entry) -> None:
         method = "PUT" if entry.kind == EntryKind.CONFIGURATION else "PATCH"
         made = self._make(method, json.loads(entry.body))
@@ -104,8 +135,12 @@
             self.recent.append((self.document.version, entry))
         else:
             self.recent.clear()
+        del self.recent[:-RECENT_KEPT]
         self.document = made.ok_value
         self.digests[entry.digest] = self.document.version
+        while len(self.digests) > DIGESTS_KEPT:
+            oldest = next(iter(self.digests))
+            self.forgotten_version = max(self.forgotten_version, self.digests.pop(oldest))
 
     def patches_since(self, version: int) -> list[bytes] | None:
         """Bodies of the patches that lead from `version` to the one in force; None where a whole one is needed."""
@@ -123,6 +158,8 @@
             digests=[f"{digest} {version}" for digest, version in self.digests.items()],
             holder=self.holder,
             fence_token=self.fence_token,
+            left=[f"{stub_id} {index}" for stub_id, index in self.left.items()],
+            forgotten_version=self.forgotten_version,
         )
 
     def restore(self, snapshot: Snapshot) -> None:
@@ -133,4 +170,7 @@
         pairs = (text.split(" ") for text in snapshot.digests)
         self.digests = {digest: int(version) for digest, version in pairs}
         self.holder, self.fence_token = snapshot.holder, snapshot.fence_token
+        left = (text.rpartition(" ") for text in snapshot.left)
+        self.left = {stub_id: int(index) for stub_id, _, index in left}
+        self.forgotten_version = snapshot.forgotten_version
         self.recent = []
--- a/mulleinhatch/storage/records.py
+++ b/mulleinhatch/storage/records.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-MAGIC = b"MHCTL\x00\x01\n"
+FORMAT, VERSION = b"MHCTL\x00", b"\x01\n"
+MAGIC = FORMAT + VERSION
 RECORD = struct.Struct("<IIB")  # length of the body, checksum of kind and body, kind
 MOST_BODY = 64 << 20
 
@@ -55,11 +56,24 @@
     """The file begins with something else."""
 
 
+class OtherVersion(ValueError):
+    """The file was written by a version of this program that this one can't read."""
+
+
+def _torn(header: bytes) -> bool:
+    """Whether a header was never synced: what a loss of power left of it is missing or zero. Nothing behind it was, either."""
+    return len(header) < len(MAGIC) or all(byte in (0, own) for byte, own in zip(header, MAGIC))
+
+
 def decode(data: bytes) -> Contents:
-    """Reads as many whole records as there are. NotOurFile where the header is another's; a torn header holds nothing."""
-    if len(data) < len(MAGIC):
-        return Contents([], 0)
-    if data[: len(MAGIC)] != MAGIC:
+    """Reads as many whole records as there are; a torn header holds nothing. NotOurFile, OtherVersion where the header is
+    another's."""
+    header = data[: len(MAGIC)]
+    if header != MAGIC:
+        if _torn(header):
+            return Contents([], 0)
+        if header.startswith(FORMAT):
+            raise OtherVersion("the control state file is of another version; start the version that wrote it")
         raise NotOurFile("not a control state file; move it away, and the state comes from the other machines")
     records, at = [], len(MAGIC)
     while at + RECORD.size <= len(data):
--- a/mulleinhatch/views/planning.py
+++ b/mulleinhatch/views/planning.py
@@ -1,9 +1,13 @@
 """Which view should follow the one in force. Pure: from a view and who is alive to a view, or None where it may stay.
 
 Rules that keep what was acknowledged: survivors keep their order, so that each predecessor holds all that its successor holds;
-only machines that are caught up in the view's epoch join, at the tail; the head holds, for certain, all that was
-committed; a chain
-has more members than disks may be lost at once.
+only machines that are caught up in the view's epoch join, at the tail; the head holds, for certain, all that was committed; a
+chain has more members than disks may be lost at once.
+
+Rules that keep a majority: the voters are an odd number, twice the machines that may be lost at once and one as soon as
+there are so many; a machine that holds the state takes the place of a voter that is silent or leaves, in the one view, so
+that the loss after it finds a majority again. Voters of a view choose the next one by a decision of that view alone, so
+any number of them may change at once (reconfiguration by the former members, as in Vertical Paxos and in SMART).
 """
 
 from __future__ import annotations
@@ -24,74 +28,88 @@
     caught_up: bool  # holds all that was committed in the view in force
     gone_for_s: float = 0.0  # since it was last heard
     settled: bool = True  # of a member of the chain: it holds all that was committed before the view
+    misses: frozenset[str] = frozenset()  # identities of machines that have not answered it for long
 
 
-REPLACED_AFTER_S = 8.0  # a silent voter makes way for a new one, or for nobody where enough are left
+def _linked(one: Health, other: Health) -> bool:
+    """Whether two machines reach each other, as far as they told."""
+    return one.member.identity not in other.misses and other.member.identity not in one.misses
 
 
 def _chain(view: View, health: Mapping[str, Health]) -> list[Member]:
-    """Survivors in their order, then those that are caught up, by identity."""
-    survivors = [member for member in view.chain if member.identity in health and health[member.identity].alive]
+    """Survivors in their order, then those that are caught up, by identity; each reaches the one before it."""
+    survivors = [health[member.identity] for member in view.chain if member.identity in health]
     known = identities(view.chain)
     joining = sorted(
-        (one.member for one in health.values() if one.alive and one.caught_up and one.member.identity not in known),
-        key=lambda member: member.identity,
+        (one for one in health.values() if one.caught_up and one.member.identity not in known),
+        key=lambda one: one.member.identity,
     )
-    return survivors + joining
+    chain: list[Health] = []
+    for one in survivors + joining:
+        if one.alive and (not chain or _linked(chain[-1], one)):
+            chain.append(one)
+    return [one.member for one in chain]
 
 
 def _same_place(one: Member, other: Member) -> bool:
     return one.internal_address == other.internal_address
 
 
-def _voters(view: View, health: Mapping[str, Health], tolerated: int) -> list[Member]:
-    """At most one voter is changed at a time, so that any two majorities in a row share one."""
-    voters = list(view.voters)
-    candidates = sorted(
-        (
-            one.member
-            for one in health.values()
-            if one.alive and one.caught_up and one.member.identity not in identities(voters)
-        ),
-        key=lambda member: member.identity,
-    )
-    for candidate in candidates:
+def _candidates(view: View, health: Mapping[str, Health]) -> list[Member]:
+    """Machines that hold the state and have no vote, by identity."""
+    voting = identities(view.voters)
+    able = (one.member for one in health.values() if one.alive and one.caught_up and one.member.identity not in voting)
+    return sorted(able, key=lambda member: member.identity)
+
+
+def _take_former_places(voters: list[Member], candidates: list[Member]) -> None:
+    """Who speaks from a voter's address with another identity has its place: the disk was emptied, the former one is gone."""
+    for candidate in list(candidates):
         for place, voter in enumerate(voters):
-            if _same_place(voter, candidate):  # its disk was emptied: the former identity is never heard again
+            if _same_place(voter, candidate):
                 voters[place] = candidate
-                return voters
-    if candidates:
-        silent = [
-            (one.gone_for_s, place)
-            for place, voter in enumerate(voters)
-            if (one := health.get(voter.identity)) is not None and one.gone_for_s > REPLACED_AFTER_S
-        ]
-        if silent:
-            voters[max(silent)[1]] = candidates[0]
-        else:
-            voters.append(candidates[0])
-        return voters
-    if len(voters) > 2 * tolerated + 1:
-        silent = [
-            (one.gone_for_s, place)
-            for place, voter in enumerate(voters)
-            if (one := health.get(voter.identity)) is not None and one.gone_for_s > REPLACED_AFTER_S
-        ]
-        if silent:
-            del voters[max(silent)[1]]
+                candidates.remove(candidate)
+                break
+
+
+def _grow(voters: list[Member], candidates: list[Member], wanted: int) -> None:
+    """Adds voters up to the wanted number; their number stays odd, or becomes it."""
+    while len(voters) < wanted:
+        step = 1 + len(voters) % 2
+        if len(candidates) < step:
+            return
+        voters += candidates[:step]
+        del candidates[:step]
+
+
+def _silent_places(voters: list[Member], health: Mapping[str, Health]) -> list[int]:
+    """Places of voters that are out of reach or leave, the longest gone first."""
+    places = [place for place, voter in enumerate(voters) if not health[voter.identity].alive]
+    return sorted(places, key=lambda place: -health[voters[place].identity].gone_for_s)
+
+
+def _voters(view: View, health: Mapping[str, Health], tolerated: int) -> list[Member]:
+    voters, candidates = list(view.voters), _candidates(view, health)
+    wanted = 2 * tolerated + 1
+    _take_former_places(voters, candidates)
+    _grow(voters, candidates, wanted)
+    for place, candidate in zip(_silent_places(voters, health), candidates):
+        voters[place] = candidate
+    while len(voters) > wanted and len(voters) % 2 == 0 and (silent := _silent_places(voters, health)):
+        del voters[silent[0]]
     return voters
 
 
 def next_view(view: View, health: Mapping[str, Health], tolerated: int) -> View | None:
     """The view that should follow, None where the one in force is right or no safe one can be formed.
 
-    `health` tells of every machine known, by identity; `tolerated` is how many disks may be lost at once."""
+    `health` tells of every machine known and of every voter, by identity; `tolerated` is how many disks may be lost at once."""
     chain = _chain(view, health)
-    survivors = [member for member in chain if member.identity in identities(view.chain)]
-    if not survivors or not health[survivors[0].identity].settled or len(chain) < min(tolerated + 1, len(view.voters)):
+    if not chain or chain[0].identity not in identities(view.chain):
+        return None
+    if not health[chain[0].identity].settled or len(chain) < tolerated + 1:
         return None
     voters = _voters(view, health, tolerated)
-    proposed = View(epoch=view.epoch + 1, voters=voters, chain=chain)
     if identities(chain) == identities(view.chain) and identities(voters) == identities(view.voters):
         return None
-    return proposed
+    return View(epoch=view.epoch + 1, voters=voters, chain=chain)
