--- a/mulleinhatch/control_plane/changes.py
+++ b/mulleinhatch/control_plane/changes.py
@@ -134,7 +134,8 @@
             if not index:
                 return 0
             await core.until(lambda: core.state.index >= index, CLAIM_WAIT_S)
-            return index if core.state.fence_token == index else 0
+            ours = core.state.fence_token == index and core.state.holder == core.member.identity
+            return index if ours else 0
 
     # Stubs that leave.
 
--- a/mulleinhatch/control_plane/core.py
+++ b/mulleinhatch/control_plane/core.py
@@ -27,12 +27,12 @@
 from mulleinhatch.services.http_client import Caller, CallFailed
 from mulleinhatch.services.settings import Settings
 from mulleinhatch.services.supervisor import supervise
-from mulleinhatch.views.ballots import identities
 from mulleinhatch.views.planning import Health, next_view
 
 LOG = logging.getLogger(__name__)
 CALL_S = 0.7  # for a message between core machines
 PLAN_S = 0.1
+UNDECIDED_S = 0.5  # how long a proposal of another machine is left to it
 STOOD_STILL_S = 0.6  # a gap between two looks at the clock that is ours, not the others'
 DISK_RETRY_S = 0.5
 KEEP_STUBS_S = 1.0
@@ -75,6 +75,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._quiet_until = 0.0  # until then the others' silence is not believed
         self._started_at = clock()
+        self._undecided = (0, 0.0)  # the epoch of a view whose successor is undecided, and since when
         self._left_marked = 0  # entries up to this index have marked the stubs that leave
 
     # Start.
@@ -194,25 +195,6 @@
     def is_caught_up(self) -> bool:
         return self.catching_up.done or self.replica.position >= 0
 
-    def may_end(self) -> bool:
-        """Whether a machine that leaves is not needed any more: the view without it is on the disks of a majority of its
-        voters, the replicas of its chain hold all, and nobody is about to take its vote."""
-        view, own = self.view, self.member.identity
-        if self.replica.position >= 0 or not self.peers.know(view):
-            return False
-        chain = [self.peers.by_identity.get(identity) for identity in identities(view.chain)]
-        if any(peer is None or peer.settled_epoch != view.epoch for peer in chain):
-            return False
-        return own not in identities(view.voters) or not self._successor_known()
-
-    def _successor_known(self) -> bool:
-        """Whether a machine without a vote holds the state, so that it can take ours."""
-        now, voting = self.clock(), identities(self.view.voters)
-        return any(
-            self.peers.alive(identity, now) and not peer.leaving and identity not in voting
-            for identity, peer in self.peers.by_identity.items()
-        )
-
     # Waiting.
 
     def wake(self) -> None:
@@ -317,7 +299,20 @@
             return None
         if now - self._started_at < ALIVE_S + HEARTBEAT_S:
             return None  # who did not answer yet may be starting, as we are
-        return next_view(view, health, self.settings.machines_tolerated)
+        wanted = next_view(view, health, self.settings.machines_tolerated)
+        if wanted is None and self._undecided_for_long(now):
+            return View(epoch=view.epoch + 1, voters=view.voters, chain=view.chain)
+        return wanted
+
+    def _undecided_for_long(self, now: float) -> bool:
+        """Whether a voter accepted a view of which nobody says that it is decided: its proposer is gone. It may be decided, so
+        that no majority confirms ours any more; a proposal of any view finds out, and completes it."""
+        view = self.view
+        if not self.votes.state.accepted.number and not self.peers.disturbed(view, now):
+            self._undecided = (0, now)
+        elif self._undecided[0] != view.epoch:
+            self._undecided = (view.epoch, now)
+        return self._undecided[0] == view.epoch and now - self._undecided[1] > UNDECIDED_S
 
     # Stubs.
 
--- /dev/null
+++ b/mulleinhatch/control_plane/departure.py
@@ -0,0 +1,47 @@
+"""The planned end of a core machine: it stays until the core does not need it any more, as long as its grace period lasts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from mulleinhatch.control_plane.core import Core
+from mulleinhatch.views.ballots import identities
+
+LOG = logging.getLogger(__name__)
+LEAST_S = 1.0  # from the notice to the end: what was asked before is answered
+GRACE_MARGIN_S = 1.0  # before the grace period ends, we end
+LOOK_S = 0.1
+
+
+def _successor_known(core: Core) -> bool:
+    """Whether a machine without a vote is there that can take ours."""
+    now, voting = core.clock(), identities(core.view.voters)
+    return any(
+        core.peers.alive(identity, now) and not peer.leaving and identity not in voting
+        for identity, peer in core.peers.by_identity.items()
+    )
+
+
+def may_end(core: Core) -> bool:
+    """Whether a machine that leaves is not needed any more: the view without it is on the disks of a majority of its voters,
+    the replicas of its chain hold all, and nobody is about to take its vote."""
+    view = core.view
+    if core.replica.position >= 0 or not core.peers.know(view):
+        return False
+    chain = [core.peers.by_identity.get(identity) for identity in identities(view.chain)]
+    if any(peer is None or peer.settled_epoch != view.epoch for peer in chain):
+        return False
+    return core.member.identity not in identities(view.voters) or not _successor_known(core)
+
+
+async def leave(core: Core, grace_s: float) -> None:
+    """Tells the others that we leave; returns when we may end, or shortly before the grace period does."""
+    core.leaving = True
+    core.beat_soon()
+    begun = core.clock()
+    latest = begun + max(LEAST_S, grace_s - GRACE_MARGIN_S)
+    await asyncio.sleep(LEAST_S)
+    while core.clock() < latest and not may_end(core):
+        await asyncio.sleep(LOOK_S)
+    LOG.info("left", extra={"seconds": round(core.clock() - begun, 2), "needed": not may_end(core)})
--- a/mulleinhatch/control_plane/disk.py
+++ b/mulleinhatch/control_plane/disk.py
@@ -103,7 +103,7 @@
         call = self._calls
         self._begun[call] = self._clock()
         try:
-            await asyncio.get_running_loop().run_in_executor(self._thread, work, records)
+            await self._carry_out(work, records)
             self._failed = False
         except OSError as error:
             self._failed = True
@@ -112,6 +112,9 @@
         finally:
             del self._begun[call]
 
+    async def _carry_out(self, work: Callable[[list[Record]], None], records: list[Record]) -> None:
+        await asyncio.get_running_loop().run_in_executor(self._thread, work, records)
+
     def stalled(self) -> bool:
         now = self._clock()
         return self._failed or any(now - begun > STALLED_S for begun in self._begun.values())
--- a/mulleinhatch/control_plane/log.py
+++ b/mulleinhatch/control_plane/log.py
@@ -27,6 +27,7 @@
     def __init__(self, core: Core) -> None:
         self._core = core
         self.lock = asyncio.Lock()
+        self.rewrite_due = False  # the file is to be written anew at the next look
 
     async def write(self, write: Write) -> None:
         """Makes a write last, and counts it. The lock is held. OSError where the disk refuses: nothing counts then."""
@@ -155,7 +156,7 @@
         """Takes a new snapshot, and writes the file anew, when they got long."""
         core = self._core
         behind = core.state.index - core.replica.base.index
-        if behind < ENTRIES_BEFORE_SNAPSHOT and core.disk.size < REWRITE_AT:
+        if behind < ENTRIES_BEFORE_SNAPSHOT and core.disk.size < REWRITE_AT and not self.rewrite_due:
             return
         async with self.lock:
             kept = core.replica.compact(core.state.snapshot())
@@ -169,3 +170,4 @@
                 records += core.votes.records()
                 records.append(stubs_record(core.registry.present()))
                 await core.disk.rewrite(records)
+        self.rewrite_due = False
--- a/mulleinhatch/control_plane/peers.py
+++ b/mulleinhatch/control_plane/peers.py
@@ -26,6 +26,7 @@
     epoch: int = 0  # the newest that it said it is in
     confirmed_epoch: int = 0  # it said that the view of this epoch is the newest it knows of,
     confirmed_at: float = NEVER  # in answer to what was sent then
+    disturbed_epoch: int = 0  # it said that it accepted a view after the one of this epoch, or that it is writing its vote
     committed: int = 0
     caught_up_epoch: int = 0
     last_index: int = 0
@@ -79,6 +80,7 @@
         peer.answered_at, peer.member = now, answer.sender
         peer.epoch = max(peer.epoch, answer.epoch)
         asked_at = now if asked_at is None else asked_at
+        peer.disturbed_epoch = 0 if answer.current else answer.epoch
         if answer.current and asked_at >= peer.confirmed_at:
             peer.confirmed_epoch, peer.confirmed_at = answer.epoch, asked_at
         self._replace_at(peer)
@@ -121,6 +123,14 @@
 
         return 2 * sum(confirms(identity) for identity in identities(view.voters)) > len(view.voters)
 
+    def disturbed(self, view: View, now: float) -> bool:
+        """Whether a voter in reach has accepted a later view that nobody has told of."""
+        return any(
+            self.by_identity[identity].disturbed_epoch == view.epoch
+            for identity in identities(view.voters)
+            if identity in self.by_identity and self.alive(identity, now)
+        )
+
     def know(self, view: View) -> bool:
         """Whether more than half of its voters have the view on disk, ourselves among them."""
         known = {identity for identity, peer in self.by_identity.items() if peer.epoch >= view.epoch} | {self.own.identity}
--- a/mulleinhatch/control_plane/process.py
+++ b/mulleinhatch/control_plane/process.py
@@ -10,6 +10,7 @@
 
 from mulleinhatch.control_plane.api import ControlApi, internal_api
 from mulleinhatch.control_plane.core import Core
+from mulleinhatch.control_plane.departure import leave
 from mulleinhatch.control_plane.distribution import Distribution
 from mulleinhatch.control_plane.orders import Orders
 from mulleinhatch.messages import cluster
@@ -19,9 +20,6 @@
 from mulleinhatch.services.web import WebHub
 
 LOG = logging.getLogger(__name__)
-LEAST_LEAVE_S = 1.0  # from the notice to leave to the end: what was asked before is answered
-GRACE_MARGIN_S = 1.0  # before the grace period ends, we end
-LOOK_S = 0.1
 DISK_RETRY_S = 0.5
 
 
@@ -69,18 +67,10 @@
         if self.core.leaving:
             return
         LOG.info("leaving")
-        self.core.leaving = True
-        self.core.beat_soon()
         self.core.spawn(self._end_when_replaced())
 
     async def _end_when_replaced(self) -> None:
-        """Ends once the core does not need us; the grace period bounds it."""
-        begun = self.clock()
-        latest = begun + max(LEAST_LEAVE_S, self.settings.bounds.grace_s - GRACE_MARGIN_S)
-        await asyncio.sleep(LEAST_LEAVE_S)
-        while self.clock() < latest and not self.core.may_end():
-            await asyncio.sleep(LOOK_S)
-        LOG.info("left", extra={"seconds": round(self.clock() - begun, 2), "replaced": self.core.may_end()})
+        await leave(self.core, self.settings.bounds.grace_s)
         self.stopped.set()
 
     async def _open(self) -> None:
--- /dev/null
+++ b/mulleinhatch/standins/virtual_core/troubles.py
@@ -0,0 +1,256 @@
+"""Losses, returns, cuts and disks in trouble, in any order that the tolerance allows, and some that it does not."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from mulleinhatch.control_plane import departure
+from mulleinhatch.standins.virtual_core.machines import Machine
+
+CATCH_UP_S = 4.0  # a machine that is back counts as lost so long
+GRACE_S = 8.0
+SINGLE = (
+    "kill", "power", "wipe", "cut", "one way", "one pair", "freeze", "slow disk", "stalled disk", "full disk",
+    "refused folder sync", "term", "replace", "planned replace", "wipe and power of all others",
+)  # fmt: skip
+OVERLAPPING = ("kill all", "power all", "halves", "power of some", "data planes")
+
+
+class Troubles:
+    """Draws troubles and carries them out; keeps who counts as lost."""
+
+    def __init__(self, world: Any) -> None:
+        self._world = world
+        self.armed: Machine | None = None  # loses its disk at the next acknowledgement, and all others lose power
+
+    async def run(self) -> None:
+        world = self._world
+        while world.loop.time() < world.trouble_s:
+            await asyncio.sleep(self._pause())
+            if world.chance.random() < world.overlapping_part:
+                self._begin(world.chance.choice(OVERLAPPING), None)
+            elif (machine := self._next()) is not None:
+                self._begin(world.chance.choice(SINGLE), machine)
+
+    def _pause(self) -> float:
+        """Until the next trouble: a while, or the instant at which the tolerance allows it."""
+        world = self._world
+        free_at = max((machine.lost_until for machine in world.machines), default=0.0)
+        if world.chance.random() < 0.5 and 0 < free_at - world.loop.time() < 12.0:
+            return free_at - world.loop.time() + 0.001
+        return world.chance.uniform(0.2, 5.0)
+
+    def _next(self) -> Machine | None:
+        world = self._world
+        if world.lost() >= world.tolerated or self.armed is not None:
+            return None
+        able = [one for one in world.machines if one.core is not None and one.lost_until <= world.loop.time()]
+        return world.chance.choice(able) if able else None
+
+    def _begin(self, kind: str, machine: Machine | None) -> None:
+        for_s = self._world.chance.uniform(0.2, 4.0)
+        self._world.note(f"{kind} {'' if machine is None else machine.number} for {for_s:.1f}")
+        if machine is not None:
+            machine.lost_until = 1e9  # until the trouble tells its end
+        self._world.loop.start(getattr(self, "_" + kind.replace(" ", "_"))(machine, for_s))
+
+    def _back(self, machine: Machine) -> None:
+        machine.lost_until = self._world.loop.time() + CATCH_UP_S
+        self._world.core_event()
+
+    def _start(self, machine: Machine) -> None:
+        if machine.core is None and not machine.removed:
+            machine.start()
+        self._back(machine)
+
+    # Losses of one machine.
+
+    async def _down(self, machine: Machine, for_s: float, wipe: bool) -> None:
+        self._world.core_event()
+        machine.stop(wipe)
+        await asyncio.sleep(for_s)
+        self._start(machine)
+
+    async def _kill(self, machine: Machine, for_s: float) -> None:
+        await self._down(machine, min(for_s, 1.0), wipe=False)
+
+    async def _power(self, machine: Machine, for_s: float) -> None:
+        await self._down(machine, for_s, wipe=False)
+
+    async def _wipe(self, machine: Machine, for_s: float) -> None:
+        await self._down(machine, for_s, wipe=True)
+
+    async def _wipe_and_power_of_all_others(self, machine: Machine, for_s: float) -> None:
+        """At the next acknowledgement."""
+        self.armed = machine
+        await asyncio.sleep(6.0)
+        if self.armed is machine:
+            self.armed = None
+            machine.lost_until = 0.0
+
+    def acknowledged(self) -> None:
+        """An operator was told that a change is in force: what waits for this strikes now."""
+        machine, self.armed = self.armed, None
+        if machine is not None:
+            self._world.note(f"disk of {machine.number} lost, power of all others")
+            self._world.loop.start(self._strike(machine))
+
+    async def _strike(self, machine: Machine) -> None:
+        machine.stop(wipe=True)
+        await self._all_down(self._world.machines, self._world.chance.uniform(0.1, 2.0), planes=True)
+
+    async def _freeze(self, machine: Machine, for_s: float) -> None:
+        process = machine.process
+        process.frozen = True
+        self._world.core_event()
+        await asyncio.sleep(for_s)
+        self._world.loop.thaw(process)
+        self._back(machine)
+
+    async def _term(self, machine: Machine, for_s: float) -> None:
+        await self._leave(machine)
+        await asyncio.sleep(min(1.0, for_s))
+        self._start(machine)
+
+    async def _leave(self, machine: Machine) -> None:
+        self._world.core_event()
+        process = machine.process
+        if process is None:
+            return
+        leaving = self._world.loop.start(departure.leave(machine.core, GRACE_S), process)
+        end = self._world.loop.time() + GRACE_S
+        while not leaving.done() and self._world.loop.time() < end and machine.process is process:
+            await asyncio.sleep(0.05)
+        if machine.process is process:
+            machine.stop()
+        self._world.core_event()
+
+    async def _replace(self, machine: Machine, for_s: float) -> None:
+        """Gone for good; an empty one comes later at another address."""
+        self._world.core_event()
+        machine.stop(wipe=True)
+        machine.removed = True
+        await asyncio.sleep(for_s)
+        self._world.add_machine(machine)
+
+    async def _planned_replace(self, machine: Machine, for_s: float) -> None:
+        """The new one first; then the old one is asked to leave, and its disk goes with it."""
+        successor = self._world.add_machine(machine)
+        successor.lost_until = 1e9
+        await asyncio.sleep(for_s)
+        await self._leave(machine)
+        machine.stop()
+        machine.removed, machine.records = True, []
+        self._world.remove(machine)
+        self._back(successor)
+
+    # Links.
+
+    async def _links(self, machine: Machine, others: list[Any], for_s: float, both: bool = True) -> None:
+        links = self._world.links
+        self._world.core_event()
+        for other in others:
+            links.cut(machine, other, both)
+        await asyncio.sleep(for_s)
+        for other in others:
+            links.heal(machine, other, both)
+        self._back(machine)
+
+    def _other_machines(self, machine: Machine) -> list[Any]:
+        return [other for other in self._world.machines if other is not machine]
+
+    async def _cut(self, machine: Machine, for_s: float) -> None:
+        await self._links(machine, self._other_machines(machine), for_s)
+
+    async def _one_way(self, machine: Machine, for_s: float) -> None:
+        await self._links(machine, self._other_machines(machine), for_s, both=False)
+
+    async def _one_pair(self, machine: Machine, for_s: float) -> None:
+        await self._links(machine, [self._world.chance.choice(self._other_machines(machine))], for_s)
+
+    async def _halves(self, _: None, for_s: float) -> None:
+        world = self._world
+        half = world.chance.sample(world.machines, len(world.machines) // 2)
+        pairs = [(one, other) for one in half for other in world.machines if other not in half]
+        world.core_event()
+        for one, other in pairs:
+            world.links.cut(one, other)
+        await asyncio.sleep(for_s)
+        for one, other in pairs:
+            world.links.heal(one, other)
+        for machine in world.machines:
+            machine.lost_until = max(machine.lost_until, world.loop.time() + CATCH_UP_S)
+        world.core_event()
+
+    # Disks.
+
+    async def _disk(self, machine: Machine, for_s: float, **trouble: Any) -> None:
+        calm = {name: getattr(machine, name) for name in trouble}
+        self._world.core_event()
+        for name, value in trouble.items():
+            setattr(machine, name, value)
+        await asyncio.sleep(for_s)
+        for name, value in calm.items():
+            setattr(machine, name, value)
+        self._back(machine)
+
+    async def _slow_disk(self, machine: Machine, for_s: float) -> None:
+        await self._disk(machine, for_s, slower=30.0)
+
+    async def _stalled_disk(self, machine: Machine, for_s: float) -> None:
+        await self._disk(machine, for_s, stalled=True)
+
+    async def _full_disk(self, machine: Machine, for_s: float) -> None:
+        await self._disk(machine, for_s, full=True)
+
+    async def _refused_folder_sync(self, machine: Machine, for_s: float) -> None:
+        """The file is rewritten meanwhile."""
+        if machine.core is not None:
+            self._world.loop.start(self._rewrite(machine), machine.process)
+        await self._disk(machine, for_s, refuse_folder_sync=True)
+
+    async def _rewrite(self, machine: Machine) -> None:
+        await asyncio.sleep(0.05)
+        machine.core.log.rewrite_due = True
+        try:
+            await machine.core.log.compact()
+        except OSError:
+            pass
+
+    # Beyond the tolerance: no further disk is lost.
+
+    async def _all_down(self, machines: list[Machine], for_s: float, planes: bool) -> None:
+        world = self._world
+        world.core_event()
+        for machine in machines:
+            machine.stop()
+        for plane in world.planes if planes else []:
+            plane.stop()
+        await asyncio.sleep(for_s)
+        for machine in machines:
+            if machine.core is None and not machine.removed:
+                machine.start()
+        for machine in world.machines:
+            machine.lost_until = max(machine.lost_until if machine.lost_until < 1e8 else 0.0, world.loop.time() + CATCH_UP_S)
+        for plane in world.planes if planes else []:
+            plane.start()
+        world.core_event()
+
+    async def _kill_all(self, _: None, for_s: float) -> None:
+        await self._all_down(self._world.machines, min(1.0, for_s), planes=False)
+
+    async def _power_all(self, _: None, for_s: float) -> None:
+        await self._all_down(self._world.machines, for_s, planes=self._world.chance.random() < 0.5)
+
+    async def _power_of_some(self, _: None, for_s: float) -> None:
+        world = self._world
+        some = world.chance.sample(world.machines, world.chance.randint(1, len(world.machines)))
+        await self._all_down(some, for_s, planes=False)
+
+    async def _data_planes(self, _: None, for_s: float) -> None:
+        plane = self._world.chance.choice(self._world.planes)
+        plane.stop()
+        await asyncio.sleep(for_s)
+        if plane.process is None:
+            plane.start()
--- a/mulleinhatch/storage/journal.py
+++ b/mulleinhatch/storage/journal.py
@@ -14,6 +14,7 @@
 
 LOG = logging.getLogger(__name__)
 NAME, BESIDE = "control.log", "control.new"
+READ_SIZE = 1 << 20
 
 
 def _sync_folder(folder: Path) -> None:
@@ -30,6 +31,19 @@
         view = view[os.write(number, view) :]
 
 
+def _read_whole(path: Path) -> bytes:
+    """What a file holds; nothing where there is none."""
+    try:
+        number = os.open(path, os.O_RDONLY)
+    except FileNotFoundError:
+        return b""
+    try:
+        pieces = iter(lambda: os.read(number, READ_SIZE), b"")
+        return b"".join(pieces)
+    finally:
+        os.close(number)
+
+
 class Journal:
     """One file of records in a folder of its own.
 
@@ -51,7 +65,7 @@
     def open(self) -> list[Record]:
         """What the file holds; it is made where there is none, what is torn at its end is cut off, and a file that is not ours
         is set aside under another name. OSError, OtherVersion."""
-        self._folder.mkdir(parents=True, exist_ok=True)
+        os.makedirs(self._folder, exist_ok=True)
         contents = self._read()
         number = os.open(self._path, os.O_RDWR | os.O_CREAT, 0o600)
         try:
@@ -69,10 +83,8 @@
         return contents.records
 
     def _read(self) -> Contents:
-        if not self._path.exists():
-            return Contents([], 0)
         try:
-            return decode(self._path.read_bytes())
+            return decode(_read_whole(self._path))
         except NotOurFile as error:
             aside = self._path.with_name(f"{NAME}.foreign")
             LOG.error("a file that is not ours was set aside", extra={"error": str(error), "now": str(aside)})
