--- a/mulleinhatch/data_plane/exchange.py
+++ b/mulleinhatch/data_plane/exchange.py
@@ -323,8 +323,7 @@
     # The answer.
 
     def expects(self, head: Head) -> bool:
-        told = head.first.get(b"request-id")
-        return told is None or told == self.exchange.request_id
+        return not self.exchange.request_id or head.first.get(b"request-id") == self.exchange.request_id
 
     def on_head(self, head: Head) -> None:
         self._head = head
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import math
-import random
 from collections import deque
 from collections.abc import Callable
 
@@ -18,6 +17,7 @@
 from mulleinhatch.data_plane.pool import StubPool
 from mulleinhatch.data_plane.routing import StubStates, choose
 from mulleinhatch.data_plane.snapshot import KnownStub, ModelName, Snapshot
+from mulleinhatch.data_plane.splits import WeightedOrder
 from mulleinhatch.protocol.streaming import Head
 from mulleinhatch.services.settings import Settings
 
@@ -52,6 +52,7 @@
         bounds = settings.bounds
         self.budget = RetryBudget(bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s)
         self.exchanges: set[ClientExchange] = set()
+        self._splits = WeightedOrder(settings.name)
         self._on_demand = on_demand
         self._absent: dict[tuple[str, ModelName], float] = {}  # what a stub said it does not hold, until when
         self._pumping = False
@@ -68,6 +69,7 @@
         if snapshot.table is not self.snapshot.table:
             routes = [route for host in snapshot.table.hosts.values() for route in host]
             self.admission.configure((route.priority, route.target_s) for route in routes)
+            self._splits.keep_only(route.name for route in routes)
         self.snapshot = snapshot
         self.states.keep_only(snapshot.stubs.by_id)
         self.pump()
@@ -101,11 +103,8 @@
         self._arrive(exchange, now)
         return None if exchange.over else exchange
 
-    @staticmethod
-    def _service(route: Route) -> str:
-        if len(route.shares) == 1:
-            return route.shares[0][0]
-        return random.choices([service for service, _ in route.shares], [weight for _, weight in route.shares])[0]
+    def _service(self, route: Route) -> str:
+        return route.shares[0][0] if len(route.shares) == 1 else self._splits.next(route.name, route.shares)
 
     def _due(self, route: Route, head: Head, now: float) -> float:
         told = head.first.get(b"request-deadline", b"")
