--- a/mulleinhatch/data_plane/control_link.py
+++ b/mulleinhatch/data_plane/control_link.py
@@ -149,7 +149,8 @@
         beside a core that has no majority an older one serves better than none."""
         if self._unsure_since is None:
             self._unsure_since = self._clock()
-        return self._clock() - self._unsure_since >= self._settings.bounds.configuration_apply_s
+        bounds = self._settings.bounds
+        return self._clock() - self._unsure_since >= bounds.contact_s + bounds.configuration_apply_s
 
     def _read(self, answer: PollAnswer) -> Document | None:
         value = json.loads(zlib.decompress(answer.configuration))
--- a/mulleinhatch/data_plane/exchange.py
+++ b/mulleinhatch/data_plane/exchange.py
@@ -1,11 +1,5 @@
-"""One request's way: routed, held, sent to a stub, its answer passed back; repeated only where that is allowed.
-
-| what happened | not idempotent | idempotent |
-| --- | --- | --- |
-| the stub says that it did not run it, or could not be reached | another stub, else 503 | another stub, else 503 |
-| the connection broke before the answer's head | 502 | another stub within `max_attempts` and the budget, else 502 |
-| it broke later | broken off | a resumable stream is taken up elsewhere, else broken off |
-| the time is over | 504, or broken off | the same |
+"""One request's way: routed, held, sent to a stub, its answer passed back. `request_state` decides what follows from what is
+known; this module carries it out.
 """
 
 from __future__ import annotations
@@ -19,6 +13,7 @@
 from mulleinhatch.data_plane.admission import Held, Refused
 from mulleinhatch.data_plane.events import EventCutter
 from mulleinhatch.data_plane.front import ClientSession
+from mulleinhatch.data_plane.request_state import Answer, Next, RequestState, read_answer
 from mulleinhatch.data_plane.snapshot import KnownStub, ModelName
 from mulleinhatch.protocol.streaming import HOP_BY_HOP, Head, write_request
 from mulleinhatch.services.http_client import ClientConnection, Loss
@@ -27,11 +22,9 @@
     from mulleinhatch.data_plane.router import Router
 
 LOG = logging.getLogger(__name__)
-PROMISES = (408, 421, 429, 503)  # statuses that say "not run"
 NOT_PASSED = HOP_BY_HOP | {b"content-length", b"request-deadline", b"expect-instance", b"priority", b"expect"}
 END_SLACK_S = 0.05
 LEAST_SEND_S = 0.02  # with less time left a request is not sent
-MOST_SENDS = 4  # stubs that may send one request back unrun
 SWITCH_SILENCE_S = 2.0  # a resumable stream whose stub says nothing for so long is taken up elsewhere
 GATHERED = 1 << 18  # bytes of a plain answer that are gathered before its head is passed on
 
@@ -95,12 +88,10 @@
             self, self.name, route.priority, route.target_s, self.prompt.session, router.now(), due, prefix=self.prompt.prefix
         )
         self.attempt: Attempt | None = None
-        self.sends = 0  # stubs that it was sent to
-        self.runs = 0  # of them those that may have run it
+        resumable = route.streaming and route.resumable
+        self.state = RequestState(route.idempotent, resumable, route.max_attempts)
         self.sent_back: set[str] = set()
-        self.head_passed = False
         self.over = False
-        resumable = route.streaming and route.resumable
         self.cutter = EventCutter(head.first.get(b"last-event-id", b"")) if resumable else None
         self._timer = router.loop.call_at(due + END_SLACK_S, self._time_over)
 
@@ -114,7 +105,7 @@
         if self.over:
             return
         if self.attempt is None:
-            self._end_unserved("this instance ends")
+            self._follow(self.state.unserved(), "this instance ends")
         else:
             self._timer = self.router.loop.call_at(self.due + END_SLACK_S, self._time_over)
 
@@ -126,18 +117,15 @@
         if stub is None:
             self.router.put_back(self)
             return
-        if self.sends and not self.router.may_repeat(self.service):
-            self._end_unserved("no budget for another stub")
+        if self.state.sends and not self.router.may_repeat(self.service):
+            self._follow(self.state.unserved(), "no budget for another stub")
             return
         self.attempt = Attempt(self, stub)
         self.attempt.begin()
 
     def refused(self, refused: Refused) -> None:
         """It is not taken, or given up before it ran: answered at once."""
-        if self.runs:
-            self._fail(502, "the stub broke off and no other could take it up")
-        else:
-            self._answer_unrun(refused.reason.value, refused.retry_after_s)
+        self._follow(self.state.unserved(), refused.reason.value, refused.retry_after_s)
 
     # From the attempt.
 
@@ -145,34 +133,22 @@
         """A stub did not run it, for certain."""
         self._attempt_over(attempt, completed=False, full=full)
         self.sent_back.add(attempt.stub.id)
-        if self.sends >= MOST_SENDS:
-            self._end_unserved("no stub could take it")
-        else:
-            self._again()
+        self._follow(self.state.not_run(), "no stub could take it")
 
     def unreached(self, attempt: Attempt) -> None:
         """No byte of it reached the stub."""
-        self.sends -= 1
-        self.runs -= 1
         self._attempt_over(attempt, completed=False)
         self.sent_back.add(attempt.stub.id)
-        if len(self.sent_back) > 2 * MOST_SENDS:
-            self._end_unserved("no stub could be reached")
-        else:
-            self._again()
+        self._follow(self.state.unreached(len(self.sent_back)), "no stub could be reached")
 
     def broke(self, attempt: Attempt) -> None:
         """It may have run, and what became of it is not known."""
         self._attempt_over(attempt, completed=False)
         self.sent_back.add(attempt.stub.id)
-        if self.route.idempotent and self.runs < self.route.max_attempts and (not self.head_passed or self.cutter is not None):
-            if self.cutter is not None:
-                self.cutter.cut()
-            self._again()
-        elif self.head_passed:
-            self._break_off()
-        else:
-            self._fail(502, "the stub broke off; whether it ran is not known")
+        following = self.state.lost()
+        if following is Next.ANOTHER_STUB and self.cutter is not None:
+            self.cutter.cut()
+        self._follow(following, "the stub broke off; whether it ran is not known")
 
     def completed(self, attempt: Attempt) -> None:
         self._attempt_over(attempt, completed=True)
@@ -192,13 +168,16 @@
 
     # Ends.
 
-    def _end_unserved(self, why: str) -> None:
-        if self.head_passed:
+    def _follow(self, following: Next, why: str, retry_after_s: float | None = None) -> None:
+        """Carries out what follows from what is known."""
+        if following is Next.ANOTHER_STUB:
+            self._again()
+        elif following is Next.REFUSE:
+            self._answer_unrun(why, self.router.retry_after(self) if retry_after_s is None else retry_after_s)
+        elif following is Next.BREAK_OFF:
             self._break_off()
-        elif self.runs > 0:
-            self._fail(502, why)
         else:
-            self._answer_unrun(why, self.router.retry_after(self))
+            self._fail(504 if following is Next.TIME_OVER else 502, why)
 
     def _answer_unrun(self, why: str, retry_after_s: float) -> None:
         self._close()
@@ -219,12 +198,7 @@
         if self.over:
             return
         self._drop_attempt()
-        if self.head_passed:
-            self._break_off()
-        elif self.runs:
-            self._fail(504, "the time is over")
-        else:
-            self._answer_unrun("the time is over", self.router.retry_after(self))
+        self._follow(self.state.time_over(), "the time is over")
 
     def cancel(self) -> None:
         """The client left: its stub is freed at once."""
@@ -256,6 +230,7 @@
         self._connection: ClientConnection | None = None
         self._task: asyncio.Task[None] | None = None
         self._head: Head | None = None
+        self._answer: Answer | None = None  # what the head said
         self._gathered: list[bytes] | None = None
         self._size = 0
         self._over = False
@@ -266,8 +241,7 @@
 
     def begin(self) -> None:
         exchange = self.exchange
-        exchange.sends += 1
-        exchange.runs += 1
+        exchange.state.begin()
         connection = self.router.pool.take(self.stub.id)
         if connection is not None:
             self._send(connection)
@@ -315,7 +289,7 @@
 
     def _fell_silent(self) -> None:
         exchange = self.exchange
-        if not self._over and exchange.runs < exchange.route.max_attempts and self.router.another_can_take(exchange, self.stub):
+        if not self._over and exchange.state.may_run_again and self.router.another_can_take(exchange, self.stub):
             self.router.stubs_failed(self.stub)
             self._connection.close()
             self.on_loss(Loss.BROKEN)
@@ -327,31 +301,24 @@
 
     def on_head(self, head: Head) -> None:
         self._head = head
-        if self._not_run(head):
+        self._answer = read_answer(head.status, head.first, self.exchange.route.idempotent)
+        if self._answer is Answer.NOT_RUN:
             return
-        signed = b"server-signature" in head.first
-        encoded = head.first.get(b"content-encoding", b"identity").lower() != b"identity"
-        if (200 <= head.status < 300 and (not signed or encoded)) or (
-            head.status in PROMISES and not self.exchange.route.idempotent
-        ):
+        if self._answer is Answer.SPOILT:
             self._connection.close()
             self.on_loss(Loss.BROKEN)
         elif not self.exchange.route.streaming or head.status >= 300:
             self._gathered = []
-        elif not self.exchange.head_passed:
+        elif not self.exchange.state.head_passed:
             self._pass_head(head, head.length)
 
-    def _not_run(self, head: Head) -> bool:
-        """Whether the stub said that it did not run the request: the body is then of no interest."""
-        return head.status == 421 or b"not-executed" in head.first
-
     def _pass_head(self, head: Head, length: int | None) -> None:
-        self.exchange.head_passed = True
+        self.exchange.state.head_passed = True
         self.exchange.session.write_head(head, None if self.exchange.cutter is not None else length)
 
     def on_body(self, data: bytes) -> None:
         exchange = self.exchange
-        if self._head is not None and self._not_run(self._head):
+        if self._answer is Answer.NOT_RUN:
             return
         if not self._first_seen:
             self._first_seen = True
@@ -386,14 +353,14 @@
         exchange, head = self.exchange, self._head
         if self._connection is not None:
             self.router.pool.give_back(self.stub.id, self._connection, head)
-        if self._not_run(head):
+        if self._answer is Answer.NOT_RUN:
             self._sent_back(head)
             return
         self.router.stub_answered(self.stub, head)
-        if head.status >= 300 and exchange.head_passed and exchange.cutter is not None:
+        if head.status >= 300 and exchange.state.head_passed and exchange.cutter is not None:
             exchange.broke(self)
             return
-        if head.status >= 500 and exchange.route.idempotent and not exchange.head_passed and self._may_repeat():
+        if head.status >= 500 and not exchange.state.head_passed and self._may_repeat():
             exchange.broke(self)
             return
         if self._gathered is not None:
@@ -404,11 +371,10 @@
 
     def _may_repeat(self) -> bool:
         exchange = self.exchange
-        return exchange.runs < exchange.route.max_attempts and self.router.another_can_take(exchange, self.stub)
+        return exchange.state.may_run_again and self.router.another_can_take(exchange, self.stub)
 
     def _sent_back(self, head: Head) -> None:
         exchange = self.exchange
-        exchange.runs -= 1
         LOG.info(
             "sent back",
             extra={
@@ -431,7 +397,7 @@
             return
         self._finish()
         self.router.stubs_failed(self.stub)
-        if self._head is not None and self._not_run(self._head):
+        if self._answer is Answer.NOT_RUN:
             self._sent_back(self._head)
         else:
             self.exchange.broke(self)
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -129,7 +129,7 @@
         stand in time for
         its aim is sent away until it stands, which earns more than a late answer. One that came back already is held."""
         now = self.now()
-        if exchange.over or exchange.held.started or exchange.sends:
+        if exchange.over or exchange.held.started or exchange.state.sends:
             return
         ready = self._ready_in(exchange.name)
         if ready <= 0.0 or now + ready + USUAL_SERVICE_S <= exchange.held.arrived + exchange.route.target_s:
@@ -250,7 +250,7 @@
 
     def sent(self, exchange: ClientExchange) -> None:
         self.states.began(exchange.attempt.stub.id)
-        if exchange.sends == 1:
+        if exchange.state.sends == 1:
             self.budget.request(exchange.service, self.now())
 
     def attempt_ended(self, exchange: ClientExchange, stub: KnownStub, completed: bool, full: bool) -> None:
--- a/mulleinhatch/services/http_client.py
+++ b/mulleinhatch/services/http_client.py
@@ -135,7 +135,8 @@
 
     def _finish(self) -> None:
         sink, head, self._sink = self._sink, self._head, None
-        if self._soiled or self._reader.surplus() or not head.keep_alive or head.until_close:
+        early = self.transport.get_write_buffer_size() > 0  # the answer came before the request was out
+        if early or self._soiled or self._reader.surplus() or not head.keep_alive or head.until_close:
             self.usable = False
             self.transport.close()
         else:
