--- a/tests/system/test_exchange_model.py
+++ b/tests/system/test_exchange_model.py
@@ -19,7 +19,7 @@
 
 from mulleinhatch.configuration.document import Document
 from mulleinhatch.configuration.routes import build_table
-from mulleinhatch.data_plane.exchange import Attempt
+from mulleinhatch.data_plane.exchange import Attempt, stub_fields
 from mulleinhatch.data_plane.request_state import Answer, Next, RequestState, read_answer
 from mulleinhatch.data_plane.router import Router
 from mulleinhatch.data_plane.snapshot import KnownStub, Snapshot, StubList
@@ -88,6 +88,7 @@
         name = parsed.first[b"request-id"].decode()
         self.before, self.waiting = self.waiting or self.before, name
         self.world.arrivals.append((name, self.stub))
+        self.world.deadlines.setdefault(name, []).append(int(parsed.first[b"request-deadline"]))
 
     def get_write_buffer_size(self) -> int:
         return 0
@@ -147,6 +148,7 @@
     def __init__(self, kinds: tuple[str, str]) -> None:
         self.loop = asyncio.get_running_loop()
         self.arrivals: list[tuple[str, str]] = []
+        self.deadlines: dict[str, list[int]] = {}  # what each run of a request was told, in ms
         self.unrun: Counter[str] = Counter()  # by request: arrivals that a stub said it did not run
         self.transports: list[StubTransport] = []
         self.kinds = dict(zip("ab", kinds))
@@ -403,6 +405,103 @@
         self.planted(mock.patch.object(Client, "break_off", Client.finish))
 
 
+def scripted(script, kinds: tuple[str, str] = ("safe", "unsafe")) -> World:
+    """A world after a script, on a clock of its own."""
+    loop = VirtualLoop()
+
+    async def play() -> World:
+        world = World(kinds)
+        await script(world)
+        return world
+
+    try:
+        return loop.run_until_complete(play())
+    finally:
+        loop.close()
+
+
+class RulesOfTheWire(unittest.TestCase):
+    """Rules that are newer than the exchange, one by one."""
+
+    def test_the_time_handed_on_is_never_more_than_is_left(self):
+        """BUDGET: a repeat 1.2 s later ends with the first one's time."""
+
+        async def script(world: World) -> None:
+            await world.begin("a")
+            await asyncio.sleep(1.2)
+            await world.event("reset", 0)
+            first, second = world.deadlines["a"]
+            self.assertLessEqual(first, 5000)
+            self.assertLessEqual(second, first - 1200)
+
+        scripted(script)
+
+    def test_a_client_that_leaves_frees_the_stub_at_once_and_nothing_is_sent_for_it_later(self):
+        """GONE."""
+
+        async def script(world: World) -> None:
+            await world.begin("a")
+            self.assertFalse(world.transports[0].closed)
+            await world.event("client gone", 0)
+            self.assertTrue(world.transports[0].closed)
+            await asyncio.sleep(6.0)
+            self.assertEqual(len(world.arrivals), 1)
+
+        scripted(script)
+
+    def test_a_request_is_answered_when_its_routes_time_is_over(self):
+        """CONFIG: within half a second of `timeout_ms`; 504 as it may have run, a break where its stream has begun."""
+
+        async def script(world: World) -> None:
+            await world.begin("a")
+            await world.begin("b")
+            await world.event("half", 1)
+            await asyncio.sleep(5.3)
+            self.assertEqual(world.clients["a"].status, 504)
+            self.assertTrue(world.clients["b"].broken)
+
+        scripted(script, ("unsafe", "streaming"))
+
+    def test_model_fields_reach_the_stub_as_the_client_sent_them(self):
+        """UNASKED."""
+        lines = b"POST /a/x HTTP/1.1", b"Model: m/a1", b"Token-Usage: 30,4", b"Prompt-Prefix: a:1, b:2", b"Request-Id: 7"
+        sent = dict(stub_fields(request_head(b"\r\n".join((*lines, b"", b""))), 1.0, "i-1", 3, b""))
+        self.assertEqual((sent[b"Model"], sent[b"Token-Usage"], sent[b"Prompt-Prefix"]), (b"m/a1", b"30,4", b"a:1, b:2"))
+        self.assertEqual((sent[b"Request-Id"], sent[b"Expect-Instance"]), (b"7", b"i-1"))
+
+    def test_who_knows_no_configuration_says_come_back_and_never_that_a_route_is_not_there(self):
+        """DENIED."""
+
+        async def script(world: World) -> None:
+            world.router.swap(Snapshot())
+            await world.begin("a")
+            self.assertEqual(world.clients["a"].status, 503)
+
+        scripted(script)
+
+    def test_nothing_goes_to_a_stub_that_left_while_the_connection_to_it_was_made(self):
+        """DRAIN."""
+
+        async def script(world: World) -> None:
+            real = world.router.pool.open
+
+            async def slow(address: str) -> ClientConnection:
+                connection = await real(address)
+                snapshot = world.router.snapshot
+                if len(world.transports) == 1:
+                    left = snapshot.stubs.updated((), False, 0.0, [world.transports[0].stub])
+                    world.router.swap(Snapshot(snapshot.table, left, 1, True))
+                return connection
+
+            world.router.pool.open = slow  # type: ignore[method-assign]
+            await world.begin("a")
+            await world.settle()
+            self.assertEqual([stub for _, stub in world.arrivals], [world.transports[1].stub])
+            self.assertNotEqual(world.transports[0].stub, world.transports[1].stub)
+
+        scripted(script)
+
+
 class States(unittest.TestCase):
     """Each row of the table, by itself."""
 
