--- a/mulleinhatch/control_plane/core.py
+++ b/mulleinhatch/control_plane/core.py
@@ -27,7 +27,7 @@
 from mulleinhatch.services.http_client import Caller, CallFailed
 from mulleinhatch.services.settings import Settings
 from mulleinhatch.services.supervisor import supervise
-from mulleinhatch.views.planning import Health, next_view
+from mulleinhatch.views.planning import Health, first_view, next_view
 
 LOG = logging.getLogger(__name__)
 CALL_S = 0.7  # for a message between core machines
@@ -38,15 +38,6 @@
 KEEP_STUBS_S = 1.0
 
 
-def first_view(settings: Settings, internal_of: Callable[[str], str]) -> View:
-    """The view that all seeds of a first start agree on without a word."""
-    members = [
-        Member(identity=f"first-{seed}", name=seed, control_address=seed, internal_address=internal_of(seed))
-        for seed in settings.seeds
-    ]
-    return View(epoch=1, voters=members, chain=members)
-
-
 class Core:
     """`on_change` is called whenever the configuration, the view or this machine's role changed."""
 
@@ -101,7 +92,7 @@
         self.registry.on_store_load = lambda: self.on_store_load()
         self.votes = Votes(self, restored)
         if not restored.voter.view.epoch and restored.identity == f"first-{control}":
-            self.votes.found(first_view(self.settings, self.internal_of))
+            self.votes.found(first_view(self.settings.seeds, self.internal_of))
         self.replica = Replica(restored.identity)
         self._restore(restored)
         self._learn_members(self.votes.view)
--- a/mulleinhatch/control_plane/orders.py
+++ b/mulleinhatch/control_plane/orders.py
@@ -12,13 +12,13 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from mulleinhatch.configuration.routes import Engine, RouteTable, build_table
 from mulleinhatch.control_plane.ceiling import LoadCeiling
 from mulleinhatch.control_plane.core import Core
 from mulleinhatch.control_plane.demand import Demand
 from mulleinhatch.control_plane.placement import Holding, Operation, Order, Planner, StubView
+from mulleinhatch.control_plane.stub_work import Report, StubWork, UnderWay, read_report
 from mulleinhatch.leadership.holder import HolderRole, RoleState, Sight
 from mulleinhatch.messages.cluster import DemandAnswer, DemandReport, HeldModel, PendingLoad, Stub
 from mulleinhatch.services.http_client import Caller, CallFailed, WholeAnswer
@@ -43,53 +43,6 @@
 REVISION_SHIFT = 32  # fencing token above, count of changes below
 
 
-@dataclass
-class UnderWay:
-    """An order that a stub carries out, or may."""
-
-    order: Order
-    begun: float
-    expected_at: float
-    revision: int  # the stub's count of orders before it
-    certain: bool = True
-    assumed: bool = False  # an adapter that arrives within milliseconds: told as present before a report shows it
-
-
-@dataclass
-class StubWork:
-    """What the holder knows of one stub."""
-
-    models: dict[str, Holding] = field(default_factory=dict)
-    revision: int = 0
-    known: bool = False  # a report came since we hold the role
-    under_way: UnderWay | None = None
-    look_at: float = 0.0
-    looking: bool = False
-    busy_elsewhere: bool = False  # it carries out an order that is not ours
-    failures: int = 0
-    reserved: str = ""  # the model for which room was made here
-    reserved_until: float = 0.0
-
-
-@dataclass(frozen=True)
-class Report:
-    """What a stub's report says that matters here."""
-
-    models: dict[str, set[str]]
-    busy: bool
-    revision: int
-
-
-def read_report(body: bytes) -> Report:
-    """ValueError where it is none."""
-    value = json.loads(body)
-    try:
-        models = {model["name"]: set(model.get("adapters", ())) for model in value.get("models", ())}
-        return Report(models, bool(value.get("busy")), int(value.get("sequence", 0)))
-    except (AttributeError, KeyError, TypeError) as error:
-        raise ValueError(f"no report: {error!r}") from None
-
-
 class Orders:
     """The role's work on one core machine; it acts only while it holds the role."""
 
@@ -327,25 +280,15 @@
         elif order.operation is Operation.LOAD and order.model == work.reserved:
             work.reserved = ""
         self._tell(stub, work)
-        LOG.info(
-            "order",
-            extra={
-                "stub": stub.id,
-                "operation": order.operation.value,
-                "model": order.model,
-                "adapter": order.adapter,
-                "why": order.why,
-            },
-        )
-        self.log.append(
-            {
-                "stub": stub.id,
-                "operation": order.operation.value,
-                "model": order.model,
-                "adapter": order.adapter,
-                "why": order.why,
-            }
-        )
+        told = {
+            "stub": stub.id,
+            "operation": order.operation.value,
+            "model": order.model,
+            "adapter": order.adapter,
+            "why": order.why,
+        }
+        LOG.info("order", extra=told)
+        self.log.append(told)
         self._core.spawn(self._send(stub, work, order))
 
     async def _send(self, stub: Stub, work: StubWork, order: Order) -> None:
--- a/mulleinhatch/views/planning.py
+++ b/mulleinhatch/views/planning.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from mulleinhatch.messages.cluster import Member, View
@@ -31,6 +31,15 @@
     misses: frozenset[str] = frozenset()  # identities of machines that have not answered it for long
 
 
+def first_view(seeds: Iterable[str], internal_of: Callable[[str], str]) -> View:
+    """The view that all seeds of a first start agree on without a word. `seeds` are control addresses; `internal_of` gives the
+    internal address beside one."""
+    members = [
+        Member(identity=f"first-{seed}", name=seed, control_address=seed, internal_address=internal_of(seed)) for seed in seeds
+    ]
+    return View(epoch=1, voters=members, chain=members)
+
+
 def _linked(one: Health, other: Health) -> bool:
     """Whether two machines reach each other, as far as they told."""
     return one.member.identity not in other.misses and other.member.identity not in one.misses
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -9,10 +9,10 @@
 from mulleinhatch.configuration.routes import Engine, ModelFacts
 from mulleinhatch.control_plane.api import read_stub
 from mulleinhatch.control_plane.demand import Demand, Wanted
-from mulleinhatch.control_plane.orders import read_report
 from mulleinhatch.control_plane.peers import ALIVE_S, Peers
 from mulleinhatch.control_plane.placement import Holding, Operation, Planner, StubView, used_mb
 from mulleinhatch.control_plane.registry import Registry
+from mulleinhatch.control_plane.stub_work import read_report
 from mulleinhatch.leadership.holder import HolderRole, RoleState, Sight
 from mulleinhatch.messages.cluster import (
     DemandReport,
