--- a/mulleinhatch/control_plane/api.py
+++ b/mulleinhatch/control_plane/api.py
@@ -138,7 +138,7 @@
             core.beat_soon()
         if stub.draining and not await core.stub_leaves(stub.id):
             return _cut_off()
-        return WebAnswer.of_json(200, {}) if core.authoritative() else _cut_off()
+        return WebAnswer.of_json(200, {}) if await core.speaks() else _cut_off()
 
 
 Handler = Callable[[Any], Awaitable[Any]]
--- a/mulleinhatch/control_plane/changes.py
+++ b/mulleinhatch/control_plane/changes.py
@@ -63,7 +63,7 @@
     async def change(self, method: str, base: int | None, body: bytes) -> ChangeAnswer:
         """An operator's change: acknowledged once every replica of the chain has it on disk."""
         core = self._core
-        if not self._leads() or not core.authoritative():
+        if not self._leads() or not await core.speaks():
             return self._elsewhere(core.head)
         begun = core.clock()
         try:
@@ -156,7 +156,7 @@
     async def on_leave(self, request: LeaveRequest) -> LeaveAnswer:
         """At the head: `taken` once every replica of the chain has it on disk, and the view stood after the call."""
         core, epoch = self._core, self._core.view.epoch
-        if not self._leads() or not core.authoritative():
+        if not self._leads() or not await core.speaks():
             return LeaveAnswer(taken=False)
         if self._all_left(request.stubs):
             return LeaveAnswer(taken=await core.votes.confirm())
--- a/mulleinhatch/control_plane/core.py
+++ b/mulleinhatch/control_plane/core.py
@@ -32,6 +32,7 @@
 LOG = logging.getLogger(__name__)
 CALL_S = 0.7  # for a message between core machines
 PLAN_S = 0.1
+LAPSE_S = 0.2  # a new view is confirmed by the heartbeats that it sets off
 UNDECIDED_S = 0.5  # how long a proposal of another machine is left to it
 STOOD_STILL_S = 0.6  # a gap between two looks at the clock that is ours, not the others'
 DISK_RETRY_S = 0.5
@@ -169,6 +170,10 @@
         inside = self.replica.position >= 0 and self.replica.current
         return inside and self.peers.confirm(self.view, self.clock()) and not self._stood_still()
 
+    async def speaks(self) -> bool:
+        """Whether we are authoritative, or become so in the moment that the voters need to confirm a view that just changed."""
+        return self.replica.position >= 0 and await self.until(self.authoritative, LAPSE_S)
+
     def _stood_still(self) -> bool:
         return self.clock() - self._looked_at > STOOD_STILL_S
 
@@ -242,8 +247,8 @@
         if self.replica.position >= 0:
             self.catching_up.done = False
         self._learn_members(view)
-        names = {"chain": [member.name for member in view.chain], "voters": [member.name for member in view.voters]}
-        LOG.info("view in force", extra={"epoch": view.epoch, **names})
+        chain, voters = ([member.name for member in members] for members in (view.chain, view.voters))
+        LOG.info("view in force", extra={"epoch": view.epoch, "chain": chain, "voters": voters})
         self.log.apply()
         self.changed()
         self.beat_soon()
--- a/mulleinhatch/control_plane/distribution.py
+++ b/mulleinhatch/control_plane/distribution.py
@@ -60,10 +60,10 @@
         poller = self._pollers.setdefault(request.node, _Poller(self._clock()))
         poller.polled_at = self._clock()
         end = self._clock() + min(LONGEST_WAIT_S, request.wait_ms / 1000.0)
-        said = self._standing()
-        while not self._due(request, poller) and said == self._standing():
+        epoch = self._core.view.epoch
+        while await self._core.speaks() and not self._due(request, poller) and epoch == self._core.view.epoch:
             left = end - self._clock()
-            if left <= 0 or not self._core.authoritative():
+            if left <= 0:
                 break
             if self._news(request):
                 left = min(left, max(0.001, poller.answered_at + self._gap() - self._clock()))
@@ -91,9 +91,6 @@
             return True
         return core.registry.cursor > request.registry_cursor and self._clock() >= poller.answered_at + self._gap()
 
-    def _standing(self) -> tuple[int, bool]:
-        return self._core.view.epoch, self._core.authoritative()
-
     def _news(self, request: PollRequest) -> bool:
         registry = self._core.registry
         return (
--- a/mulleinhatch/control_plane/heartbeats.py
+++ b/mulleinhatch/control_plane/heartbeats.py
@@ -86,7 +86,10 @@
         owed = set(peer.owed_stubs) if peer is not None else set()
         answer = await core.ask(address, "heartbeat", self._message(peer, owed, begun), HeartbeatAnswer())
         now = core.clock()
+        spoke = core.authoritative()
         heard = core.peers.answered(answer, now, begun)
+        if not spoke and core.authoritative():
+            core.changed()
         if heard is None:
             return
         if answer.wants_all_stubs:
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -264,6 +264,36 @@
         role.observe(sight(leads=False), 2.9)
         self.assertIs(role.observe(sight(), 3.5), RoleState.WAITING)
 
+    def holding(self) -> HolderRole:
+        role = HolderRole(3.0)
+        role.observe(sight(holder=""), 0.0)
+        role.claimed(5)
+        role.observe(sight(holder="a", token=5), 0.1)
+        return role
+
+    def test_a_moment_without_the_lead_gives_no_orders_and_keeps_the_role(self):
+        """As while a view changes: a claim anew would forget what is under way at every stub."""
+        role = self.holding()
+        self.assertIs(role.observe(sight(leads=False, holder="a", token=5), 0.2), RoleState.PAUSED)
+        self.assertFalse(role.acting)
+        self.assertIs(role.observe(sight(holder="a", token=5), 0.4), RoleState.ACTING)
+
+    def test_a_pause_in_which_another_claimed_ends_it(self):
+        role = self.holding()
+        role.observe(sight(leads=False, holder="a", token=5), 0.2)
+        self.assertIs(role.observe(sight(holder="b", token=7), 0.4), RoleState.OUTSIDE)
+
+    def test_a_long_pause_ends_it(self):
+        role = self.holding()
+        role.observe(sight(leads=False, holder="a", token=5), 0.2)
+        self.assertIs(role.observe(sight(leads=False, holder="a", token=5), 1.3), RoleState.OUTSIDE)
+        self.assertIs(role.observe(sight(holder="a", token=5), 1.4), RoleState.CLAIMING)
+
+    def test_one_that_stood_still_claims_anew(self):
+        role = self.holding()
+        role.observe(sight(leads=False, holder="a", token=5), 0.2)
+        self.assertIsNot(role.observe(sight(holder="a", token=5), 3.2), RoleState.ACTING)
+
     def test_a_former_holder_that_hands_over_is_waited_for_less(self):
         role = HolderRole(3.0)
         self.assertIs(role.observe(sight(former_idle_s=2.0), 0.0), RoleState.WAITING)
