Reread: one place for what a stand-in process is told at start; a condition that could not be true, and two dead fields, out

Seen on rereading: the settings of virtual core machines and data planes stood twice; Machine.place and the model test's Client.bodies were never read; a stub's heartbeat asked whether the record known before drains, but that is the entry which the merge has just changed, so only a new stub ever set off a heartbeat there (a leave is told by its entry of the chain). Behaviour is the same.

--- a/mulleinhatch/control_plane/api.py
+++ b/mulleinhatch/control_plane/api.py
@@ -134,7 +134,7 @@
         known = core.registry.entries.get(stub.id)
         if core.registry.merge(stub, self._clock()):
             core.heartbeats.stub_changed(stub.id)
-        if known is None or (stub.draining and not known.stub.draining):
+        if known is None:
             core.beat_soon()
         if stub.draining and not await core.stub_leaves(stub.id):
             return _cut_off()
--- a/mulleinhatch/standins/virtual_core/machines.py
+++ b/mulleinhatch/standins/virtual_core/machines.py
@@ -66,11 +66,33 @@
             work(records)
 
 
+def process_settings(world: Any, name: str, ip: str, control_address: str = "") -> Settings:
+    """What a process is told at its start; `control_address` of those that serve control."""
+    return Settings(
+        name=name,
+        ip_address=ip,
+        zone="z",
+        region="r",
+        listen={"control": control_address} if control_address else {},
+        internal_address=f"{ip}:7000",
+        seeds=world.seeds(),
+        first_start=world.first,
+        counts_for_quorum=bool(control_address),
+        machines_tolerated=world.tolerated,
+        heartbeat_s=1.2,
+        data_directory="",
+        file_descriptors=100,
+        memory_mb=100.0,
+        regions_of_zones={},
+        bounds=Bounds(),
+    )
+
+
 class Machine:
     """One core machine: address, disk, and the process that runs on it, if any."""
 
-    def __init__(self, number: int, place: int, world: Any) -> None:
-        self.number, self.place, self._world = number, place, world
+    def __init__(self, number: int, world: Any) -> None:
+        self.number, self._world = number, world
         self.ip = f"10.0.0.{number + 1}"
         self.chance: random.Random = world.chance
         self.defect: Defect = world.defect
@@ -98,25 +120,7 @@
         return f"{self.ip}:80"
 
     def settings(self) -> Settings:
-        world = self._world
-        return Settings(
-            name=f"core-{self.number}",
-            ip_address=self.ip,
-            zone="z",
-            region="r",
-            listen={"control": self.control_address},
-            internal_address=self.internal,
-            seeds=world.seeds(),
-            first_start=world.first,
-            counts_for_quorum=True,
-            machines_tolerated=world.tolerated,
-            heartbeat_s=1.2,
-            data_directory="",
-            file_descriptors=100,
-            memory_mb=100.0,
-            regions_of_zones={},
-            bounds=Bounds(),
-        )
+        return process_settings(self._world, f"core-{self.number}", self.ip, self.control_address)
 
     def start(self) -> None:
         loop: VirtualLoop = self._world.loop
--- a/mulleinhatch/standins/virtual_core/outside.py
+++ b/mulleinhatch/standins/virtual_core/outside.py
@@ -11,8 +11,7 @@
 from mulleinhatch.data_plane.control_link import ControlLink
 from mulleinhatch.data_plane.snapshot import Snapshot
 from mulleinhatch.services.http_client import CallFailed, WholeAnswer
-from mulleinhatch.services.settings import Bounds, Settings
-from mulleinhatch.standins.virtual_core.machines import Machine
+from mulleinhatch.standins.virtual_core.machines import Machine, process_settings
 from mulleinhatch.standins.virtual_core.network import Network
 from mulleinhatch.standins.virtual_time import Process
 
@@ -206,24 +205,7 @@
         world = self._world
         self.snapshot, self.started_at = Snapshot(), world.loop.time()
         self.process = Process(f"data-{self.number}")
-        settings = Settings(
-            name=f"data-{self.number}",
-            ip_address=self.ip,
-            zone="z",
-            region="r",
-            listen={},
-            internal_address=f"{self.ip}:7000",
-            seeds=world.seeds(),
-            first_start=world.first,
-            counts_for_quorum=False,
-            machines_tolerated=world.tolerated,
-            heartbeat_s=1.2,
-            data_directory="",
-            file_descriptors=100,
-            memory_mb=100.0,
-            regions_of_zones={},
-            bounds=Bounds(),
-        )
+        settings = process_settings(world, f"data-{self.number}", self.ip)
         link = ControlLink(settings, Network(world, self, self.process), world.loop.time, self._swap)  # type: ignore[arg-type]
         world.loop.start(link.run(), self.process)
 
--- a/mulleinhatch/standins/virtual_core/world.py
+++ b/mulleinhatch/standins/virtual_core/world.py
@@ -40,7 +40,7 @@
         self.chance = random.Random(history.seed)
         self.links = Links()
         self.first = True
-        self.machines = [Machine(number, number, self) for number in range(machines)]
+        self.machines = [Machine(number, self) for number in range(machines)]
         self._numbers = machines
         self._core_event_at = 0.0
         self.planes = [DataPlane(self, number) for number in range(2)]
@@ -64,7 +64,7 @@
 
     def add_machine(self, former: Machine) -> Machine:
         """An empty machine at an address of its own, in the place of one that is gone or will be."""
-        machine = Machine(self._numbers, former.place, self)
+        machine = Machine(self._numbers, self)
         self._numbers += 1
         if former.removed:
             self.machines[self.machines.index(former)] = machine
--- a/tests/system/test_exchange_model.py
+++ b/tests/system/test_exchange_model.py
@@ -14,7 +14,7 @@
 import unittest
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from unittest import mock
 
 from mulleinhatch.configuration.document import Document
@@ -122,7 +122,6 @@
     broken: bool = False
     refused: bool = False
     answers: int = 0
-    bodies: list[bytes] = field(default_factory=list)
 
     def write_head(self, head: Head, length: int | None) -> None:
         self.answers += 1
