--- /dev/null
+++ b/benchmarks/pairs/playing.py
@@ -0,0 +1,120 @@
+"""Plays one day of one text with one seed, and keeps what came of it, so that a comparison that was broken off resumes."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import tempfile
+import threading
+import tomllib
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+
+@dataclass(frozen=True)
+class Task:
+    """One play: which text (by digest), site, day and seed, as a small twin or in full size."""
+
+    text: str
+    site: str
+    day: str
+    seed: int
+    small: bool
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What came of one play. `score` is the day's place between its two marks, 0 to 1; worths are shares of what is owed."""
+
+    score: float
+    worth: float
+    served: float
+    refused: float
+    parts: dict[str, float] = field(default_factory=dict)
+    prices: dict[str, float] = field(default_factory=dict)
+    broken: tuple[str, ...] = ()
+
+
+class PlayFailed(RuntimeError):
+    """The bench gave no report; the message holds the end of what it printed."""
+
+
+@dataclass(frozen=True)
+class Marks:
+    """The worths between which a day's score lies."""
+
+    zero: float
+    one: float
+
+    def score(self, worth: float) -> float:
+        """
+        >>> Marks(0.5, 1.0).score(0.75)
+        0.5
+        """
+        return min(1.0, max(0.0, (worth - self.zero) / (self.one - self.zero)))
+
+
+def read_marks(site: Path) -> dict[str, Marks]:
+    """The marks of each standard day of a site file."""
+    days = tomllib.loads(site.read_text())["day"]
+    return {day["name"]: Marks(float(day["zero"]), float(day["one"])) for day in days}
+
+
+def read_outcome(told: dict, marks: Marks) -> Outcome:
+    """An outcome from the bench's report."""
+    worth = float(told.get("G") or 0.0)
+    broken = sorted(told.get("breaks") or {})
+    if told.get("fault"):
+        broken.append(f"fault: {told['fault']}")
+    return Outcome(
+        0.0 if broken else marks.score(worth),
+        worth,
+        float(told.get("served") or 0.0),
+        float(told.get("refused") or 0.0),
+        {name: float(value) for name, _, value in told.get("parts") or ()},
+        {name: float(price) for name, _, price in told.get("prices") or ()},
+        tuple(broken),
+    )
+
+
+def build(bench: Path, root: Path) -> None:
+    """Builds a text once, so that plays at the same time do not."""
+    run = subprocess.run([str(bench), "build"], cwd=root, capture_output=True, text=True)
+    if run.returncode:
+        raise PlayFailed(f"{root.name}: not built: {(run.stdout + run.stderr)[-600:]}")
+
+
+def play(bench: Path, root: Path, site: Path, task: Task, why: str) -> Outcome:
+    """Plays one day; PlayFailed where the bench gives no report."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        command = [str(bench), "run", str(site), task.day, "--seed", str(task.seed), "--no-cpu", "--jobs", "1"]
+        command += ["--small"] if task.small else []
+        command += ["--report", str(report), "--why", why]
+        run = subprocess.run(command, cwd=root, capture_output=True, text=True)
+        if not report.exists():
+            raise PlayFailed(f"{task}: {(run.stdout + run.stderr)[-600:]}")
+        return read_outcome(json.loads(report.read_text()), read_marks(site)[task.day])
+
+
+class Book:
+    """Outcomes kept in a file of JSON lines; safe for several threads."""
+
+    def __init__(self, file: Path) -> None:
+        self._file, self._lock = file, threading.Lock()
+        self._known: dict[Task, Outcome] = {}
+        if file.exists():
+            for line in file.read_text().splitlines():
+                value = json.loads(line)
+                value["outcome"]["broken"] = tuple(value["outcome"]["broken"])
+                self._known[Task(**value["task"])] = Outcome(**value["outcome"])
+
+    def get(self, task: Task) -> Outcome | None:
+        with self._lock:
+            return self._known.get(task)
+
+    def add(self, task: Task, outcome: Outcome) -> None:
+        with self._lock:
+            self._known[task] = outcome
+            with self._file.open("a") as file:
+                file.write(json.dumps({"task": asdict(task), "outcome": asdict(outcome)}, sort_keys=True) + "\n")
--- /dev/null
+++ b/benchmarks/pairs/variants.py
@@ -0,0 +1,119 @@
+"""Texts to compare: a checkout, with some of its constants or lines replaced. A switch for measuring, never a setting.
+
+A variant is written as `NAME=REVISION[,FILE:CONSTANT=VALUE]...`; `FILE` is below `mulleinhatch/`. Example:
+`slow=HEAD,control_plane/placement.py:KEEP_ADVANTAGE=3.0`.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+import subprocess
+from dataclasses import dataclass
+from pathlib import Path
+
+PACKAGE = "mulleinhatch"
+
+
+class VariantError(ValueError):
+    """A variant that can't be made; the message tells what to write instead."""
+
+
+@dataclass(frozen=True)
+class Replacement:
+    """One module constant with another value."""
+
+    file: str
+    constant: str
+    value: str
+
+
+@dataclass(frozen=True)
+class Variant:
+    """A text to measure."""
+
+    name: str
+    revision: str
+    replacements: tuple[Replacement, ...] = ()
+
+
+def read_variant(text: str) -> Variant:
+    """
+    >>> read_variant("slow=HEAD,control_plane/placement.py:KEEP_ADVANTAGE=3.0").replacements
+    (Replacement(file='control_plane/placement.py', constant='KEEP_ADVANTAGE', value='3.0'),)
+    """
+    name, separator, rest = text.partition("=")
+    revision, *changes = rest.split(",")
+    if not separator or not name or not revision:
+        raise VariantError(f"{text!r}: write NAME=REVISION[,FILE:CONSTANT=VALUE]...")
+    return Variant(name, revision, tuple(_replacement(change) for change in changes))
+
+
+def _replacement(text: str) -> Replacement:
+    file, colon, rest = text.partition(":")
+    constant, separator, value = rest.partition("=")
+    if not (file and colon and constant and separator and value):
+        raise VariantError(f"{text!r}: write FILE:CONSTANT=VALUE")
+    return Replacement(file, constant, value)
+
+
+def replace_constant(source: str, constant: str, value: str) -> str:
+    """Source text with a module constant set to another value; the comment behind it stays.
+
+    >>> replace_constant("A = 1.0  # seconds\\n", "A", "2.0")
+    'A = 2.0  # seconds\\n'
+    """
+    pattern = re.compile(
+        rf"^{re.escape(constant)}(?P<type>: [^=\n]+)? = (?P<old>[^#\n]*?)(?P<rest>\s*(#[^\n]*)?)$", re.MULTILINE
+    )
+    changed, count = pattern.subn(lambda match: f"{constant}{match['type'] or ''} = {value}{match['rest']}", source)
+    if count != 1:
+        raise VariantError(f"{constant}: {count} module constants of this name, one is needed")
+    return changed
+
+
+def prepare(variant: Variant, repository: Path, folder: Path) -> Path:
+    """Writes a variant's text below `folder` and returns its root; one that stands there already is made anew."""
+    root = folder / variant.name
+    root.mkdir(parents=True, exist_ok=True)
+    subprocess.run(["rm", "-rf", str(root / PACKAGE), str(root / "deploy")], check=True)
+    if variant.revision == "WORK":
+        _copy_work(repository, root)
+    else:
+        archive = subprocess.run(
+            ["git", "-C", str(repository), "archive", variant.revision, "--", ".", ":!journal"], check=True, capture_output=True
+        )
+        subprocess.run(["tar", "-x", "-C", str(root)], input=archive.stdout, check=True)
+    built = repository / "target"
+    if built.exists() and not (root / "target").exists():
+        subprocess.run(["cp", "-a", str(built), str(root / "target")], check=True)
+    if not (root / ".git").exists():
+        subprocess.run(["git", "init", "-q", str(root)], check=True)
+    for one in variant.replacements:
+        file = root / PACKAGE / one.file
+        if not file.exists():
+            raise VariantError(f"{one.file}: no such file below {PACKAGE}/")
+        file.write_text(replace_constant(file.read_text(), one.constant, one.value))
+    return root
+
+
+def _copy_work(repository: Path, root: Path) -> None:
+    """The files as they are in the working tree."""
+    names = subprocess.run(
+        ["git", "-C", str(repository), "ls-files", "-z", "--cached", "--others", "--exclude-standard", "--", ".", ":!journal"],
+        check=True,
+        capture_output=True,
+    ).stdout
+    archive = subprocess.run(
+        ["tar", "-c", "-C", str(repository), "--null", "--ignore-failed-read", "-T", "-"], input=names, capture_output=True
+    )
+    subprocess.run(["tar", "-x", "-C", str(root)], input=archive.stdout, check=True)
+
+
+def digest(root: Path) -> str:
+    """A short digest of what decides a play: the package, the programs and the deploy file."""
+    whole = hashlib.sha256()
+    files = [*sorted((root / PACKAGE).rglob("*.py")), *sorted(root.glob("*.py")), root / "deploy" / "system.toml"]
+    for file in files:
+        whole.update(str(file.relative_to(root)).encode() + b"\0" + file.read_bytes())
+    return whole.hexdigest()[:12]
--- a/mulleinhatch/control_plane/orders.py
+++ b/mulleinhatch/control_plane/orders.py
@@ -223,7 +223,9 @@
         if under_way is not None:
             if report.busy or not self._ended(under_way, report, asked_at):
                 return
-            LOG.debug("order ended", extra={"stub": stub.id, "order": str(under_way.order)})
+            order = under_way.order
+            told = {"stub": stub.id, "operation": order.operation.value, "model": order.model, "adapter": order.adapter}
+            LOG.info("order ended", extra=told | {"took_s": round(now - under_way.begun, 3)})
             work.under_way = None
         arrived = now if work.known else NEVER  # what stood before we looked has stood for long, as far as we know
         work.busy_elsewhere = report.busy and under_way is None
--- a/mulleinhatch/data_plane/exchange.py
+++ b/mulleinhatch/data_plane/exchange.py
@@ -11,6 +11,7 @@
 
 from mulleinhatch.configuration.routes import Route
 from mulleinhatch.data_plane.admission import Held, Refused
+from mulleinhatch.data_plane.delays import Delay
 from mulleinhatch.data_plane.events import EventCutter
 from mulleinhatch.data_plane.front import ClientSession
 from mulleinhatch.data_plane.request_state import Answer, Next, RequestState, read_answer
@@ -92,6 +93,7 @@
         self.state = RequestState(route.idempotent, resumable, route.max_attempts)
         self.sent_back: set[str] = set()
         self.over = False
+        self.delay = Delay.NONE  # what kept it from a stub when it arrived
         self.cutter = EventCutter(head.first.get(b"last-event-id", b"")) if resumable else None
         self._timer = router.loop.call_at(due + END_SLACK_S, self._time_over)
 
@@ -322,7 +324,7 @@
             return
         if not self._first_seen:
             self._first_seen = True
-            self.router.first_answer(self.stub, self.router.now() - self._sent_at)
+            self.router.first_answer(exchange, self.stub, self.router.now() - self._sent_at)
         if self._gathered is not None:
             self._gather(data)
         elif exchange.cutter is not None:
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -11,6 +11,7 @@
 from mulleinhatch.configuration.routes import Route, Service
 from mulleinhatch.data_plane.admission import HOLD_MARGIN_S, USUAL_SERVICE_S, Admission, Refusal, Refused
 from mulleinhatch.data_plane.budget import RetryBudget
+from mulleinhatch.data_plane.delays import Delay, delay_of
 from mulleinhatch.data_plane.demand import DemandBook
 from mulleinhatch.data_plane.exchange import ClientExchange
 from mulleinhatch.data_plane.front import ClientSession
@@ -149,13 +150,17 @@
             self.loop.call_later(JUDGE_PART * exchange.route.target_s, self._judge, exchange)
             self.demand.asked(exchange.name, max(1.0, TOP_WORTH - exchange.route.priority), now)
         refused = self.admission.arrive(exchange.held, now)
-        if exchange.name.model and not self._holders(exchange.name, now):
+        holders = self._holders(exchange.name, now)
+        exchange.delay = delay_of(exchange.name, self.snapshot.stubs.by_service.get(exchange.service, ()), bool(holders))
+        if exchange.name.model and not holders:
             self._on_demand(exchange.name)
         if refused is not None:
             self.counters["refused"] += 1
             exchange.refused(refused)
         else:
             self.pump()
+            if exchange.delay is Delay.NONE and not exchange.over and not exchange.held.started:
+                exchange.delay = Delay.LIMIT
 
     def hold_again(self, exchange: ClientExchange) -> None:
         """A request that a stub did not serve waits for another one, with its age."""
@@ -267,8 +272,26 @@
         """A request of ours is no longer at a stub."""
         self.states.ended(stub.id)
 
-    def first_answer(self, stub: KnownStub, seconds: float) -> None:
-        self.states.measured(stub.id, seconds, self.now())
+    def first_answer(self, exchange: ClientExchange, stub: KnownStub, seconds: float) -> None:
+        """The first bytes of an answer came `seconds` after the request was sent."""
+        now = self.now()
+        self.states.measured(stub.id, seconds, now)
+        waited = now - exchange.held.arrived
+        if waited > exchange.route.target_s:
+            LOG.info("late", extra=self._told(exchange) | {"waited_s": round(waited, 3), "at_stub_s": round(seconds, 3)})
+
+    def _told(self, exchange: ClientExchange) -> dict[str, str | bool | int]:
+        """What a log line tells of a request that was late or not served."""
+        return {
+            "request_id": exchange.request_id.decode("latin-1"),
+            "route": exchange.route.name,
+            "priority": exchange.route.priority,
+            "model": exchange.name.model,
+            "adapter": exchange.name.adapter,
+            "delay": exchange.delay.value,
+            "came_back": self.came_back(exchange, exchange.held.arrived),
+            "sends": exchange.state.sends,
+        }
 
     def stub_answered(self, stub: KnownStub, head: Head) -> None:
         self.states.succeeded(stub.id)
@@ -297,6 +320,7 @@
     def note_refusal(self, exchange: ClientExchange, why: str, retry_after_s: float) -> None:
         """For who asks why a request was not served."""
         name = exchange.name
+        LOG.info("not served", extra=self._told(exchange) | {"why": why, "retry_after_s": round(retry_after_s, 3)})
         self.refused_lately.append(
             {
                 "request_id": exchange.request_id.decode("latin-1"),
