--- a/mulleinhatch/data_plane/exchange.py
+++ b/mulleinhatch/data_plane/exchange.py
@@ -7,21 +7,20 @@
 import asyncio
 import logging
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from mulleinhatch.configuration.routes import Route
 from mulleinhatch.data_plane.admission import Held, Refused
 from mulleinhatch.data_plane.delays import Delay
 from mulleinhatch.data_plane.events import EventCutter
 from mulleinhatch.data_plane.front import ClientSession
+from mulleinhatch.data_plane.pool import StubPool
 from mulleinhatch.data_plane.request_state import Answer, Next, RequestState, read_answer
+from mulleinhatch.data_plane.routing import StubStates
 from mulleinhatch.data_plane.snapshot import KnownStub, ModelName
 from mulleinhatch.protocol.streaming import HOP_BY_HOP, Head, write_request
 from mulleinhatch.services.http_client import ClientConnection, Loss
 
-if TYPE_CHECKING:
-    from mulleinhatch.data_plane.router import Router
-
 LOG = logging.getLogger(__name__)
 NOT_PASSED = HOP_BY_HOP | {b"content-length", b"request-deadline", b"expect-instance", b"priority", b"expect"}
 END_SLACK_S = 0.05
@@ -74,11 +73,57 @@
     return fields
 
 
+class ExchangeHost(Protocol):
+    """What an exchange needs of the instance that owns it: its clock, its stubs, and who hears what became of a request."""
+
+    loop: asyncio.AbstractEventLoop
+    pool: StubPool
+    states: StubStates
+
+    def now(self) -> float: ...
+
+    def choose(self, exchange: ClientExchange) -> KnownStub | None: ...
+
+    def another_can_take(self, exchange: ClientExchange, stub: KnownStub) -> bool: ...
+
+    def still_listed(self, stub: KnownStub) -> bool: ...
+
+    def may_repeat(self, service: str) -> bool: ...
+
+    def retry_after(self, exchange: ClientExchange) -> float: ...
+
+    def hold_again(self, exchange: ClientExchange) -> None: ...
+
+    def put_back(self, exchange: ClientExchange) -> None: ...
+
+    def sent(self, exchange: ClientExchange) -> None: ...
+
+    def first_answer(self, exchange: ClientExchange, stub: KnownStub, seconds: float) -> None: ...
+
+    def stub_answered(self, stub: KnownStub, head: Head) -> None: ...
+
+    def stubs_failed(self, stub: KnownStub) -> None: ...
+
+    def stub_is_other(self, stub: KnownStub, head: Head, name: ModelName) -> None: ...
+
+    def sent_back_full(self, stub: KnownStub, name: ModelName) -> None: ...
+
+    def left_stub(self, stub: KnownStub) -> None: ...
+
+    def attempt_ended(self, exchange: ClientExchange, stub: KnownStub, completed: bool, full: bool) -> None: ...
+
+    def note_refusal(self, exchange: ClientExchange, why: str, retry_after_s: float) -> None: ...
+
+    def served(self, exchange: ClientExchange) -> None: ...
+
+    def forget(self, exchange: ClientExchange) -> None: ...
+
+
 class ClientExchange:
     """One client request from its arrival to the end of its answer."""
 
     def __init__(
-        self, router: Router, session: ClientSession, head: Head, body: bytes, route: Route, service: str, due: float
+        self, router: ExchangeHost, session: ClientSession, head: Head, body: bytes, route: Route, service: str, due: float
     ) -> None:
         self.router, self.session, self.head, self.body = router, session, head, body
         self.route, self.service, self.due = route, service, due
