Figures of an engine that can't be used cost their model only

Cause: a text, a negative or endless figure in an engine ended the build of the route table or counted as room. Change: such a model fits nowhere and is never ordered, slots are at least one, the others go on. Test: AbsurdEngines.

--- a/mulleinhatch/configuration/routes.py
+++ b/mulleinhatch/configuration/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -110,26 +111,41 @@
     )
 
 
+def _figure(value: Any, usual: float, unusable: float) -> float:
+    """A finite number of the operator's, 0 or more; `usual` where there is none, `unusable` where it can't be used.
+
+    >>> _figure(2, 1.0, 0.0), _figure(None, 1.0, 0.0), _figure(-2, 1.0, 0.0), _figure("x", 1.0, 0.0)
+    (2.0, 1.0, 0.0, 0.0)
+    """
+    if value is None:
+        return usual
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < math.inf:
+        return unusable
+    return float(value)
+
+
+def _model(item: Mapping[str, Any]) -> ModelFacts:
+    """A model whose size can't be used fits nowhere: it is never ordered, and the others are."""
+    return ModelFacts(
+        str(item.get("name", "")),
+        _figure(item.get("weights_mb"), 0.0, math.inf),
+        _figure(item.get("load_s"), 1.0, 1.0),
+        int(_figure(item.get("adapters"), 0.0, 0.0)),
+        _figure(item.get("adapter_size_mb"), 0.0, math.inf),
+    )
+
+
 def _engine(value: Mapping[str, Any] | None) -> Engine | None:
     if not value:
         return None
-    models = {
-        item["name"]: ModelFacts(
-            item["name"],
-            item.get("weights_mb", 0.0),
-            item.get("load_s", 1.0),
-            int(item.get("adapters", 0)),
-            item.get("adapter_size_mb", 0.0),
-        )
-        for item in value.get("models", ())
-    }
+    models = [_model(item) for item in value.get("models") or () if isinstance(item, Mapping)]
     return Engine(
-        int(value.get("slots", 1)),
-        value.get("weights_mb", 0.0),
-        int(value.get("adapter_slots", 0)),
-        value.get("loads_per_s", 1.0),
-        int(value.get("kv_cache_tokens", 0)),
-        models,
+        max(1, int(_figure(value.get("slots"), 1.0, 1.0))),
+        _figure(value.get("weights_mb"), 0.0, 0.0),
+        int(_figure(value.get("adapter_slots"), 0.0, 0.0)),
+        _figure(value.get("loads_per_s"), 1.0, 0.0),
+        int(_figure(value.get("kv_cache_tokens"), 0.0, 0.0)),
+        {model.name: model for model in models if model.name},
     )
 
 
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import math
 import unittest
 
 from result import Err, Ok
@@ -44,6 +45,19 @@
     return whole
 
 
+class AbsurdEngines(unittest.TestCase):
+    def test_figures_that_can_not_be_used_cost_their_model_only(self):
+        names = ("text", "negative", "endless", "good")
+        sizes = dict(zip(names, ("x", -5.0, math.inf, 100.0), strict=True))
+        models = [{"name": name, "weights_mb": size, "load_s": size} for name, size in sizes.items()]
+        engine = ENGINE | {"models": [*models, "no model", {}], "slots": 0, "adapter_slots": -1, "loads_per_s": "many"}
+        whole = WHOLE | {"services": [{"name": "llm", "engine": engine}, {"name": "app"}]}
+        built = build_table(read_whole(whole, 2).ok_value).services["llm"].engine
+        self.assertEqual({name: facts.weights_mb for name, facts in built.models.items()}["good"], 100.0)
+        self.assertEqual([name for name, facts in built.models.items() if facts.weights_mb < math.inf], ["good"])
+        self.assertEqual((built.slots, built.adapter_slots, built.loads_per_s), (1, 0, 0.0))
+
+
 class Checks(unittest.TestCase):
     def refused(self, value: dict, word: str, current: int = 2) -> None:
         read = read_whole(value, current)
