--- a/mulleinhatch/data_plane/control_link.py
+++ b/mulleinhatch/data_plane/control_link.py
@@ -164,11 +164,11 @@
             document = made.ok_value
         return document
 
-    async def report(self, demand: list[ModelDemand]) -> bool:
-        """Tells the holder of orders what is asked for here; whether it took it."""
+    async def report(self, demand: list[ModelDemand], partial: bool = False) -> bool:
+        """Tells the holder of orders what is asked for here, or only what is urgent of it; whether it took it."""
         if not self.holder:
             return False
-        message = DemandReport(node=self._settings.name, demand=demand)
+        message = DemandReport(node=self._settings.name, demand=demand, partial=partial)
         try:
             whole = await self._caller.request(self.holder, "POST", "/internal/demand", bytes(message), DEMAND_S)
             return whole.status == 200 and DemandAnswer().parse(whole.body).taken
--- a/mulleinhatch/data_plane/demand.py
+++ b/mulleinhatch/data_plane/demand.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from mulleinhatch.data_plane.admission import Group
@@ -34,6 +34,8 @@
 
 
 class DemandBook:
+    """Demand at one instance."""
+
     def __init__(self) -> None:
         self._rates: dict[ModelName, _Rate] = {}
 
@@ -44,6 +46,16 @@
             rate = self._rates[name] = _Rate(at=now)
         rate.add(now, worth)
 
+    def urgent(self, names: Iterable[ModelName], groups: Mapping[ModelName, Group], now: float) -> list[ModelDemand]:
+        """What is to be told at once of models that stand nowhere."""
+        told = []
+        for name in names:
+            rate = self._rates.get(name)
+            if rate is not None:
+                rate.decay(now)
+                told.append(_demand(name, rate, groups.get(name), now))
+        return told
+
     def report(self, groups: Iterable[Group], now: float) -> list[ModelDemand]:
         """What is to be told: the loudest models, those with held requests first."""
         held = {group.name: group for group in groups if group.name.model}
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -32,6 +32,8 @@
         self.loop = asyncio.get_running_loop()
         self.caller = Caller()
         self._report_now = asyncio.Event()
+        self._wanted_now: set[ModelName] = set()  # models that stand nowhere, to be told of at once
+        self._holder_is_new = False  # it knows nothing of the demand yet
         self.router = Router(settings, self.loop, self._urgent)
         self.front = Front(lambda: self.router.snapshot.table.limits, self.router.begin)
         self.link = ControlLink(settings, self.caller, self.loop.time, self._swap, self._new_holder)
@@ -42,9 +44,11 @@
         self.router.swap(snapshot)
 
     def _new_holder(self) -> None:
+        self._holder_is_new = True
         self._report_now.set()
 
     def _urgent(self, name: ModelName) -> None:
+        self._wanted_now.add(name)
         self._report_now.set()
 
     async def run(self) -> None:
@@ -81,18 +85,27 @@
             self.router.sweep()
 
     async def _report_forever(self) -> None:
-        """Tells what is asked for, each second and when a model is wanted that stands nowhere."""
+        """Tells what is asked for each second, and at once of a model that is wanted and stands nowhere."""
+        due = self.loop.time()
         while True:
             try:
-                async with asyncio.timeout(REPORT_S):
+                async with asyncio.timeout_at(due):
                     await self._report_now.wait()
                 await asyncio.sleep(URGENT_S)
             except TimeoutError:
                 pass
             self._report_now.clear()
-            demand = self.router.demand.report(self.router.admission.groups.values(), self.loop.time())
-            if demand:
-                await self.link.report(demand)
+            whole = self._holder_is_new or self.loop.time() >= due
+            if whole:
+                self._holder_is_new, due = False, self.loop.time() + REPORT_S
+            await self._report(whole)
+
+    async def _report(self, whole: bool) -> None:
+        names, self._wanted_now = self._wanted_now, set()
+        book, admission, now = self.router.demand, self.router.admission, self.loop.time()
+        demand = book.report(admission.groups.values(), now) if whole else book.urgent(names, admission.groups, now)
+        if demand:
+            await self.link.report(demand, not whole)
 
     def _leave(self) -> None:
         if self.leaving:
--- a/mulleinhatch/messages/cluster.py
+++ b/mulleinhatch/messages/cluster.py
@@ -294,6 +294,8 @@
 class DemandReport(betterproto.Message):
     node: str = betterproto.string_field(1)
     demand: List["ModelDemand"] = betterproto.message_field(2)
+    # Only what is urgent is told; the rest stands as told before.
+    partial: bool = betterproto.bool_field(3)
 
 
 @dataclass
--- a/tests/system/test_data_plane.py
+++ b/tests/system/test_data_plane.py
@@ -264,6 +264,12 @@
         self.assertAlmostEqual(told.worth_rate, 2.0 * told.rate, delta=0.1)
         self.assertEqual(book.report([], 80.0), [])
 
+    def test_what_is_urgent_is_told_of_the_models_named_only(self):
+        book = DemandBook()
+        book.asked(NAME, 1.0, 0.0)
+        book.asked(ModelName("s", "other"), 1.0, 0.0)
+        self.assertEqual([one.model for one in book.urgent([NAME, ModelName("s", "never")], {}, 0.0)], [NAME.model])
+
 
 if __name__ == "__main__":
     unittest.main()
