Placement keeps what is asked for, forgets the operator's order of models, and loads right after an unload

Change: KEEP_ADVANTAGE 3.0 in place of 1.3; _expectations and its constants go; a copy that gives way counts at once; the load follows the unload's acceptance after 50, 100 and 200 ms and the report stays the fallback; values, holdings and plan are modules of their own.

--- a/mulleinhatch/control_plane/orders.py
+++ b/mulleinhatch/control_plane/orders.py
@@ -17,7 +17,8 @@
 from mulleinhatch.control_plane.ceiling import LoadCeiling
 from mulleinhatch.control_plane.core import Core
 from mulleinhatch.control_plane.demand import Demand
-from mulleinhatch.control_plane.placement import Holding, Operation, Order, Planner, StubView
+from mulleinhatch.control_plane.holdings import Holding, Operation, Order, StubView
+from mulleinhatch.control_plane.placement import Planner
 from mulleinhatch.control_plane.stub_work import Report, StubWork, UnderWay, read_report
 from mulleinhatch.leadership.holder import HolderRole, RoleState, Sight
 from mulleinhatch.messages.cluster import DemandAnswer, DemandReport, HeldModel, PendingLoad, Stub
@@ -28,6 +29,7 @@
 LOG = logging.getLogger(__name__)
 TICK_S = 0.1
 LOOK_PART = 5.0  # a look is followed by this many times its length without one, a tick at most
+FOLLOW_S = (0.05, 0.05, 0.1)  # pauses before the tries of a load that needs the room of an unload
 ORDER_S = 0.8  # for the answer to an order
 REPORT_S = 0.6  # for the answer to a report
 LOOK_AGAIN_S = 0.12  # between reports while an order should be done
@@ -128,7 +130,8 @@
 
     async def on_demand(self, report: DemandReport) -> DemandAnswer:
         """A data plane tells what is asked for there."""
-        self.demand.take(report, self._clock())
+        for unusable in self.demand.take(report, self._clock()):
+            LOG.warning("demand left out", extra={"why": str(unusable)})
         if any(one.held for one in report.demand):
             self._soon.set()
         return DemandAnswer(taken=self.role.acting)
@@ -221,7 +224,7 @@
     def _take_report(self, stub: Stub, work: StubWork, report: Report, asked_at: float, now: float) -> None:
         under_way = work.under_way
         if under_way is not None:
-            if report.busy or not self._ended(under_way, report, asked_at):
+            if report.busy or under_way.followed or not self._ended(under_way, report, asked_at):
                 return
             order = under_way.order
             told = {"stub": stub.id, "operation": order.operation.value, "model": order.model, "adapter": order.adapter}
@@ -281,7 +284,12 @@
             work.reserved, work.reserved_until = order.reserve, now + RESERVED_S
         elif order.operation is Operation.LOAD and order.model == work.reserved:
             work.reserved = ""
+        self._note(stub, order)
         self._tell(stub, work)
+        self._core.spawn(self._send(stub, work, order))
+
+    def _note(self, stub: Stub, order: Order) -> None:
+        """For who asks which orders were given, and why."""
         told = {
             "stub": stub.id,
             "operation": order.operation.value,
@@ -291,41 +299,84 @@
         }
         LOG.info("order", extra=told)
         self.log.append(told)
-        self._core.spawn(self._send(stub, work, order))
 
     async def _send(self, stub: Stub, work: StubWork, order: Order) -> None:
         under_way = work.under_way
-        sight = self._sight()
-        if self.role.observe(sight, self._clock()) is not RoleState.ACTING:
+        if not self._acts():
             work.under_way = None
             return
+        try:
+            answer = await self._post(stub, order, work.revision)
+        except CallFailed as error:
+            self._unanswered(stub, under_way, error)
+            return
+        self._answered(stub, work, under_way, answer)
+
+    def _acts(self) -> bool:
+        return self.role.observe(self._sight(), self._clock()) is RoleState.ACTING
+
+    async def _post(self, stub: Stub, order: Order, revision: int | None) -> WholeAnswer:
+        """Sends one order, for a count of orders if one is given; CallFailed where no answer comes."""
         body = {
             "operation": order.operation.value,
             "model": order.model,
-            "if_revision": work.revision,
             "holder": self._core.member.name,
             "fence_token": self.role.token,
         }
+        if revision is not None:
+            body["if_revision"] = revision
         if order.adapter:
             body["adapter"] = order.adapter
         self._last_order_at = self._clock()
+        expected = ((b"Expect-Instance", stub.id.encode()),)
+        return await self._caller.request(
+            stub.address, "POST", "/order", json.dumps(body).encode(), ORDER_S, JSON_TYPE, expected
+        )
+
+    def _unanswered(self, stub: Stub, under_way: UnderWay, error: CallFailed) -> None:
+        """An order that got no answer may have been taken."""
+        self._caller.forget(stub.address)
+        under_way.certain = False
+        under_way.expected_at = self._clock() + SETTLE_S
+        LOG.info("order without an answer", extra={"stub": stub.id, "error": str(error)})
+
+    async def _follow_up(self, stub: Stub, work: StubWork, unload: UnderWay) -> None:
+        """Gives the load for which an unload makes room without waiting for the report that shows the unload's end: a stub
+        that still unloads rejects it, and after some tries the load is given once a report shows room."""
+        for pause in FOLLOW_S:
+            await asyncio.sleep(pause)
+            load = unload.order.then
+            if work.under_way is not unload or not self._acts() or (load.from_store and self._ceiling.room(self._clock()) <= 0):
+                return
+            if await self._followed(stub, work, unload, load):
+                return
+
+    async def _followed(self, stub: Stub, work: StubWork, unload: UnderWay, load: Order) -> bool:
+        """Sends the load after an unload; whether the stub took it, or may have."""
+        now = self._clock()
+        under_way = UnderWay(load, now, now + load.expected_s, work.revision + 1)
+        unload.followed = True
         try:
-            answer = await self._caller.request(
-                stub.address,
-                "POST",
-                "/order",
-                json.dumps(body).encode(),
-                ORDER_S,
-                JSON_TYPE,
-                ((b"Expect-Instance", stub.id.encode()),),
-            )
+            answer = await self._post(stub, load, None)
         except CallFailed as error:
-            self._caller.forget(stub.address)
-            under_way.certain = False
-            under_way.expected_at = self._clock() + SETTLE_S
-            LOG.info("order without an answer", extra={"stub": stub.id, "error": str(error)})
-            return
+            self._take_over(stub, work, under_way)
+            self._unanswered(stub, under_way, error)
+            return True
+        finally:
+            unload.followed = False
+        if answer.status != 202:
+            LOG.info("load waits for the unload", extra={"stub": stub.id, "status": answer.status, "model": load.model})
+            return False
+        self._take_over(stub, work, under_way)
         self._answered(stub, work, under_way, answer)
+        return True
+
+    def _take_over(self, stub: Stub, work: StubWork, load: UnderWay) -> None:
+        """The load is under way in place of the unload before it."""
+        work.models = {name: holding for name, holding in work.models.items() if name != work.under_way.order.model}
+        work.under_way, work.revision, work.reserved = load, load.revision, ""
+        self._note(stub, load.order)
+        self._tell(stub, work)
 
     async def _assume(self, stub: Stub, work: StubWork, under_way: UnderWay) -> None:
         """A stub that took the order for an adapter has it before its report shows it; one that is late sends requests back."""
@@ -338,7 +389,9 @@
         now = self._clock()
         if answer.status == 202:
             under_way.expected_at = now + under_way.order.expected_s + SETTLE_S / 3
-            if under_way.order.adapter and under_way.order.operation is Operation.LOAD:
+            if under_way.order.then is not None:
+                self._core.spawn(self._follow_up(stub, work, under_way))
+            elif under_way.order.adapter and under_way.order.operation is Operation.LOAD:
                 self._core.spawn(self._assume(stub, work, under_way))
             return
         LOG.info("order not begun", extra={"stub": stub.id, "status": answer.status, "order": str(under_way.order)})
--- a/mulleinhatch/control_plane/placement.py
+++ b/mulleinhatch/control_plane/placement.py
@@ -1,97 +1,26 @@
 """Which models and adapters should stand where: from what stubs hold and what is asked for to the next orders. Pure.
 
-Each stub carries out one order at a time, so the plan names at most one order for each. A model that is wanted and
-stands nowhere
-comes first, then further copies of busy ones; what makes room is what is asked for least. Sizes in MB, times in seconds.
+Each stub carries out one order at a time, so the plan names at most one order for each. A model that is wanted and stands
+nowhere comes first, then further copies of busy ones; what makes room is what is worth least. Sizes in MB, times in seconds.
 """
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
-from enum import Enum
 
 from mulleinhatch.configuration.routes import Engine, ModelFacts
 from mulleinhatch.control_plane.demand import Wanted
+from mulleinhatch.control_plane.holdings import Operation, Order, StubView, model_mb, used_adapters, used_mb
+from mulleinhatch.control_plane.value import HELD_VALUE, LEAST_RATE, ModelValue
 from mulleinhatch.membership.rendezvous import weight
 
-RUNNING_A_COPY = 8.0  # requests under way that one copy should carry
-LEAST_RATE = 0.02  # requests a second that count as demand
-SPARE_PART = 0.5  # of a copy's share of the value where there are more than needed
-HELD_VALUE = 2.0  # what a held request is worth against one a second expected
-KEEP_ADVANTAGE = 1.3  # what stands is worth this much more than what would come: nothing comes and goes for noise
+KEEP_ADVANTAGE = 3.0  # what stands is worth this much more than what would come: nothing comes and goes for noise
 RESIDENCE_S = 1.5  # a model stays so long after its load, that who waited for it is served
 WARM_S = 1.0  # a load from the stub's own disk, as far as is known
-LAST_COPY = 0.05  # value of the only copy of a model nobody asks for just now
-NEXT_PART = 0.15  # of a busy model's value for each of those that follow it in the operator's list: demand moves along it
-NEXT_MODELS = 3
-BUSY_PART = 0.08  # of all requests that make a model a busy one
+UNLOAD_S = 0.2  # that each unload before a load costs, in seconds
 DISTURBANCE = 0.5  # seconds that a load is dearer for each request a second for adapters at that stub
 
 
-class Operation(Enum):
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
-@dataclass(frozen=True)
-class Order:
-    """One order to one stub, with why it is given."""
-
-    stub_id: str
-    operation: Operation
-    model: str
-    adapter: str = ""
-    from_store: bool = False
-    expected_s: float = 0.0
-    why: str = ""
-    reserve: str = ""  # the model for which an unload makes room
-
-
-@dataclass
-class Holding:
-    """A model at a stub."""
-
-    adapters: set[str] = field(default_factory=set)
-    since: float = 0.0
-
-
-@dataclass
-class StubView:
-    """What the planner sees of one stub. `held_before` are models that its own disk has."""
-
-    id: str
-    address: str
-    models: dict[str, Holding]
-    held_before: set[str]
-    free: bool  # no order is under way and what it holds is known
-    serving: bool  # it will stay, and is heard of
-    coming: set[tuple[str, str]] = field(default_factory=set)  # what orders under way will bring
-    leaving: set[tuple[str, str]] = field(default_factory=set)  # what they will take away
-    reserved: str = ""  # the model for which room was made
-
-
-def used_mb(stub: StubView, engine: Engine) -> float:
-    """Memory that a stub's models and adapters take, with what is under way."""
-    total = 0.0
-    for model, holding in stub.models.items():
-        facts = engine.models.get(model)
-        if facts is not None:
-            total += facts.weights_mb + len(holding.adapters) * facts.adapter_size_mb
-    for model, adapter in stub.coming:
-        facts = engine.models.get(model)
-        if facts is None or (model in stub.models and (not adapter or adapter in stub.models[model].adapters)):
-            continue
-        total += facts.adapter_size_mb if adapter else facts.weights_mb
-    return total
-
-
-def used_adapters(stub: StubView) -> int:
-    held = {(model, adapter) for model, holding in stub.models.items() for adapter in holding.adapters}
-    return len(held | {pair for pair in stub.coming if pair[1]})
-
-
 class Planner:
     """One look at one service."""
 
@@ -102,9 +31,8 @@
         self.stubs = [stub for stub in stubs if stub.serving]
         self.orders: list[Order] = []
         self._ordered: set[str] = set()
-        self._copies = Counter(model for stub in self.stubs for model in self._staying(stub))
-        self._adapters = {pair for stub in self.stubs for pair in self._standing_adapters(stub)}
-        self._expected = self._expectations()
+        self.value = ModelValue(self.stubs, wanted)
+        self._adapters = {pair for stub in self.stubs for pair in stub.standing_adapters()}
 
     def plan(self) -> list[Order]:
         """At most one order for each stub."""
@@ -114,53 +42,11 @@
             self._place(model)
         return self.orders
 
-    # Demand.
-
-    def _expectations(self) -> dict[str, float]:
-        """Value of models that nobody asks for yet, but that follow busy ones in the operator's list."""
-        total = sum(wanted.rate for wanted in self.wanted.values())
-        names = list(self.engine.models)
-        expected: dict[str, float] = {}
-        for place, name in enumerate(names):
-            wanted = self.wanted.get(name)
-            if wanted is None or wanted.rate < BUSY_PART * total:
-                continue
-            for follower in names[place + 1 : place + 1 + NEXT_MODELS]:
-                expected[follower] = max(expected.get(follower, 0.0), NEXT_PART * wanted.worth)
-        return expected
-
-    def value(self, model: str) -> float:
-        """What a model's standing somewhere is worth: what is asked for now and is expected."""
-        wanted = self.wanted.get(model)
-        own = wanted.worth + HELD_VALUE * wanted.held if wanted is not None else 0.0
-        return max(own, self._expected.get(model, 0.0))
-
-    def copies(self, model: str) -> int:
-        """Stubs that hold a model and keep it, or will."""
-        return self._copies[model]
-
-    @staticmethod
-    def _staying(stub: StubView) -> set[str]:
-        """Models that a stub holds and keeps, or will hold."""
-        coming = {model for model, adapter in stub.coming if not adapter}
-        leaving = {model for model, adapter in stub.leaving if not adapter}
-        reserved = {stub.reserved} if stub.reserved else set()
-        return (set(stub.models) | coming | reserved) - leaving
-
-    def _standing_adapters(self, stub: StubView) -> set[tuple[str, str]]:
-        held = {(model, adapter) for model, holding in stub.models.items() for adapter in holding.adapters}
-        return (held - stub.leaving) | stub.coming
-
-    def needed(self, model: str) -> int:
-        wanted = self.wanted.get(model)
-        if wanted is None or (not wanted.held and wanted.rate < LEAST_RATE):
-            return 0
-        return max(1, min(len(self.stubs), int(wanted.running / RUNNING_A_COPY + 0.7)))
-
     def _missing(self) -> list[str]:
         """Models that need another copy: those that stand nowhere first, the most wanted first."""
-        missing = [model for model in self.wanted if model in self.engine.models and self.copies(model) < self.needed(model)]
-        return sorted(missing, key=lambda model: (self.copies(model) > 0, -self.value(model), model))
+        value = self.value
+        missing = [model for model in self.wanted if model in self.engine.models and value.missing(model)]
+        return sorted(missing, key=lambda model: (value.copies(model) > 0, -value.wanted(model), model))
 
     # Models.
 
@@ -188,86 +74,70 @@
             victims = self._victims(stub, facts)
             if victims is None:
                 continue
-            lost = sum(self._standing_value(stub, victim) for victim in victims)
-            cost = (WARM_S if warm else facts.load_s) + 0.2 * len(victims) + lost + DISTURBANCE * self._adapter_rate(stub)
+            cost = self._cost(stub, facts, warm, victims)
             key = (cost, -weight(model, stub.address) / 2**64)
             if best is None or key < best[:2]:
                 best = (*key, stub, victims)
         if best is not None:
             self._order_model(best[2], facts, best[3])
 
+    def _cost(self, stub: StubView, facts: ModelFacts, warm: bool, victims: list[str]) -> float:
+        """Of a placement at a stub: seconds until it stands, with what gives way and what is disturbed counted as such."""
+        delay = (WARM_S if warm else facts.load_s) + UNLOAD_S * len(victims)
+        return delay + sum(self.value.loss(victim) for victim in victims) + DISTURBANCE * self._adapter_rate(stub)
+
     def _order_model(self, stub: StubView, facts: ModelFacts, victims: list[str]) -> None:
-        if victims:
-            self._add(
-                Order(
-                    stub.id,
-                    Operation.UNLOAD,
-                    victims[0],
-                    expected_s=0.1,
-                    why=f"makes room for {facts.name}",
-                    reserve=facts.name,
-                )
-            )
+        load = self._load(stub, facts)
+        if not victims:
+            self.store_room -= load.from_store
+            self._add(load)
             return
+        why = f"makes room for {facts.name}"
+        then = load if len(victims) == 1 else None
+        self._add(Order(stub.id, Operation.UNLOAD, victims[0], expected_s=0.1, why=why, reserve=facts.name, then=then))
+
+    def _load(self, stub: StubView, facts: ModelFacts) -> Order:
         warm = facts.name in stub.held_before
-        if not warm:
-            self.store_room -= 1
-        self._add(
-            Order(
-                stub.id,
-                Operation.LOAD,
-                facts.name,
-                from_store=not warm,
-                expected_s=WARM_S if warm else facts.load_s,
-                why=f"value {self.value(facts.name):.2f}, copies {self.copies(facts.name)}",
-            )
-        )
+        why = f"value {self.value.wanted(facts.name):.2f}, copies {self.value.copies(facts.name)}"
+        expected_s = WARM_S if warm else facts.load_s
+        return Order(stub.id, Operation.LOAD, facts.name, from_store=not warm, expected_s=expected_s, why=why)
 
     def _add(self, order: Order) -> None:
         self.orders.append(order)
         self._ordered.add(order.stub_id)
+        if order.operation is Operation.UNLOAD and not order.adapter:
+            self.value.gives_up(order.model)
 
     def _adapter_rate(self, stub: StubView) -> float:
         """Requests a second for adapters that may need an order at this stub."""
         return sum(
-            sum(adapter.rate for adapter in self.wanted[model].adapters.values()) / max(1, self.copies(model))
+            sum(adapter.rate for adapter in self.wanted[model].adapters.values()) / max(1, self.value.copies(model))
             for model in stub.models
             if model in self.wanted
         )
 
-    def _standing_value(self, stub: StubView, model: str) -> float:
-        """What would be lost if a stub gave a model up."""
-        copies = max(1, self.copies(model))
-        value = self.value(model)
-        if copies == 1:
-            return value + LAST_COPY
-        spare = copies > self.needed(model) + 1
-        return (SPARE_PART if spare else 1.0) * value / copies
-
     def _victims(self, stub: StubView, facts: ModelFacts) -> list[str] | None:
         """Models whose going makes room for one, cheapest first; None where that costs more than it brings."""
         room = self.engine.weights_mb - used_mb(stub, self.engine) - facts.weights_mb
         if room >= 0:
             return []
         victims, lost = [], 0.0
+        gain = self.value.gain(facts.name, stub.reserved == facts.name)
         standing = sorted(
             (model for model in stub.models if (model, "") not in stub.leaving),
-            key=lambda model: (self._standing_value(stub, model), model),
+            key=lambda model: (self.value.loss(model), model),
         )
-        copies = self.copies(facts.name) - (stub.reserved == facts.name)
-        gain = self.value(facts.name) / (copies + 1)
         for model in standing:
-            holding, own = stub.models[model], self.engine.models.get(model)
-            wanted = self.wanted.get(model)
-            if own is None or (wanted is not None and wanted.held and self.copies(model) <= 1):
+            holding, wanted = stub.models[model], self.wanted.get(model)
+            if wanted is not None and wanted.held and self.value.copies(model) <= 1:
                 continue
             if self.now - holding.since < RESIDENCE_S:
                 continue
-            lost += self._standing_value(stub, model)
+            lost += self.value.loss(model)
             if KEEP_ADVANTAGE * lost > gain:
                 return None
             victims.append(model)
-            room += own.weights_mb + len(holding.adapters) * own.adapter_size_mb
+            room += model_mb(model, holding, self.engine)
             if room >= 0:
                 return victims
         return None
--- a/mulleinhatch/control_plane/stub_work.py
+++ b/mulleinhatch/control_plane/stub_work.py
@@ -5,7 +5,7 @@
 import json
 from dataclasses import dataclass, field
 
-from mulleinhatch.control_plane.placement import Holding, Order
+from mulleinhatch.control_plane.holdings import Holding, Order
 
 
 @dataclass
@@ -17,6 +17,7 @@
     expected_at: float
     revision: int  # the stub's count of orders before it
     certain: bool = True
+    followed: bool = False  # the load that needs the room is being sent
     assumed: bool = False  # an adapter that arrives within milliseconds: told as present before a report shows it
 
 
