The load after an unload carries the count of orders again

Cause: found on rereading. Without if_revision a delayed load could reach a stub behind another holder's order and exceed its memory. Change: the load is sent for the count behind the unload. Test: the scripted stub now requires the count on every order.

--- a/mulleinhatch/control_plane/orders.py
+++ b/mulleinhatch/control_plane/orders.py
@@ -315,16 +315,15 @@
     def _acts(self) -> bool:
         return self.role.observe(self._sight(), self._clock()) is RoleState.ACTING
 
-    async def _post(self, stub: Stub, order: Order, revision: int | None) -> WholeAnswer:
-        """Sends one order, for a count of orders if one is given; CallFailed where no answer comes."""
+    async def _post(self, stub: Stub, order: Order, revision: int) -> WholeAnswer:
+        """Sends one order that holds for a count of orders only; CallFailed where no answer comes."""
         body = {
             "operation": order.operation.value,
             "model": order.model,
+            "if_revision": revision,
             "holder": self._core.member.name,
             "fence_token": self.role.token,
         }
-        if revision is not None:
-            body["if_revision"] = revision
         if order.adapter:
             body["adapter"] = order.adapter
         self._last_order_at = self._clock()
@@ -357,7 +356,7 @@
         under_way = UnderWay(load, now, now + load.expected_s, work.revision + 1)
         unload.followed = True
         try:
-            answer = await self._post(stub, load, None)
+            answer = await self._post(stub, load, under_way.revision)
         except CallFailed as error:
             self._take_over(stub, work, under_way)
             self._unanswered(stub, under_way, error)
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -66,7 +66,7 @@
 
     def _order(self, order: dict) -> int:
         now, model = self.loop.now, order["model"]
-        if now < self.busy_until or order.get("if_revision", self.sequence) != self.sequence:
+        if now < self.busy_until or order["if_revision"] != self.sequence:
             return 409
         load = order["operation"] == "load"
         if load and model in self.models:
