A data plane keeps its configuration after an update that cannot be applied

Cause: after a patch that did not apply, ControlPlaneClient set its document to version 0 to get a complete one. Bytes that could not be decompressed or parsed, and a poll response that was no message, ended the polling job with a traceback.

Change: the document in force stays; a flag asks for a complete configuration (version 0 in the request only), and an older one than that in force is refused whoever sends it. Unreadable bytes are a typed error (UnusableConfigurationError, UnreadableMessageError) with one log line, and another control plane is asked. One parser of internal messages for both planes.

--- a/mulleinhatch/control_plane/api/internal.py
+++ b/mulleinhatch/control_plane/api/internal.py
@@ -12,6 +12,7 @@
 from mulleinhatch.control_plane.api.responses import error_response
 from mulleinhatch.control_plane.node import CoreNode
 from mulleinhatch.messages import cluster
+from mulleinhatch.messages.parsing import UnreadableMessageError, parse_message
 from mulleinhatch.networking.http_server import BINARY_TYPE, HttpServerRequest, HttpServerResponse
 
 LOG = logging.getLogger(__name__)
@@ -42,11 +43,9 @@
         if route is None or request.method != "POST":
             return error_response(HTTPStatus.NOT_FOUND, "no such message")
         try:
-            message = route.message_type().parse(request.body)
-        except Exception as error:  # betterproto lets through whatever its parser runs into
-            LOG.warning(
-                "rejected an internal message that cannot be parsed", extra={"path": request.path, "error": repr(error)}
-            )
+            message = parse_message(route.message_type, request.body)
+        except UnreadableMessageError as error:
+            LOG.warning("rejected an internal message that cannot be parsed", extra={"path": request.path, "error": str(error)})
             return error_response(HTTPStatus.BAD_REQUEST, "the message can't be read; both sides must run the same version")
         try:
             answer = await route.handler(message)
--- a/mulleinhatch/control_plane/internal_client.py
+++ b/mulleinhatch/control_plane/internal_client.py
@@ -6,6 +6,7 @@
 
 import betterproto
 
+from mulleinhatch.messages.parsing import UnreadableMessageError, parse_message
 from mulleinhatch.networking.http_client import HttpCallError, HttpClient
 
 CALL_TIMEOUT_S = 0.7
@@ -30,12 +31,15 @@
         """Send a message and return the parsed response.
 
         Raises:
-            HttpCallError: No response with status 200 came in time.
+            HttpCallError: No readable response with status 200 came in time.
         """
         response = await self._http_client.request(address, "POST", f"/internal/{path}", bytes(message), timeout_s)
         if response.status != 200:
             raise HttpCallError(address, f"status {response.status}")
-        return response_type().parse(response.body)
+        try:
+            return parse_message(response_type, response.body)
+        except UnreadableMessageError as error:
+            raise HttpCallError(address, str(error)) from error
 
     def forget(self, address: str) -> None:
         """Close idle connections to an address that failed."""
--- a/mulleinhatch/data_plane/control_plane_client.py
+++ b/mulleinhatch/data_plane/control_plane_client.py
@@ -13,8 +13,10 @@
 from mulleinhatch.configuration.document import EMPTY, Document, apply_patch
 from mulleinhatch.configuration.routes import RouteTable, build_route_table
 from mulleinhatch.data_plane.control_plane_snapshot import ControlPlaneSnapshot
+from mulleinhatch.errors import ConfigurationError
 from mulleinhatch.membership.rendezvous import rank_by_weight
 from mulleinhatch.messages.cluster import DemandReport, DemandResponse, ModelDemand, PollRequest, PollResponse
+from mulleinhatch.messages.parsing import UnreadableMessageError, parse_message
 from mulleinhatch.networking.http_client import HttpCallError, HttpClient
 from mulleinhatch.process.settings import Settings
 
@@ -27,10 +29,15 @@
 COOLDOWN_S = 2.0  # a control plane that failed, or has no majority, is asked last for so long
 
 
+class UnusableConfigurationError(ConfigurationError):
+    """A configuration update from a control plane can't be applied; the complete configuration is requested instead."""
+
+
 class ControlPlaneClient:
     """Keeps the newest snapshot of configuration and registry.
 
-    Versions never go back while the process runs, except after an update that could not be applied.
+    Versions never go back while the process runs. After an update that could not be applied the configuration in force stays,
+    and the next poll asks for a complete one; an older one than the one in force is not accepted, whoever sends it.
 
     Args:
         settings: Settings of this data plane.
@@ -52,6 +59,7 @@
         self._on_snapshot, self._on_new_leader = on_snapshot, on_new_leader
         self._document: Document = EMPTY
         self._table = RouteTable()
+        self._needs_complete_configuration = False  # an update could not be applied to the one in force
         self._registry_source, self._registry_cursor = "", 0
         port = settings.internal_address.rpartition(":")[2]
         self._seeds = [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds]
@@ -99,7 +107,7 @@
         request = PollRequest(
             node=self._settings.name,
             zone=self._settings.zone,
-            configuration_version=self._document.version,
+            configuration_version=0 if self._needs_complete_configuration else self._document.version,
             registry_source=self._registry_source,
             registry_cursor=self._registry_cursor,
             wait_ms=int(1000 * wait_s),
@@ -109,13 +117,17 @@
         response = await self._http.request(address, "POST", "/internal/poll", bytes(request), timeout_s)
         if response.status != 200:
             raise HttpCallError(address, f"status {response.status}")
-        update = PollResponse().parse(response.body)
+        try:
+            update = parse_message(PollResponse, response.body)
+        except UnreadableMessageError as error:
+            LOG.error("poll response can't be read; another control plane is asked", extra={"error": str(error)})
+            raise HttpCallError(address, str(error)) from error
         if update.epoch < self._epoch:
             update.authoritative = False  # the machine has not learned of a newer view yet
         self._epoch = max(self._epoch, update.epoch)
         self._responsive.add(address)
         self._apply(update)
-        if not update.authoritative:
+        if not update.authoritative or self._needs_complete_configuration:
             self._cooldown_until[address] = self._clock() + COOLDOWN_S
             await asyncio.sleep(POLL_RETRY_DELAY_S)
 
@@ -147,23 +159,31 @@
             self._on_new_leader()
 
     def _apply_configuration(self, update: PollResponse) -> None:
-        if not update.configuration or update.configuration_version <= self._document.version:
+        if not update.configuration or not self._is_wanted(update):
             return
-        if update.base_version and update.base_version != self._document.version:
-            return  # patches on a version that this data plane does not have
         if not self._document.version and not update.authoritative and not self._may_use_unconfirmed():
             return
-        document = self._decode_configuration(update)
-        if document is None or document.version != update.configuration_version:
+        try:
+            document = self._decode_configuration(update)
+            table = _build_table(document)
+        except UnusableConfigurationError as error:
             LOG.error(
                 "configuration update can't be applied; requesting the complete configuration",
-                extra={"version": update.configuration_version},
+                extra={"version": update.configuration_version, "error": str(error)},
             )
-            self._document = Document(0, EMPTY.value)
+            self._needs_complete_configuration = True
             return
-        self._document, self._table = document, build_route_table(document)
+        self._document, self._table, self._needs_complete_configuration = document, table, False
         LOG.info("configuration in force", extra={"version": document.version})
 
+    def _is_wanted(self, update: PollResponse) -> bool:
+        """Return whether an update is newer than the configuration in force, or a complete one that was asked for."""
+        if update.base_version:
+            return update.configuration_version > self._document.version == update.base_version
+        if self._needs_complete_configuration:
+            return update.configuration_version >= self._document.version
+        return update.configuration_version > self._document.version
+
     def _may_use_unconfirmed(self) -> bool:
         """Return whether a first configuration may be used although its source has no majority.
 
@@ -174,17 +194,26 @@
         bounds = self._settings.bounds
         return self._clock() - self._unconfirmed_since >= bounds.contact_s + bounds.configuration_apply_s
 
-    def _decode_configuration(self, update: PollResponse) -> Document | None:
-        """Return the configuration of an update, a complete one or patches; None where a patch does not apply."""
-        value = json.loads(zlib.decompress(update.configuration))
+    def _decode_configuration(self, update: PollResponse) -> Document:
+        """Return the configuration of an update, a complete one or patches.
+
+        Raises:
+            UnusableConfigurationError: The bytes can't be read, a patch does not apply, or the version is another one.
+        """
+        try:
+            value = json.loads(zlib.decompress(update.configuration))
+        except (zlib.error, ValueError) as error:
+            raise UnusableConfigurationError(f"its bytes can't be read: {error}") from error
         if not update.base_version:
             return Document(update.configuration_version, value)
         document = self._document
         for patch in value:
             patched = apply_patch(document, patch)
             if isinstance(patched, Err):
-                return None
+                raise UnusableConfigurationError(f"a patch does not apply: {patched.err_value}")
             document = patched.ok_value
+        if document.version != update.configuration_version:
+            raise UnusableConfigurationError(f"its patches lead to version {document.version}")
         return document
 
     # Reporting demand.
@@ -204,7 +233,19 @@
         report = DemandReport(node=self._settings.name, demand=demand, partial=is_partial)
         try:
             response = await self._http.request(self.leader, "POST", "/internal/demand", bytes(report), DEMAND_REPORT_TIMEOUT_S)
-            return response.status == 200 and DemandResponse().parse(response.body).accepted
-        except HttpCallError:
+            return response.status == 200 and parse_message(DemandResponse, response.body).accepted
+        except (HttpCallError, UnreadableMessageError):
             self._http.forget(self.leader)
             return False
+
+
+def _build_table(document: Document) -> RouteTable:
+    """Return the route table of a configuration from a control plane.
+
+    Raises:
+        UnusableConfigurationError: The value has not the form of a configuration.
+    """
+    try:
+        return build_route_table(document)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise UnusableConfigurationError(f"it is no configuration: {error!r}") from error
--- a/mulleinhatch/replication/state.py
+++ b/mulleinhatch/replication/state.py
@@ -21,6 +21,7 @@
     read_complete,
     read_json,
 )
+from mulleinhatch.errors import ReplicationError
 from mulleinhatch.messages.cluster import Entry, Snapshot
 
 
@@ -64,6 +65,13 @@
 }
 
 
+class LogGapError(ReplicationError):
+    """An entry was to be applied that does not follow the last applied one."""
+
+    def __init__(self, applied_index: int, entry_index: int) -> None:
+        super().__init__(f"entry {entry_index} does not follow the last applied entry {applied_index}")
+
+
 @dataclass(frozen=True)
 class Rejection:
     """A change that is not appended: the outcome, and a message that says what to do."""
@@ -153,8 +161,13 @@
     # Applying.
 
     def apply(self, entry: Entry) -> None:
-        """Apply the committed entry that follows the last applied one."""
-        assert entry.index == self.index + 1
+        """Apply the committed entry that follows the last applied one.
+
+        Raises:
+            LogGapError: The entry is another one.
+        """
+        if entry.index != self.index + 1:
+            raise LogGapError(self.index, entry.index)
         if entry.kind == EntryKind.LEADER:
             self.leader, self.fencing_token = entry.body.decode(), entry.index
         elif entry.kind == EntryKind.DEPARTURE:
--- a/tests/system/test_control_state.py
+++ b/tests/system/test_control_state.py
@@ -6,6 +6,7 @@
 import json
 import unittest
 import zlib
+from unittest import mock
 
 from result import Err, Ok
 
@@ -14,16 +15,18 @@
 from mulleinhatch.control_plane.registry import BackendRegistry
 from mulleinhatch.data_plane.control_plane_client import ControlPlaneClient
 from mulleinhatch.data_plane.registry_snapshot import RegistrySnapshot
+from mulleinhatch.errors import ReplicationError
 from mulleinhatch.messages.cluster import (
     Backend,
     Entry,
     HeartbeatResponse,
     Member,
+    PollRequest,
     PollResponse,
     Snapshot,
     View,
 )
-from mulleinhatch.networking.http_client import HttpResponse
+from mulleinhatch.networking.http_client import HttpCallError, HttpResponse
 from mulleinhatch.process.settings import Bounds, Settings
 from mulleinhatch.replication.state import (
     MAX_DEPARTED_BACKENDS,
@@ -248,12 +251,79 @@
         self.assertEqual(self.versions([poll_response(9, True), poll_response(4, True)], [0.0, 0.1]), [(9, True), (9, True)])
 
 
+def patch_response(base: int, version: int, patch: bytes) -> PollResponse:
+    """Return a poll response whose patch leads from one version to another."""
+    response = poll_response(version, True)
+    response.base_version, response.configuration = base, zlib.compress(b"[" + patch + b"]")
+    return response
+
+
+class RecordedPolls(ScriptedControlPlane):
+    """Keeps the requests that were sent."""
+
+    def __init__(self, responses: list[PollResponse | bytes]) -> None:
+        super().__init__(responses)  # type: ignore[arg-type]
+        self.requests: list[PollRequest] = []
+
+    async def request(self, *arguments: object) -> HttpResponse:
+        self.requests.append(PollRequest().parse(arguments[3]))  # type: ignore[arg-type]
+        return await super().request(*arguments)
+
+
+class UnusableUpdateTest(unittest.IsolatedAsyncioTestCase):
+    """After an update that can't be applied the configuration in force stays, whoever is asked for the complete one."""
+
+    GAP = b'{"version": 12, "upsert": {"routes": [{"name": "r"}]}}'  # a route without the fields that it needs
+
+    async def poll_all(self, *responses: PollResponse | bytes) -> tuple[ControlPlaneClient, RecordedPolls, list[int]]:
+        script, versions = RecordedPolls(list(responses)), []
+        link = ControlPlaneClient(settings(), script, lambda: script.now, lambda snapshot: None)  # type: ignore[arg-type]
+        with self.assertLogs("mulleinhatch.data_plane.control_plane_client"), mock.patch("asyncio.sleep", mock.AsyncMock()):
+            for _ in responses:
+                try:
+                    await link._poll("10.0.0.1:7000")
+                except HttpCallError:
+                    pass
+                versions.append(link.snapshot.table.version)
+        return link, script, versions
+
+    async def test_an_older_complete_configuration_is_not_accepted_afterwards(self):
+        answers = [poll_response(9, True), patch_response(9, 12, self.GAP), poll_response(5, True), poll_response(12, True)]
+        _, script, versions = await self.poll_all(*answers)
+        self.assertEqual(versions, [9, 9, 9, 12])
+        self.assertEqual([request.configuration_version for request in script.requests], [0, 9, 0, 0])
+
+    async def test_bytes_that_are_no_configuration_leave_the_one_in_force(self):
+        for broken in (b"", b"\x00garbage", zlib.compress(b"{"), zlib.compress(b"[1]"), zlib.compress(b'{"routes": [{}]}')):
+            with self.subTest(broken):
+                spoiled = poll_response(12, True)
+                spoiled.configuration = broken or b"\xff"
+                _, _, versions = await self.poll_all(poll_response(9, True), spoiled, poll_response(12, True))
+                self.assertEqual(versions, [9, 9, 12])
+
+    async def test_the_version_in_force_is_taken_again_when_it_comes_complete(self):
+        answers = [poll_response(9, True), patch_response(9, 12, self.GAP), poll_response(9, True), poll_response(9, True)]
+        _, script, versions = await self.poll_all(*answers)
+        self.assertEqual(versions, [9, 9, 9, 9])
+        self.assertEqual([request.configuration_version for request in script.requests], [0, 9, 0, 9])
+
+    async def test_a_response_that_cannot_be_parsed_loses_nothing(self):
+        _, _, versions = await self.poll_all(poll_response(9, True), b"\x0a\xff\xff", poll_response(10, True))
+        self.assertEqual(versions, [9, 9, 10])
+
+
 class RejectionTest(unittest.TestCase):
     def test_rejection_names_the_remedy(self):
         rejection = ControlState().check("PUT", None, change(1))
         self.assertIsInstance(rejection, Err)
         self.assertIn("If-Match", rejection.err_value.message)
 
+    def test_an_entry_that_does_not_follow_is_not_applied(self):
+        state = ControlState()
+        with self.assertRaisesRegex(ReplicationError, "entry 2 does not follow"):
+            state.apply(Entry(index=2, kind=int(EntryKind.LEADER), body=b"a"))
+        self.assertEqual((state.index, state.leader), (0, ""))
+
 
 if __name__ == "__main__":
     unittest.main()
