--- a/mulleinhatch/cli/system/demo.py
+++ b/mulleinhatch/cli/system/demo.py
@@ -215,7 +215,7 @@
     """Print the clients' outcomes and the models of each backend."""
     first = sorted(tally.first_token_s) or [0.0]
     print(
-        f"\n{left_s:4.0f} s left   served {tally.served}  refused {tally.refused}  failed {tally.failed}  "
+        f"\n{max(0.0, left_s):4.0f} s left   served {tally.served}  refused {tally.refused}  failed {tally.failed}  "
         f"first token p50 {1000 * first[len(first) // 2]:.0f} ms, p95 {1000 * first[int(0.95 * (len(first) - 1))]:.0f} ms"
     )
     print(f"{'stub':<14}{'running':>8}  holds")
--- a/mulleinhatch/data_plane/request_lifecycle.py
+++ b/mulleinhatch/data_plane/request_lifecycle.py
@@ -236,6 +236,7 @@
     def _respond_failure(self, status: int, why: str) -> None:
         self._finish()
         LOG.debug("request answered as failed", extra={"request_id": self.context.request_id_text, "reason": why})
+        self._services.request_log.failed()
         self.context.response_writer.respond_error(status, why)
 
     def _finish(self) -> None:
--- a/mulleinhatch/data_plane/request_log.py
+++ b/mulleinhatch/data_plane/request_log.py
@@ -34,16 +34,16 @@
 
     def __init__(self, clock: Callable[[], float], timeouts: ClientTimeouts) -> None:
         self._clock, self._timeouts = clock, timeouts
-        self.counters = {"served": 0, "refused": 0}
+        self.counters = {"served": 0, "refused": 0, "failed": 0}
         self.recent_rejections: deque[dict[str, str | float]] = deque(maxlen=MAX_RECENT_REJECTIONS)
 
     def served(self) -> None:
         """Count a request whose complete response was forwarded."""
         self.counters["served"] += 1
 
-    def rejected_by_queue(self) -> None:
-        """Count a request that the admission queue did not accept, or gave up."""
-        self.counters["refused"] += 1
+    def failed(self) -> None:
+        """Count a request that was answered with 502 or 504: it may have executed, or its deadline passed."""
+        self.counters["failed"] += 1
 
     def late(self, request: LoggedRequest, waited_s: float, backend_latency_s: float) -> None:
         """Log a response that started after the route's latency target.
@@ -57,7 +57,8 @@
         LOG.info("response started after the latency target", extra=self._describe(request) | times)
 
     def not_served(self, request: LoggedRequest, why: str, retry_after_s: float) -> None:
-        """Log and keep the rejection of a request that was not executed."""
+        """Count, log and keep the rejection of a request that was not executed."""
+        self.counters["refused"] += 1
         context = request.context
         model_key = context.model_key
         outcome = {"reason": why, "retry_after_s": round(retry_after_s, 3)}
--- a/mulleinhatch/data_plane/request_scheduler.py
+++ b/mulleinhatch/data_plane/request_scheduler.py
@@ -104,7 +104,6 @@
         self._reject(request, Rejection(RejectionReason.NO_BACKEND_IN_TIME, ready_in_s + RETRY_AFTER_MARGIN_S))
 
     def _reject(self, request: ClientRequest, rejection: Rejection) -> None:
-        self._request_log.rejected_by_queue()
         request.reject(rejection)
 
     # Starting.
--- a/mulleinhatch/instance/maintenance/core.py
+++ b/mulleinhatch/instance/maintenance/core.py
@@ -175,11 +175,9 @@
             self.rounds.cancel()
             self._set_state(MaintenanceState.SERVING, "cancelled")
 
-    def change(self, now: float, change: TableChange) -> ProposalRound | None:
+    def change(self, now: float, change: TableChange) -> ProposalRound:
         """Start a round for an operator's change (freeze, bounds, voters, release); its outcome is in the returned round.
 
-        None if the own vote alone completed it.
-
         Raises:
             PermitRefusedError: Another round is in progress here.
         """
--- a/mulleinhatch/instance/maintenance/permit_rounds.py
+++ b/mulleinhatch/instance/maintenance/permit_rounds.py
@@ -46,16 +46,20 @@
         self._rounds = 0  # rounds begun here; tells responses to an earlier round apart
         self._number = 0  # highest proposal number known
 
-    def begin(self, now: float, change: TableChange) -> ProposalRound | None:
-        """Start a round for a change of the table; None if the own vote alone completed it."""
+    def begin(self, now: float, change: TableChange) -> ProposalRound:
+        """Start a round for a change of the table.
+
+        Returns:
+            The round. Where this instance is the only voter it has its outcome already and is not `current` any more.
+        """
         self._rounds += 1
         self._number += 1
         self.counts["rounds"] += 1
         proposer = f"{self.messenger.name}.{self.messenger.process_epoch}.{self._rounds}"[-MAX_PROPOSER_LENGTH:]
-        self.current = ProposalRound(proposer, self._number, self.known, change)
+        started = self.current = ProposalRound(proposer, self._number, self.known, change)
         self._started_at = now
         self._send_requests(now)
-        return self.current
+        return started
 
     def cancel(self) -> None:
         """Drop the current round; late responses to it are ignored."""
--- a/tests/system/test_request_log.py
+++ b/tests/system/test_request_log.py
@@ -62,6 +62,11 @@
         expected = {"request_id": "7", "route": "r", "model": "m/a1", "why": "due", "held_s": 1.0, "retry_after_s": 0.25}
         self.assertEqual(list(self.log.recent_rejections), [expected])
 
+    def test_the_counter_of_rejections_agrees_with_the_list(self):
+        self.lines(lambda: [self.log.not_served(self.request(), why, 0.25) for why in ("due", "no stub could be reached")])
+        self.log.failed()
+        self.assertEqual(self.log.counters, {"served": 0, "refused": len(self.log.recent_rejections), "failed": 1})
+
     def test_a_request_with_less_time_than_others_of_its_route_is_a_probable_retry(self):
         self.timeouts.deadline(route(), parse_request_head(HEAD), 0.0)
         lines = self.lines(lambda: self.log.not_served(self.request(arrived_at=10.0, deadline=14.0), "due", 0.25))
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -367,6 +367,20 @@
     assert len(machines.been) == 2
 
 
+def test_a_change_by_the_only_voter_has_its_outcome_at_once() -> None:
+    machines = MaintenanceWorld(2, most=1, voters=1)
+    machines.play(8.0)
+    core, now = machines.cores["n0"], machines.nodes[0].clock(machines.now)
+    done = core.change(now, lambda table: table.freeze("a person"))
+    assert (done.outcome, core.round, core.known.frozen) == ("agreed", None, "a person")
+
+    def refuse(table: PermitTable) -> PermitTable:
+        raise PermitRefusedError("there is no such permit")
+
+    refused = core.change(now, refuse)
+    assert (refused.outcome, refused.why, core.round) == ("refused", "there is no such permit", None)
+
+
 def test_a_frozen_fleet_sends_nobody_and_a_cancelled_request_is_gone() -> None:
     machines = MaintenanceWorld(4)
     machines.play(8.0)
