The build compiles for the interpreter that starts the planes; footprint measures deployed trees

Cause: the deploy file started `python3 -O`. pip compiles libraries without -O, distributions ship the standard library compiled without it, and a started process may not write: each start compiled circuits, betterproto, asyncio and the whole project anew. benchmarks.footprint did not see it, as it let the processes write their compiled files.

Change: the planes run without -O (the planes have no assertion on a path of requests left but one in the HTTP client), the build ends with compileall. footprint builds and starts a tree as its deploy file says, with the base interpreter and without writing.

--- a/benchmarks/footprint.py
+++ b/benchmarks/footprint.py
@@ -16,7 +16,8 @@
 and the adapter come from the measured trees; the load comes from this benchmark. The conversation with the decision module is
 recorded once with the tree before and replayed to both, whose replies must be the same bytes. A figure fails if its median is
 over 3 % worse in the tree after. The table shows the interquartile range of its rounds (scatter) and whether the difference is
-larger than the scatter of both. Each tree is started once without being measured, which leaves compiled files in it.
+larger than the scatter of both. Each tree is built and started as its deploy file says (a start pays for what its build left
+uncompiled), and started once without being measured.
 """
 
 from __future__ import annotations
@@ -32,6 +33,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from benchmarks import deployed_tree
 from benchmarks.footprint_planes import FULL_LOAD, QUICK_LOAD, measure_round, origin
 from benchmarks.footprint_play import record_play, replay
 
@@ -158,6 +160,7 @@
     load = QUICK_LOAD if quick else FULL_LOAD
     measured: tuple[list[Figures], list[Figures]] = ([], [])
     for tree in trees:
+        deployed_tree.build(tree)
         asyncio.run(measure_round(tree, QUICK_LOAD))
     for order in round_orders(rounds):
         for place in order:
--- a/benchmarks/footprint_planes.py
+++ b/benchmarks/footprint_planes.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 from statistics import median, quantiles
 
+from benchmarks import deployed_tree
 from benchmarks.footprint_play import tree_environment
 
 SETTINGS_VARIABLE = "MULLEINHATCH_NODE_FILE"
@@ -306,9 +307,9 @@
         self._begun = time.perf_counter()
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-O", f"{kind}_plane.py"],
+                deployed_tree.command(tree, kind),
                 cwd=tree,
-                env={**tree_environment(tree), SETTINGS_VARIABLE: str(path)},
+                env={**deployed_tree.environment(tree), SETTINGS_VARIABLE: str(path)},
                 stdout=log,
                 stderr=log,
             )
