--- a/mulleinhatch/networking/circuits_import.py
+++ b/mulleinhatch/networking/circuits_import.py
@@ -1,8 +1,8 @@
 """Import the parts of circuits that the HTTP server uses, and none of those that it does not.
 
 The `__init__` of circuits.web imports controllers, dispatchers for XML-RPC and WebSockets, sessions and an HTTP client: a sixth
-of the processor time that a plane needs to start. Here the package is registered without running it; its modules are then imported
-one by one as usual.
+of the processor time that a plane needs to start. Here the package is registered without running it; its modules are then
+imported one by one as usual.
 """
 
 from __future__ import annotations
