A backend's record is encoded once for all data planes; a planning pass computes once what depends on one side

Change: RegistryEntry keeps the encoding of its record; poll responses carry encoded records (the wire is the same: a field of bytes); the model planner keeps free memory, losses, rankings and adapter rates for the pass, the latter three until it plans an eviction.

--- a/mulleinhatch/control_plane/distribution.py
+++ b/mulleinhatch/control_plane/distribution.py
@@ -15,7 +15,8 @@
 
 from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.control_plane.registry import BackendRegistry
-from mulleinhatch.messages.cluster import Member, PollRequest, PollResponse, View
+from mulleinhatch.messages.cluster import Member, PollRequest, View
+from mulleinhatch.messages.encoded import EncodedPollResponse
 from mulleinhatch.replication.state import ControlState
 
 MAX_WAIT_S = 5.0
@@ -93,7 +94,7 @@
         others = sum(peer.data_planes for identity, peer in peers.by_identity.items() if peers.is_alive(identity, now))
         return max(1, self.count_local_data_planes() + others)
 
-    async def poll(self, request: PollRequest) -> PollResponse:
+    async def poll(self, request: PollRequest) -> EncodedPollResponse:
         """Wait until there is an update for the data plane, its wait is over, or the view changes; then answer."""
         poller = self._pollers.setdefault(request.node, PollerState(self._clock()))
         poller.polled_at = self._clock()
@@ -147,11 +148,11 @@
             or node.state.departure_index > request.departure_index
         )
 
-    def _build_response(self, request: PollRequest) -> PollResponse:
+    def _build_response(self, request: PollRequest) -> EncodedPollResponse:
         node = self._node
         changes = node.registry.changes_since(request.registry_source, request.registry_cursor)
         head = node.head
-        response = PollResponse(
+        response = EncodedPollResponse(
             authoritative=node.has_majority_contact(),
             epoch=node.view.epoch,
             departed_backends=node.state.departed_since(request.departure_index),
@@ -160,7 +161,7 @@
             registry_source=node.registry.source,
             registry_cursor=node.registry.cursor,
             is_full_registry=changes.is_complete,
-            backends=changes.backends,
+            backends=changes.encode(),
             control_addresses=[member.internal_address for member in node.view.chain],
             leader_address=head.internal_address if head else "",
             data_planes=self.count_all_data_planes(),
--- a/mulleinhatch/control_plane/placement/model_planner.py
+++ b/mulleinhatch/control_plane/placement/model_planner.py
@@ -45,6 +45,11 @@
         self._draft, self._store_loads_available = draft, store_loads_available
         # Local references: a pass looks these up for each pair of a model and a backend.
         self._engine, self._demand, self._value, self._now = draft.engine, draft.demand, draft.value, draft.now
+        # What a pass needs for each pair of a model and a backend, but depends on one of them alone.
+        self._free_mb: dict[str, float] = {}  # by backend; views do not change within a pass
+        self._losses: dict[str, float] = {}  # by model, until an eviction is planned
+        self._ranked_models: dict[str, list[str]] = {}  # by backend, until an eviction is planned
+        self._adapter_rates: dict[str, float] = {}  # by backend, until an eviction is planned
 
     def plan_reserved_loads(self) -> None:
         """Load models for which an earlier unload has freed memory."""
@@ -99,17 +104,32 @@
 
     def _cost(self, backend: BackendView, facts: ModelSpec, evictions: list[str]) -> float:
         delay_s = self._load_s(backend, facts) + UNLOAD_COST_S * len(evictions)
-        loss = sum(self._value.loss(model) for model in evictions)
+        loss = sum(self._loss(model) for model in evictions)
         return delay_s + loss + ADAPTER_DISTURBANCE_S * self._adapter_rate(backend)
 
     def _adapter_rate(self, backend: BackendView) -> float:
         """Return the requests per second for adapters that may need an order at this backend."""
-        demand, value = self._demand, self._value
-        return sum(
-            sum(adapter.rate for adapter in demand[model].adapters.values()) / max(1, value.replicas(model))
-            for model in backend.models
-            if model in demand
-        )
+        rate = self._adapter_rates.get(backend.id)
+        if rate is None:
+            demand, value = self._demand, self._value
+            rate = self._adapter_rates[backend.id] = sum(
+                sum(adapter.rate for adapter in demand[model].adapters.values()) / max(1, value.replicas(model))
+                for model in backend.models
+                if model in demand
+            )
+        return rate
+
+    def _loss(self, model: str) -> float:
+        loss = self._losses.get(model)
+        if loss is None:
+            loss = self._losses[model] = self._value.loss(model)
+        return loss
+
+    def _free_memory_mb(self, backend: BackendView) -> float:
+        free_mb = self._free_mb.get(backend.id)
+        if free_mb is None:
+            free_mb = self._free_mb[backend.id] = self._engine.weights_mb - used_mb(backend, self._engine)
+        return free_mb
 
     def _evictions_for(self, backend: BackendView, facts: ModelSpec) -> list[str] | None:
         """Return the models to unload so that a model fits, cheapest first.
@@ -118,7 +138,7 @@
             An empty list if the model fits already; None if it can't fit or if evictions lose too much against its gain.
         """
         engine, value = self._engine, self._value
-        free_mb = engine.weights_mb - used_mb(backend, engine) - facts.weights_mb
+        free_mb = self._free_memory_mb(backend) - facts.weights_mb
         if free_mb >= 0:
             return []
         evictions, loss = [], 0.0
@@ -129,7 +149,7 @@
                 continue  # requests wait for the last replica
             if self._now - hosted.loaded_at < MIN_RESIDENCE_S:
                 continue
-            loss += value.loss(model)
+            loss += self._loss(model)
             if EVICTION_GAIN_FACTOR * loss > gain:
                 return None
             evictions.append(model)
@@ -140,9 +160,11 @@
 
     def _by_loss(self, backend: BackendView) -> list[str]:
         """Return the models that stay loaded at a backend, the one whose eviction loses least first."""
-        loss = self._value.loss
-        models = (model for model in backend.models if (model, "") not in backend.unloading)
-        return sorted(models, key=lambda model: (loss(model), model))
+        ranked = self._ranked_models.get(backend.id)
+        if ranked is None:
+            models = (model for model in backend.models if (model, "") not in backend.unloading)
+            ranked = self._ranked_models[backend.id] = sorted(models, key=lambda model: (self._loss(model), model))
+        return ranked
 
     def _append(self, backend: BackendView, facts: ModelSpec, evictions: list[str]) -> None:
         """Order the load, or the first unload that it needs."""
@@ -161,6 +183,9 @@
             follow_up=load if len(evictions) == 1 else None,
         )
         self._draft.append(unload)
+        # One replica fewer changes what the others are worth.
+        for memo in (self._losses, self._ranked_models, self._adapter_rates):
+            memo.clear()
 
     def _load_order(self, backend: BackendView, facts: ModelSpec) -> Order:
         value = self._value
--- a/mulleinhatch/control_plane/registry/backend_registry.py
+++ b/mulleinhatch/control_plane/registry/backend_registry.py
@@ -26,11 +26,19 @@
         backend: The merged record.
         last_heartbeat_at: The steady time, in seconds, of the last heartbeat to any core machine.
         cursor: The registry's cursor at the last change that data planes use.
+        encoded: The record as it was encoded last, and the encoding.
     """
 
     backend: Backend
     last_heartbeat_at: float
     cursor: int = 0
+    encoded: tuple[Backend, bytes] | None = None
+
+    def encode(self) -> bytes:
+        """Return the encoded record; it is encoded once, however many data planes receive it."""
+        if self.encoded is None or self.encoded[0] is not self.backend:
+            self.encoded = (self.backend, bytes(self.backend))
+        return self.encoded[1]
 
 
 class RegistryChanges(NamedTuple):
@@ -38,11 +46,20 @@
 
     Attributes:
         is_complete: Whether these are all records; if not, they are those that changed after its cursor.
-        backends: The records.
+        entries: The entries of the records.
     """
 
     is_complete: bool
-    backends: list[Backend]
+    entries: list[RegistryEntry]
+
+    @property
+    def backends(self) -> list[Backend]:
+        """The records."""
+        return [entry.backend for entry in self.entries]
+
+    def encode(self) -> list[bytes]:
+        """Return the encoded records."""
+        return [entry.encode() for entry in self.entries]
 
 
 class BackendRegistry:
@@ -188,8 +205,8 @@
     def changes_since(self, source: str, cursor: int) -> RegistryChanges:
         """Return the records that changed after a cursor, or all that are not gone if the cursor is of another source."""
         if source != self.source:
-            return RegistryChanges(True, [entry.backend for entry in self.entries.values() if not entry.backend.gone])
-        return RegistryChanges(False, [entry.backend for entry in self.entries.values() if entry.cursor > cursor])
+            return RegistryChanges(True, [entry for entry in self.entries.values() if not entry.backend.gone])
+        return RegistryChanges(False, [entry for entry in self.entries.values() if entry.cursor > cursor])
 
     def records_for_peer(self, ids: set[str], now: float) -> list[Backend]:
         """Return the records of some ids for another core machine, each with the age of its last heartbeat (`age_ms`)."""
--- a/mulleinhatch/messages/base.py
+++ b/mulleinhatch/messages/base.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import dataclasses
-import sys
 import typing
 from collections.abc import Callable
 from functools import cache
@@ -18,7 +17,7 @@
 
 @cache
 def _type_hints(message_type: type[Message]) -> dict[str, Any]:
-    return typing.get_type_hints(message_type, vars(sys.modules[message_type.__module__]))
+    return typing.get_type_hints(message_type)
 
 
 @cache
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -24,8 +24,10 @@
     Member,
     ModelDemand,
     PendingLoad,
+    PollResponse,
     View,
 )
+from mulleinhatch.messages.encoded import EncodedPollResponse
 from mulleinhatch.process.settings import parse_settings
 
 
@@ -87,10 +89,26 @@
         cursor = self.registry.cursor
         self.assertEqual(self.registry.changes_since(self.registry.source, cursor), (False, []))
         self.registry.merge(backend(2, draining=True), 1.0)
-        is_complete, backends = self.registry.changes_since(self.registry.source, cursor)
-        self.assertEqual((is_complete, [backend.id for backend in backends]), (False, ["i-1"]))
+        changes = self.registry.changes_since(self.registry.source, cursor)
+        self.assertEqual((changes.is_complete, [backend.id for backend in changes.backends]), (False, ["i-1"]))
         self.assertTrue(self.registry.changes_since("another", 0)[0])
 
+    def test_a_record_is_encoded_once_and_anew_after_a_change(self):
+        self.registry.merge(backend(1), 0.0)
+        [first], [again] = (self.registry.changes_since("another", 0).encode() for _ in range(2))
+        self.assertIs(first, again)
+        self.registry.merge(backend(2, version="v2"), 1.0)
+        [changed] = self.registry.changes_since("another", 0).encode()
+        self.assertEqual(Backend().parse(changed), self.registry.entries["i-1"].backend)
+
+    def test_a_response_with_encoded_records_is_an_ordinary_one_on_the_wire(self):
+        records = [backend(1), backend(2, models=[LoadedModel(name="m0", adapters=["a1"])])]
+        fields = {"authoritative": True, "epoch": 3, "registry_source": "s", "departed_backends": ["i-0"], "data_planes": 2}
+        plain = PollResponse(backends=records, **fields)
+        encoded = EncodedPollResponse(backends=[bytes(record) for record in records], **fields)
+        self.assertEqual(bytes(encoded), bytes(plain))
+        self.assertEqual(PollResponse().parse(bytes(encoded)), plain)
+
     def test_counts_loads_from_the_store_by_any_leader(self):
         counted = []
         self.registry = BackendRegistry(1.0, self.changes.append, on_store_load=lambda: counted.append(1))
