An order is not sent again with a fencing token that a backend rejected

Change: the lease keeps the highest of its tokens that a backend rejected. The order client sends nothing that bears it (typed error), a claim counts only with a higher one, the follow-up stops at a 412 and revokes, and a rejection counts against the term of its order.

--- a/mulleinhatch/control_plane/placement/leadership.py
+++ b/mulleinhatch/control_plane/placement/leadership.py
@@ -55,9 +55,17 @@
         except OSError:
             return 0
 
-    def revoke(self) -> None:
-        """Give up leadership after a backend has reported a higher fencing token; a new claim is needed."""
-        self._lease.on_higher_token()
+    def revoke(self, rejected_token: int) -> None:
+        """Handle that a backend rejected an order because it has seen a higher fencing token; a new claim is needed.
+
+        Args:
+            rejected_token: The token of that order.
+        """
+        self._lease.on_higher_token(rejected_token)
+
+    def is_token_rejected(self) -> bool:
+        """Return whether a backend has rejected the current fencing token: no further order may bear it."""
+        return 0 < self._lease.token <= self._lease.rejected_token
 
     def _observation(self) -> LeadershipObservation:
         source = self._source
--- a/mulleinhatch/control_plane/placement/order_client.py
+++ b/mulleinhatch/control_plane/placement/order_client.py
@@ -4,10 +4,12 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from mulleinhatch.control_plane.placement.interfaces import LeadershipSource
 from mulleinhatch.control_plane.placement.leadership import NEVER_ISSUED_S, PlacementLeadership
 from mulleinhatch.control_plane.placement.order import ORDER_TIMEOUT_S, Order
+from mulleinhatch.errors import LeadershipError
 from mulleinhatch.messages.cluster import Backend
 from mulleinhatch.networking.http_client import HttpClient
 from mulleinhatch.networking.http_server import JSON_TYPE
@@ -15,6 +17,23 @@
 NEVER = -1e9  # a time before any other
 
 
+class FencedOffError(LeadershipError):
+    """A backend has rejected the current fencing token, so no order is sent until a new claim is committed."""
+
+
+@dataclass(frozen=True)
+class OrderResponse:
+    """A backend's response to an order.
+
+    Attributes:
+        status: The HTTP status.
+        token: The fencing token that the order bore.
+    """
+
+    status: int
+    token: int
+
+
 class OrderClient:
     """Encodes orders, sends them with the leader's fencing token, and knows when the latest was sent.
 
@@ -39,7 +58,7 @@
         """Return for how many seconds no order was sent, at most `NEVER_ISSUED_S`."""
         return min(NEVER_ISSUED_S, self._clock() - self._last_sent_at)
 
-    async def send(self, backend: Backend, order: Order, revision: int) -> int:
+    async def send(self, backend: Backend, order: Order, revision: int) -> OrderResponse:
         """Send an order that the backend accepts only at the given revision.
 
         Args:
@@ -47,18 +66,19 @@
             order: What to load or unload.
             revision: The backend's count of orders before this one.
 
-        Returns:
-            The HTTP status of the response.
-
         Raises:
+            FencedOffError: A backend has rejected the current token; nothing was sent.
             HttpCallError: No response arrived; the backend may have accepted the order.
         """
+        token = self._leadership.token
+        if self._leadership.is_token_rejected():
+            raise FencedOffError(f"fencing token {token} was rejected; claim leadership again before the next order")
         body = {
             "operation": order.operation.value,
             "model": order.model,
             "if_revision": revision,
             "holder": self._source.member.name,
-            "fence_token": self._leadership.token,
+            "fence_token": token,
         }
         if order.adapter:
             body["adapter"] = order.adapter
@@ -67,7 +87,7 @@
         response = await self._http_client.request(
             backend.address, "POST", "/order", json.dumps(body).encode(), ORDER_TIMEOUT_S, JSON_TYPE, expected_instance
         )
-        return response.status
+        return OrderResponse(response.status, token)
 
     def discard_connections(self, backend: Backend) -> None:
         """Close pooled connections to a backend that did not respond."""
--- a/mulleinhatch/control_plane/placement/order_dispatch.py
+++ b/mulleinhatch/control_plane/placement/order_dispatch.py
@@ -17,7 +17,7 @@
 from mulleinhatch.control_plane.placement.leadership import PlacementLeadership
 from mulleinhatch.control_plane.placement.load_rate_limiter import LoadRateLimiter
 from mulleinhatch.control_plane.placement.order import REPORT_LAG_S, Operation, Order, OrderInFlight
-from mulleinhatch.control_plane.placement.order_client import OrderClient
+from mulleinhatch.control_plane.placement.order_client import FencedOffError, OrderClient, OrderResponse
 from mulleinhatch.control_plane.placement.published_holdings import HoldingsPublisher
 from mulleinhatch.control_plane.placement.report_poller import POLL_BACKOFF_S, POLL_INTERVAL_S
 from mulleinhatch.messages.cluster import Backend
@@ -77,11 +77,13 @@
             state.in_flight = None
             return
         try:
-            status = await self._client.send(backend, order, state.revision)
+            response = await self._client.send(backend, order, state.revision)
         except HttpCallError as error:
             self._handle_lost_response(backend, in_flight, error)
-            return
-        self._handle_response(backend, state, in_flight, status)
+        except FencedOffError:
+            state.in_flight = None
+        else:
+            self._handle_response(backend, state, in_flight, response)
 
     def _handle_lost_response(self, backend: Backend, in_flight: OrderInFlight, error: HttpCallError) -> None:
         """Keep an order without a response in flight, because the backend may have accepted it."""
@@ -92,11 +94,13 @@
         fields = {"backend": backend.id, "operation": order.operation.value, "model": order.model, "error": str(error)}
         LOG.info("no response to an order; polling the backend to learn whether it was accepted", extra=fields)
 
-    def _handle_response(self, backend: Backend, state: BackendState, in_flight: OrderInFlight, status: int) -> None:
-        if status == HTTPStatus.ACCEPTED:
+    def _handle_response(
+        self, backend: Backend, state: BackendState, in_flight: OrderInFlight, response: OrderResponse
+    ) -> None:
+        if response.status == HTTPStatus.ACCEPTED:
             self._handle_acceptance(backend, state, in_flight)
         else:
-            self._handle_rejection(backend, state, in_flight, status)
+            self._handle_rejection(backend, state, in_flight, response)
 
     def _handle_acceptance(self, backend: Backend, state: BackendState, in_flight: OrderInFlight) -> None:
         order = in_flight.order
@@ -106,13 +110,15 @@
         elif order.adapter and order.operation is Operation.LOAD:
             self._tasks.start_task(self._assume_done_when_due(backend, state, in_flight))
 
-    def _handle_rejection(self, backend: Backend, state: BackendState, in_flight: OrderInFlight, status: int) -> None:
+    def _handle_rejection(
+        self, backend: Backend, state: BackendState, in_flight: OrderInFlight, response: OrderResponse
+    ) -> None:
         """Drop an order that the backend did not start, and poll the backend before the next one."""
-        now, order = self._clock(), in_flight.order
+        now, order, status = self._clock(), in_flight.order, response.status
         fields = {"backend": backend.id, "operation": order.operation.value, "model": order.model, "adapter": order.adapter}
         LOG.info("backend did not start an order", extra=fields | {"status": status})
         if status == HTTPStatus.PRECONDITION_FAILED:
-            self._leadership.revoke()
+            self._leadership.revoke(response.token)
         state.in_flight, state.is_known = None, False
         # 200 means that the backend already is as ordered, 409 that its revision differs: both are resolved by the next report.
         is_stale = status in (HTTPStatus.OK, HTTPStatus.CONFLICT)
@@ -136,20 +142,28 @@
                 return
 
     async def _send_follow_up(self, backend: Backend, state: BackendState, unload: OrderInFlight, load: Order) -> bool:
-        """Send the load after an unload and return whether the backend accepted it or may have."""
+        """Send the load after an unload and return whether the matter is settled: the backend accepted it, or may have.
+
+        It is settled as well once a backend has seen a higher fencing token: another leader decides about the freed memory.
+        """
         now = self._clock()
         in_flight = OrderInFlight(load, now, now + load.expected_s, state.revision + 1)
         unload.is_follow_up_sending = True
         try:
-            status = await self._client.send(backend, load, in_flight.revision)
+            response = await self._client.send(backend, load, in_flight.revision)
         except HttpCallError as error:
             self._replace_unload(backend, state, in_flight)
             self._handle_lost_response(backend, in_flight, error)
             return True
+        except FencedOffError:
+            return True
         finally:
             unload.is_follow_up_sending = False
-        if status != HTTPStatus.ACCEPTED:
-            fields = {"backend": backend.id, "status": status, "model": load.model}
+        if response.status == HTTPStatus.PRECONDITION_FAILED:
+            self._leadership.revoke(response.token)
+            return True
+        if response.status != HTTPStatus.ACCEPTED:
+            fields = {"backend": backend.id, "status": response.status, "model": load.model}
             LOG.info("backend rejected a load while still unloading; retrying", extra=fields)
             return False
         self._replace_unload(backend, state, in_flight)
--- a/mulleinhatch/errors.py
+++ b/mulleinhatch/errors.py
@@ -25,6 +25,10 @@
     """A replicated operation cannot complete: the log or the chain of replicas does not allow it now."""
 
 
+class LeadershipError(MulleinhatchError):
+    """This node does not hold the leader lease that the operation requires: ask the current leader."""
+
+
 class MessageError(MulleinhatchError, ValueError):
     """A message or frame from a peer, client or backend cannot be parsed."""
 
--- a/mulleinhatch/leadership/lease.py
+++ b/mulleinhatch/leadership/lease.py
@@ -53,7 +53,7 @@
     | PAUSED | it can lead again within MAX_PAUSE_S and the recorded token is still its own: no claim came between | LEADER |
     | PAUSED | MAX_PAUSE_S passed, or another token is recorded | FOLLOWER |
     | WAITING, CLAIMING | the node cannot lead | FOLLOWER |
-    | LEADER | a backend rejects the token as too low, or another leader is recorded | FOLLOWER |
+    | LEADER, PAUSED | a backend rejects the token as too low, or another leader is recorded | FOLLOWER |
 
     Args:
         lease_s: How long a leader may act without confirmation.
@@ -61,12 +61,15 @@
     Attributes:
         state: The current state.
         token: The fencing token of this node's last committed claim.
+        rejected_token: The highest token of this node that a backend rejected as too low, 0 where none was. No order bears it,
+            or a lower one, again.
     """
 
     def __init__(self, lease_s: float) -> None:
         self._lease_s = lease_s + LEASE_MARGIN_S
         self.state = LeaseState.FOLLOWER
         self.token = 0
+        self.rejected_token = 0
         self._waiting_since = 0.0
         self._may_claim_at = 0.0
         self._last_led_at = 0.0
@@ -99,12 +102,19 @@
         Args:
             token: The index of the claim's entry; 0 where the claim failed.
         """
-        if self.state is LeaseState.CLAIMING and token:
+        if self.state is LeaseState.CLAIMING and token > self.rejected_token:
             self.state, self.token = LeaseState.LEADER, token
 
-    def on_higher_token(self) -> None:
-        """Step down: a backend has seen a higher token, so a new claim is needed."""
-        self.state = LeaseState.FOLLOWER
+    def on_higher_token(self, rejected_token: int) -> None:
+        """Handle that a backend has seen a higher token than one of this node: step down if that is the current one.
+
+        Args:
+            rejected_token: The token of the rejected order. A late response to an order of an earlier term says nothing
+                about the current one.
+        """
+        self.rejected_token = max(self.rejected_token, rejected_token)
+        if self.token <= self.rejected_token:
+            self.state = LeaseState.FOLLOWER
 
     def _start_waiting(self, observation: LeadershipObservation, now: float) -> None:
         self.state = LeaseState.WAITING
--- a/tests/system/test_order_dispatch.py
+++ b/tests/system/test_order_dispatch.py
@@ -4,10 +4,12 @@
 
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from mulleinhatch.control_plane.placement.backend_state import BackendState
 from mulleinhatch.control_plane.placement.load_rate_limiter import LoadRateLimiter
 from mulleinhatch.control_plane.placement.order import Operation, Order
+from mulleinhatch.control_plane.placement.order_client import FencedOffError, OrderResponse
 from mulleinhatch.control_plane.placement.order_dispatch import RESERVATION_S, OrderDispatcher
 from tests.system.placement_fakes import REPORT_DELAY_S, PlacementCase
 
@@ -51,8 +53,10 @@
     def confirm(self) -> bool:
         return self.leads
 
-    def revoke(self) -> None:
+    def revoke(self, rejected_token: int) -> None:
         self.revoked += 1
+        self.rejected_token = rejected_token
+        self.leads = False
 
 
 class Responses(unittest.IsolatedAsyncioTestCase):
@@ -73,9 +77,11 @@
             LoadRateLimiter(5.0),
         )
 
-    async def send(self, backend, order: Order, revision: int) -> int:
+    async def send(self, backend, order: Order, revision: int) -> OrderResponse:
         self.sent.append((order, revision))
-        return self.status
+        if self.status is None:
+            raise FencedOffError("rejected before")
+        return OrderResponse(self.status, 9)
 
     async def issue(self, status: int, order: Order) -> None:
         self.status = status
@@ -102,7 +108,20 @@
 
     async def test_rejection_of_the_fencing_token_revokes_leadership(self):
         await self.issue(412, Order("i", Operation.LOAD, "b"))
-        self.assertEqual(self.leadership.revoked, 1)
+        self.assertEqual((self.leadership.revoked, self.leadership.rejected_token), (1, 9))
+
+    async def test_a_load_after_an_unload_is_not_repeated_once_its_token_was_rejected(self):
+        load = Order("i", Operation.LOAD, "b")
+        await self.issue(202, Order("i", Operation.UNLOAD, "a", reserved_for="b", follow_up=load))
+        self.status = 412
+        with mock.patch("asyncio.sleep", mock.AsyncMock()):
+            await self.started.pop(0)
+        self.assertEqual([order.model for order, _ in self.sent], ["a", "b"])
+        self.assertEqual((self.leadership.revoked, self.leadership.rejected_token), (1, 9))
+
+    async def test_an_order_that_the_client_holds_back_is_dropped(self):
+        await self.issue(None, Order("i", Operation.LOAD, "b"))
+        self.assertIsNone(self.state.in_flight)
 
     async def test_sends_no_order_after_leadership_is_lost(self):
         self.leadership.leads = False
--- a/tests/system/test_placement_leadership.py
+++ b/tests/system/test_placement_leadership.py
@@ -4,6 +4,7 @@
 
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from mulleinhatch.control_plane.placement.leadership import NEVER_ISSUED_S, PlacementLeadership
 from mulleinhatch.leadership.lease import FENCED_WAIT_S, LeaseState
@@ -68,10 +69,37 @@
     async def test_revoked_leadership_has_to_be_claimed_again(self):
         self.leadership.observe()
         await self.leadership.acquire()
-        self.leadership.revoke()
+        self.leadership.revoke(1)
         self.assertFalse(self.leadership.is_acting)
+        self.assertTrue(self.leadership.is_token_rejected())
         self.assertFalse(self.leadership.confirm())
 
+    async def test_a_rejected_token_is_not_borne_again_until_a_new_claim(self):
+        tokens = iter((5, 5, 6))
+
+        async def claim_leadership() -> int:
+            self.node.state.leader, self.node.state.fencing_token = "me", next(tokens)
+            return self.node.state.fencing_token
+
+        self.node.claim_leadership = claim_leadership
+        self.leadership.observe()
+        await self.leadership.acquire()
+        self.leadership.revoke(5)
+        acted = []
+        while self.leadership.token != 6:
+            self.leadership.observe()
+            acted.append(await self.leadership.acquire())
+        self.assertEqual(acted, [False, True])
+        self.assertFalse(self.leadership.is_token_rejected())
+
+    async def test_a_late_rejection_of_an_earlier_term_leaves_the_current_one(self):
+        self.node.claim_leadership = mock.AsyncMock(return_value=8)
+        self.leadership.observe()
+        await self.leadership.acquire()
+        self.leadership.revoke(5)
+        self.assertTrue(self.leadership.is_acting)
+        self.assertFalse(self.leadership.is_token_rejected())
+
     def seconds_until_claim(self, is_fenced: bool) -> float:
         leadership, self.now = self.make_leadership(is_fenced), 0.0
         while leadership.observe() is not LeaseState.CLAIMING:
