Zones and regions are read by the view planner; a preempted proposal does not wait for a lost voter

Cause: fault_tolerance.zones and regions were not read: of five machines in three zones, two of three voters could stand in one zone after a replacement, and a chain within one zone acknowledged writes. Found by the new histories: a proposer that was preempted by one voter waited 0.7 s for a voter that is out of reach before it tried a higher number, twice in a row after a loss of power, so that the core answered 1.4 s later than it could.

Change: members say their zone and region (new fields of Member; empty in messages of earlier texts, which then count as zones of their own). FaultTolerance (pure) tells what any tolerated loss leaves: the planner asks it for the chain, the number of voters, for replacements, and exchanges voters between zones while a loss could take the majority; the write gate asks it too. After a rejection the other votes are waited for 0.2 s. The virtual core has zones that lose power, disks or links as a whole, and checks losses of zones after each step.

--- a/mulleinhatch/consensus/view_planner.py
+++ b/mulleinhatch/consensus/view_planner.py
@@ -5,13 +5,15 @@
 * Survivors keep their order in the chain, so that each predecessor still holds every entry that its successor holds.
 * Only nodes that are caught up in the current epoch join, at the tail.
 * The head's log is complete: it certainly holds every committed entry.
-* The chain is longer than the number of disks that may be lost at once.
+* Any tolerated loss (of machines, of zones or of regions) leaves a replica of the chain.
 
 Rules that preserve a majority:
 
 * The number of voters is odd, and 2 * tolerated + 1 as soon as there are as many nodes.
 * A caught-up node replaces an unreachable or leaving voter in a single view change, so that the next loss still leaves a
   majority.
+* Voters stand in different zones and regions where there are enough nodes: one by one they are replaced until any tolerated
+  loss leaves a majority.
 
 Voters of a view choose the next view on their own, so any number of them may change at once (reconfiguration by the former
 members). Source: L. Lamport, D. Malkhi, L. Zhou, "Vertical Paxos and Primary-Backup Replication" (2009); J. Lorch et al., "The
@@ -23,6 +25,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from mulleinhatch.consensus.fault_tolerance import FaultTolerance
 from mulleinhatch.consensus.paxos import identities
 from mulleinhatch.messages.cluster import Member, View
 
@@ -61,13 +64,13 @@
     return View(epoch=1, voters=members, chain=members)
 
 
-def plan_next_view(view: View, health: Mapping[str, MemberHealth], tolerated: int) -> View | None:
+def plan_next_view(view: View, health: Mapping[str, MemberHealth], tolerance: FaultTolerance) -> View | None:
     """Return the view that should follow.
 
     Args:
         view: The current view.
         health: Every known node and every voter, by identity.
-        tolerated: How many disks may be lost at once.
+        tolerance: What may be lost at once.
 
     Returns:
         The next view; None where the current one needs no change, or where no safe successor exists.
@@ -75,9 +78,10 @@
     chain = _plan_chain(view, health)
     if not chain or chain[0].identity not in identities(view.chain):
         return None
-    if not health[chain[0].identity].log_complete or len(chain) < tolerated + 1:
+    known = [node.member for node in health.values()]
+    if not health[chain[0].identity].log_complete or not tolerance.keeps_replica(chain, known):
         return None
-    voters = _plan_voters(view, health, tolerated)
+    voters = _plan_voters(view, health, tolerance)
     if identities(chain) == identities(view.chain) and identities(voters) == identities(view.voters):
         return None
     return View(epoch=view.epoch + 1, voters=voters, chain=chain)
@@ -103,23 +107,52 @@
     return [node.member for node in chain]
 
 
-def _plan_voters(view: View, health: Mapping[str, MemberHealth], tolerated: int) -> list[Member]:
+def _plan_voters(view: View, health: Mapping[str, MemberHealth], tolerance: FaultTolerance) -> list[Member]:
     """Return the next voters: the current ones, with the unreachable replaced where candidates exist."""
-    voters = list(view.voters)
+    # The view may name members as they were before their zones were known.
+    voters = [health[member.identity].member for member in view.voters]
     candidates = _voter_candidates(view, health)
-    target_count = 2 * tolerated + 1
     _replace_wiped_voters(voters, candidates)
-    _add_voters(voters, candidates, target_count)
-    for position, candidate in zip(_unreachable_voter_positions(voters, health), candidates):
-        voters[position] = candidate
-    while len(voters) > target_count and len(voters) % 2 == 0:
+    _add_voters(voters, candidates, tolerance)
+    for position in _unreachable_voter_positions(voters, health):
+        if candidates:
+            _replace_voter(voters, position, candidates, tolerance)
+    while len(voters) > tolerance.voters and len(voters) % 2 == 0:
         unreachable = _unreachable_voter_positions(voters, health)
         if not unreachable:
             break
         del voters[unreachable[0]]
+    _spread_voters(voters, candidates, tolerance)
     return voters
 
 
+def _replace_voter(voters: list[Member], position: int, candidates: list[Member], tolerance: FaultTolerance) -> None:
+    """Replace a voter by the candidate with which the worst tolerated loss takes fewest voters, by identity among equals."""
+
+    def loss_with(candidate: Member) -> int:
+        return tolerance.worst_loss([*voters[:position], candidate, *voters[position + 1 :]])
+
+    best = min(candidates, key=loss_with)
+    voters[position] = best
+    candidates.remove(best)
+
+
+def _spread_voters(voters: list[Member], candidates: list[Member], tolerance: FaultTolerance) -> None:
+    """Exchange voters for candidates in other zones or regions while a tolerated loss could take the majority."""
+    while candidates and not tolerance.keeps_majority(voters):
+        before = tolerance.worst_loss(voters)
+        exchanges = [
+            (tolerance.worst_loss([*voters[:position], candidate, *voters[position + 1 :]]), -position, candidate)
+            for position in range(len(voters))
+            for candidate in candidates
+        ]
+        loss, negative_position, candidate = min(exchanges, key=lambda exchange: exchange[:2])
+        if loss >= before:
+            return
+        voters[-negative_position] = candidate
+        candidates.remove(candidate)
+
+
 def _voter_candidates(view: View, health: Mapping[str, MemberHealth]) -> list[Member]:
     """Return the caught-up nodes without a vote, by identity."""
     voting = identities(view.voters)
@@ -139,14 +172,16 @@
                 break
 
 
-def _add_voters(voters: list[Member], candidates: list[Member], target_count: int) -> None:
-    """Add voters up to the target count, one or two at a time so that their number is odd after each step."""
-    while len(voters) < target_count:
+def _add_voters(voters: list[Member], candidates: list[Member], tolerance: FaultTolerance) -> None:
+    """Add voters up to the wanted number, one or two at a time so that their number is odd after each step."""
+    while len(voters) < tolerance.voters:
         step = 1 + len(voters) % 2
         if len(candidates) < step:
             return
-        voters += candidates[:step]
-        del candidates[:step]
+        for _ in range(step):
+            best = min(candidates, key=lambda candidate: tolerance.worst_loss([*voters, candidate]))
+            voters.append(best)
+            candidates.remove(best)
 
 
 def _unreachable_voter_positions(voters: list[Member], health: Mapping[str, MemberHealth]) -> list[int]:
--- a/mulleinhatch/control_plane/node.py
+++ b/mulleinhatch/control_plane/node.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
+from mulleinhatch.consensus.fault_tolerance import FaultTolerance
 from mulleinhatch.consensus.view_planner import bootstrap_view
 from mulleinhatch.control_plane.backend_departures import BackendDepartures
 from mulleinhatch.control_plane.backend_handoff import BackendHandoff
@@ -81,6 +82,7 @@
         self._client = InternalClient(http_client)
         self._tasks = BackgroundTasks()
         self._pauses = PauseDetector(clock, self._extend_grace_periods)
+        self._tolerance = FaultTolerance(settings.machines_tolerated, settings.zones_tolerated, settings.regions_tolerated)
         self._applied_departures_index = 0  # departures in entries up to this index are applied to the registry
 
     # Start.
@@ -100,6 +102,8 @@
             name=self.settings.name,
             control_address=control_address,
             internal_address=self.settings.internal_address,
+            zone=self.settings.zone,
+            region=self.settings.region,
         )
         self._wire(restored)
         if not restored.voter.view.epoch and restored.identity == f"first-{control_address}":
@@ -142,7 +146,7 @@
         )
 
     def _wire_writes(self) -> None:
-        gate = WriteGate(self.replica, self.settings.machines_tolerated)
+        gate = WriteGate(self.replica, self.peers, self._tolerance)
         self.configuration_changes = ConfigurationChanges(
             self.clock, self.peers, self.replicated_log, self.view_changer, self.contact, gate
         )
@@ -157,7 +161,7 @@
         fetcher = SnapshotFetcher(self.clock, self.peers, self._client, self.view_changer, self.replicated_log)
         self._catch_up = CatchUp(self.replica, self.status, fetcher, self.log_compactor, self.request_heartbeat)
         self._view_manager = ViewManager(
-            self.settings.machines_tolerated,
+            self._tolerance,
             self.replica,
             self.peers,
             self.view_changer,
--- a/mulleinhatch/control_plane/peers.py
+++ b/mulleinhatch/control_plane/peers.py
@@ -54,6 +54,13 @@
             peer = self.by_identity[member.identity] = Peer(member, known_since=now)
         return peer
 
+    def latest(self, member: Member) -> Member:
+        """Return a member as it described itself last; a view may name it as it was known before."""
+        if member.identity == self.own.identity:
+            return self.own
+        peer = self.by_identity.get(member.identity)
+        return peer.member if peer is not None else member
+
     def by_address(self, internal_address: str) -> Peer | None:
         """Return the peer at an address: of several identities at one address the one that answered last."""
         candidates = [peer for peer in self.by_identity.values() if peer.member.internal_address == internal_address]
--- a/mulleinhatch/control_plane/quorum_calls.py
+++ b/mulleinhatch/control_plane/quorum_calls.py
@@ -27,11 +27,25 @@
         finally:
             self._responses.put_nowait(response)
 
-    async def next(self) -> Any:
-        """Return the next response, None when no more will come. A call that fails with `OSError` has no response."""
+    async def next(self, timeout_s: float | None = None) -> Any:
+        """Return the next response; a call that fails with `OSError` has none.
+
+        Args:
+            timeout_s: Seconds to wait for it; None for as long as a call may still bring one.
+
+        Returns:
+            The response, None when no more will come, or none came in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._next()
+        except TimeoutError:
+            return None
+
+    async def _next(self) -> Any:
         while self._remaining:
-            self._remaining -= 1
             response = await self._responses.get()
+            self._remaining -= 1
             if response is not None:
                 return response
         return None
--- a/mulleinhatch/control_plane/view_change.py
+++ b/mulleinhatch/control_plane/view_change.py
@@ -27,6 +27,8 @@
 from mulleinhatch.replication.chain import Replica
 from mulleinhatch.storage.records import Record, RecordKind
 
+PREEMPTED_WAIT_S = 0.2  # for the other votes after a rejection: a round trip, a write to disk and a pause by a quota
+
 Response = TypeVar("Response")
 
 
@@ -192,7 +194,11 @@
         own_vote: Callable[[Any], Any],
         record_vote: Callable[[VoteResponse], bool],
     ) -> None:
-        """Send a request to all voters at once; return when `record_vote` reports a quorum or all have answered."""
+        """Send a request to all voters at once; return when `record_vote` reports a quorum or all have answered.
+
+        After a rejection the others are given `PREEMPTED_WAIT_S`: a voter that is out of reach must not delay the next attempt,
+        whose higher number the rejecting voter will accept.
+        """
         responses = QuorumCall(
             [
                 own_vote(request)
@@ -201,6 +207,9 @@
                 for voter in proposal.base.voters
             ]
         )
-        while (response := await responses.next()) is not None:
+        timeout_s = None
+        while (response := await responses.next(timeout_s)) is not None:
             if record_vote(response) or proposal.outcome is not ProposalOutcome.RUNNING:
                 break
+            if not response.granted:
+                timeout_s = PREEMPTED_WAIT_S
--- a/mulleinhatch/control_plane/view_manager.py
+++ b/mulleinhatch/control_plane/view_manager.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 
+from mulleinhatch.consensus.fault_tolerance import FaultTolerance
 from mulleinhatch.consensus.view_planner import plan_next_view
 from mulleinhatch.control_plane.heartbeats import HEARTBEAT_S
 from mulleinhatch.control_plane.node_status import NodeStatus
@@ -23,12 +24,13 @@
     """The planning loop: compares the view in force with the health of all nodes and proposes a better view.
 
     Args:
+        tolerance: What may be lost at once.
         expire: Called with the current time before each planning step, to expire records of silent backends.
     """
 
     def __init__(
         self,
-        machines_tolerated: int,
+        tolerance: FaultTolerance,
         replica: Replica,
         peers: Peers,
         view_changer: ViewChanger,
@@ -36,7 +38,7 @@
         pauses: PauseDetector,
         expire: Callable[[float], None],
     ) -> None:
-        self._machines_tolerated, self._replica, self._peers = machines_tolerated, replica, peers
+        self._tolerance, self._replica, self._peers = tolerance, replica, peers
         self._view_changer, self._status, self._pauses, self._expire = view_changer, status, pauses, expire
         self._started_at = pauses.clock()
         self._undecided_epoch = 0  # the epoch of a view whose successor is undecided,
@@ -80,7 +82,7 @@
             return None
         if now - self._started_at < ALIVE_S + HEARTBEAT_S:
             return None  # peers that have not answered yet may be starting, as this node is
-        planned = plan_next_view(view, health, self._machines_tolerated)
+        planned = plan_next_view(view, health, self._tolerance)
         if planned is None and self._is_undecided_for_long(now):
             return View(epoch=view.epoch + 1, voters=view.voters, chain=view.chain)
         return planned
--- a/mulleinhatch/control_plane/write_gate.py
+++ b/mulleinhatch/control_plane/write_gate.py
@@ -4,21 +4,27 @@
 
 import asyncio
 
+from mulleinhatch.consensus.fault_tolerance import FaultTolerance
+from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.replication.chain import Replica
 
 
 class WriteGate:
-    """Admits writes at the head of a chain that is long enough.
+    """Admits writes at the head of a chain of which any tolerated loss leaves a replica.
 
     Attributes:
         change_lock: Held by one configuration change or leadership claim at a time, from its check to its end.
     """
 
-    def __init__(self, replica: Replica, machines_tolerated: int) -> None:
-        self._replica, self._machines_tolerated = replica, machines_tolerated
+    def __init__(self, replica: Replica, peers: Peers, tolerance: FaultTolerance) -> None:
+        self._replica, self._peers, self._tolerance = replica, peers, tolerance
         self.change_lock = asyncio.Lock()
 
     def can_accept_writes(self) -> bool:
-        """Return whether this node is the head, has the complete log, and leads more replicas than may be lost at once."""
-        is_long_enough = len(self._replica.view.chain) > self._machines_tolerated
-        return self._replica.is_head and self._replica.log_complete and is_long_enough
+        """Return whether this node is the head, has the complete log, and leads a chain that survives any tolerated loss."""
+        return self._replica.is_head and self._replica.log_complete and self._keeps_replica()
+
+    def _keeps_replica(self) -> bool:
+        view = self._replica.view
+        chain = [self._peers.latest(member) for member in view.chain]
+        return self._tolerance.keeps_replica(chain, [*chain, *(self._peers.latest(member) for member in view.voters)])
--- a/mulleinhatch/messages/cluster.py
+++ b/mulleinhatch/messages/cluster.py
@@ -19,6 +19,10 @@
     name: str = betterproto.string_field(2)
     control_address: str = betterproto.string_field(3)
     internal_address: str = betterproto.string_field(4)
+    # Empty where the node runs a version that does not report them, or has not
+    # been heard yet.
+    zone: str = betterproto.string_field(5)
+    region: str = betterproto.string_field(6)
 
 
 @dataclass
--- a/mulleinhatch/process/settings.py
+++ b/mulleinhatch/process/settings.py
@@ -83,7 +83,9 @@
         seeds: Control addresses of core machines to contact first.
         first_start: Whether the whole system starts for the first time, without state on disk.
         counts_for_quorum: Whether this process counts for the quorum.
-        machines_tolerated: The number of core machines whose loss must not stop the system.
+        machines_tolerated: The number of core machines that may be lost at once without stopping the system.
+        zones_tolerated: The number of zones that may be lost at once.
+        regions_tolerated: The number of regions that may be lost at once.
         heartbeat_s: The interval of the backends' heartbeats.
         data_directory: The directory of the persisted state.
         file_descriptors: The limit of open files.
@@ -102,6 +104,8 @@
     first_start: bool
     counts_for_quorum: bool
     machines_tolerated: int
+    zones_tolerated: int
+    regions_tolerated: int
     heartbeat_s: float
     data_directory: str
     file_descriptors: int
@@ -132,6 +136,7 @@
 
 MILLISECONDS = And(Use(float), lambda value: value >= 0, Use(lambda value: 0.001 * value))
 SECONDS = And(Use(float), lambda value: value >= 0)
+COUNT = And(Use(int), lambda value: value >= 0)
 FRACTION = And(Use(float), lambda value: value >= 0)
 BOUND_KEYS = {  # key behind `bounds.` -> field of Bounds, check
     "contact_ms": ("contact_s", MILLISECONDS),
@@ -161,7 +166,9 @@
         "seeds": Use(_parse_addresses),
         Optional("first_start", default=False): Use(_parse_boolean),
         Optional("counts_for_quorum", default=False): Use(_parse_boolean),
-        Optional("fault_tolerance.machines", default=0): Use(int),
+        Optional("fault_tolerance.machines", default=0): COUNT,
+        Optional("fault_tolerance.zones", default=0): COUNT,
+        Optional("fault_tolerance.regions", default=0): COUNT,
         Optional("heartbeat_interval_ms", default=1.2): MILLISECONDS,
         Optional("data_directory", default=""): str,
         Optional("limits.file_descriptors", default=1024): Use(int),
@@ -198,6 +205,8 @@
         first_start=checked["first_start"],
         counts_for_quorum=checked["counts_for_quorum"],
         machines_tolerated=checked["fault_tolerance.machines"],
+        zones_tolerated=checked["fault_tolerance.zones"],
+        regions_tolerated=checked["fault_tolerance.regions"],
         heartbeat_s=checked["heartbeat_interval_ms"],
         data_directory=checked["data_directory"],
         file_descriptors=checked["limits.file_descriptors"],
--- a/mulleinhatch/simulation/control_plane/__init__.py
+++ b/mulleinhatch/simulation/control_plane/__init__.py
@@ -42,13 +42,16 @@
     defect: Defect = Defect.NONE,
     sync_duration_s: tuple[float, float] = HistoryPlan.sync_duration_s,
     with_faults: bool = True,
+    zones: int = 1,
+    zones_tolerated: int = 0,
 ) -> History:
     """Play one history of random users and faults; see `HistoryPlan` for the parameters."""
 
     async def begin(world: World) -> None:
         await world.play(with_faults)
 
-    return _run(begin, seed, HistoryPlan(machines, tolerated, defect, sync_duration_s))
+    plan = HistoryPlan(machines, tolerated, defect, sync_duration_s, zones=zones, zones_tolerated=zones_tolerated)
+    return _run(begin, seed, plan)
 
 
 def _run(begin: Script, seed: int, plan: HistoryPlan) -> History:
@@ -73,14 +76,22 @@
     return history
 
 
-def play_script(script: Script, seed: int = 1, machines: int = 3, tolerated: int = 1, defect: Defect = Defect.NONE) -> History:
+def play_script(
+    script: Script,
+    seed: int = 1,
+    machines: int = 3,
+    tolerated: int = 1,
+    defect: Defect = Defect.NONE,
+    zones: int = 1,
+    zones_tolerated: int = 0,
+) -> History:
     """Play one history whose events a script brings about, on a core that has just started."""
 
     async def begin(world: World) -> None:
         await world.start()
         await script(world)
 
-    return _run(begin, seed, HistoryPlan(machines, tolerated, defect))
+    return _run(begin, seed, HistoryPlan(machines, tolerated, defect, zones=zones, zones_tolerated=zones_tolerated))
 
 
 def _record_exception(history: History, context: dict) -> None:
--- a/mulleinhatch/simulation/control_plane/defects.py
+++ b/mulleinhatch/simulation/control_plane/defects.py
@@ -16,6 +16,7 @@
 from result import Err
 
 from mulleinhatch.consensus import view_planner
+from mulleinhatch.consensus.fault_tolerance import FaultTolerance
 from mulleinhatch.consensus.paxos import Voter
 from mulleinhatch.control_plane import shutdown
 from mulleinhatch.control_plane.backend_departures import BackendDepartures
@@ -36,6 +37,7 @@
     KEEP_IDENTITY_AFTER_WIPE = "an emptied disk keeps its identity"
     REJECT_DURING_PENDING_CHANGE = "412 while an earlier change is not committed"
     READ_WITHOUT_CONFIRMATION = "reads without confirming the view"
+    IGNORE_ZONES = "voters are chosen as if all machines stood in one zone"
     SHORT_CHAIN = "a chain of one replica acknowledges"
     ADD_NEWCOMER = "a joining machine is added as a further voter"
     ACKNOWLEDGE_UNRECORDED_LEAVE = "a departure is acknowledged without being recorded"
@@ -48,7 +50,7 @@
     LEAD_WITH_INCOMPLETE_LOG = "a joined replica leads with an incomplete log"
 
 
-def _add_newcomer(view: Any, health: Any, tolerated: int) -> list[Any]:
+def _add_newcomer(view: Any, health: Any, tolerance: FaultTolerance) -> list[Any]:
     """Apply a former rule of the planner: after three replacements in a row no majority was left."""
     voters, candidates = list(view.voters), view_planner._voter_candidates(view, health)
     view_planner._replace_wiped_voters(voters, candidates)
@@ -61,7 +63,7 @@
         voters[silent[0]] = candidates[0]
     elif candidates:
         voters.append(candidates[0])
-    elif len(voters) > 2 * tolerated + 1 and silent:
+    elif len(voters) > tolerance.voters and silent:
         del voters[silent[0]]
     return voters
 
@@ -142,10 +144,13 @@
         real = view_planner.plan_next_view
         return [
             mock.patch(
-                "mulleinhatch.control_plane.view_manager.plan_next_view", lambda view, health, tolerated: real(view, health, 0)
+                "mulleinhatch.control_plane.view_manager.plan_next_view",
+                lambda view, health, tolerance: real(view, health, FaultTolerance(0)),
             ),
             mock.patch.object(WriteGate, "can_accept_writes", lambda self: self._replica.is_head),
         ]
+    if defect is Defect.IGNORE_ZONES:
+        return [mock.patch.object(FaultTolerance, "worst_loss", lambda self, members: min(self.machines, len(members)))]
     if defect is Defect.ADD_NEWCOMER:
         return [mock.patch.object(view_planner, "_plan_voters", _add_newcomer)]
     if defect is Defect.ACKNOWLEDGE_UNRECORDED_LEAVE:
--- a/mulleinhatch/simulation/control_plane/faults.py
+++ b/mulleinhatch/simulation/control_plane/faults.py
@@ -12,6 +12,7 @@
 from mulleinhatch.simulation.control_plane.machine_faults import MachineFaults
 from mulleinhatch.simulation.control_plane.machines import Machine
 from mulleinhatch.simulation.control_plane.outages import Outages
+from mulleinhatch.simulation.control_plane.zone_faults import ZoneFault, ZoneFaults
 
 
 class Fault(Enum):
@@ -50,6 +51,7 @@
         self._world = world
         self._machine_faults = MachineFaults(world)
         links, disks, outages = LinkFaults(world), DiskFaults(world), Outages(world)
+        self._zone_faults = ZoneFaults(world)
         self._handlers: dict[Fault, Callable[[Any, float], Coroutine[Any, Any, None]]] = {
             Fault.KILL: self._machine_faults.kill,
             Fault.POWER: self._machine_faults.power,
@@ -80,6 +82,8 @@
             await asyncio.sleep(self._pause())
             if world.rng.random() < world.plan.overlapping_fraction:
                 self._inject(world.rng.choice(OVERLAPPING), None)
+            elif self._may_lose_zone():
+                self._inject_zone_loss()
             elif (machine := self._next()) is not None:
                 self._inject(world.rng.choice(SINGLE), machine)
 
@@ -110,6 +114,23 @@
             machine.lost_until = 1e9  # until the fault has ended
         self._world.loop.start(self._handlers[fault](machine, for_s))
 
+    def _may_lose_zone(self) -> bool:
+        """Return whether a zone is lost next: only where that is tolerated, and while nothing else is lost."""
+        world, plan = self._world, self._world.plan
+        if not plan.zones_tolerated or world.lost() or self._machine_faults.is_armed:
+            return False
+        return world.rng.random() < plan.zone_loss_fraction
+
+    def _inject_zone_loss(self) -> None:
+        world = self._world
+        fault, for_s = world.rng.choice(list(ZoneFault)), world.rng.uniform(0.2, 4.0)
+        zone = world.rng.choice(sorted({machine.zone for machine in world.machines}))
+        world.note(f"{fault.value} {zone} for {for_s:.1f}")
+        for machine in world.machines:
+            if machine.zone == zone:
+                machine.lost_until = 1e9  # until the fault has ended
+        world.loop.start(self._zone_faults.inject(fault, zone, for_s))
+
     def on_acknowledged(self) -> None:
         """Inject the fault that waits for the acknowledgement of a change."""
         self._machine_faults.on_acknowledged()
--- a/mulleinhatch/simulation/control_plane/history_plan.py
+++ b/mulleinhatch/simulation/control_plane/history_plan.py
@@ -18,6 +18,9 @@
         fault_period_s: Time in which users are active and faults are injected; afterwards the core must recover.
         change_interval_s: Time between two changes of one operator.
         overlapping_fraction: Fraction of the faults that exceed the tolerance; these lose no disk.
+        zones: Zones that the machines stand in, in turn.
+        zones_tolerated: Zones that may be lost at once, with all machines in them.
+        zone_loss_fraction: Fraction of the other faults that take a whole zone, where one may be lost.
     """
 
     machines: int = 3
@@ -27,3 +30,6 @@
     fault_period_s: float = 25.0
     change_interval_s: tuple[float, float] = (0.05, 0.8)
     overlapping_fraction: float = 0.15
+    zones: int = 1
+    zones_tolerated: int = 0
+    zone_loss_fraction: float = 0.4
--- a/mulleinhatch/simulation/control_plane/invariant_checks.py
+++ b/mulleinhatch/simulation/control_plane/invariant_checks.py
@@ -9,6 +9,7 @@
 from mulleinhatch.consensus.paxos import identities, majority_size
 from mulleinhatch.control_plane.peers import AUTHORITY_S
 from mulleinhatch.simulation.control_plane.clients import DataPlane, SubmittedChange
+from mulleinhatch.simulation.control_plane.fault_actions import CATCH_UP_S
 from mulleinhatch.simulation.control_plane.machines import Machine
 
 CONTACT_S, CONFIGURATION_APPLY_S, DRAIN_S = 3.0, 2.0, 2.0
@@ -80,10 +81,13 @@
             self.record_violation(f"version {version} is {self._notes[version]} and {note}")
 
     def _check_replica_count(self, sent: SubmittedChange) -> None:
-        """Check that an acknowledged change is on more disks than may be lost."""
-        replica_count = sum(machine.has_on_disk(sent.digest) for machine in self._world.machines)
-        if replica_count <= self._world.plan.tolerated:
-            self.record_violation(f"version {sent.version} was acknowledged on {replica_count} disks")
+        """Check that an acknowledged change is on more disks, and in more zones, than may be lost."""
+        replicas = [machine for machine in self._world.machines if machine.has_on_disk(sent.digest)]
+        if len(replicas) <= self._world.plan.tolerated:
+            self.record_violation(f"version {sent.version} was acknowledged on {len(replicas)} disks")
+        zones = {machine.zone for machine in replicas}
+        if len(zones) <= self._world.plan.zones_tolerated:
+            self.record_violation(f"version {sent.version} was acknowledged in {len(zones)} zones")
 
     def record_read(self, value: dict[str, Any], acknowledged_before: int) -> None:
         """Check that a read returned a version as new as those acknowledged before it began."""
@@ -162,7 +166,7 @@
         view = max((machine.node.view for machine in running), key=lambda view: view.epoch)
         voting = [machine for machine in running if machine.node.member.identity in identities(view.voters)]
         complete = [machine for machine in running if self._has_newest_change(machine)]
-        for lost in itertools.combinations(running, self._world.plan.tolerated):
+        for lost in self._tolerated_losses(running):
             if sum(machine not in lost for machine in voting) < majority_size(view):
                 self.record_violation(f"losing {[machine.number for machine in lost]} leaves no majority of view {view.epoch}")
                 return
@@ -172,6 +176,20 @@
                 )
                 return
 
+    def _tolerated_losses(self, running: list[Machine]) -> list[tuple[Machine, ...]]:
+        """Return every set of machines whose loss at once is tolerated: any so many machines, any so many zones.
+
+        Voters move to other zones only after a fault has ended, so zones are lost only from a core that was stable.
+        """
+        plan = self._world.plan
+        losses = list(itertools.combinations(running, plan.tolerated))
+        if not plan.zones_tolerated or not self._world.is_core_stable(self._world.loop.time() - CATCH_UP_S):
+            return losses
+        zones = sorted({machine.zone for machine in running})
+        for lost_zones in itertools.combinations(zones, plan.zones_tolerated):
+            losses.append(tuple(machine for machine in running if machine.zone in lost_zones))
+        return losses
+
     def _has_newest_change(self, machine: Machine) -> bool:
         """Return whether a machine has the newest acknowledged change."""
         if not self._newest:
--- a/mulleinhatch/simulation/control_plane/machines.py
+++ b/mulleinhatch/simulation/control_plane/machines.py
@@ -98,12 +98,12 @@
         return NO_ORDER_S
 
 
-def process_settings(world: Any, name: str, ip: str, control_address: str = "") -> Settings:
+def process_settings(world: Any, name: str, ip: str, control_address: str = "", zone: str = "z0") -> Settings:
     """Return the settings of a process; only control planes have a `control_address`."""
     return Settings(
         name=name,
         ip_address=ip,
-        zone="z",
+        zone=zone,
         region="r",
         listen={"control": control_address} if control_address else {},
         internal_address=f"{ip}:7000",
@@ -111,6 +111,8 @@
         first_start=world.first,
         counts_for_quorum=bool(control_address),
         machines_tolerated=world.plan.tolerated,
+        zones_tolerated=world.plan.zones_tolerated,
+        regions_tolerated=0,
         heartbeat_s=1.2,
         data_directory="",
         file_descriptors=100,
@@ -128,8 +130,9 @@
         lost_until: Until when the machine counts as lost.
     """
 
-    def __init__(self, number: int, world: Any) -> None:
+    def __init__(self, number: int, world: Any, zone: str = "") -> None:
         self.number, self._world = number, world
+        self.zone = zone or f"z{number % world.plan.zones}"
         self.ip = f"10.0.0.{number + 1}"
         self.rng: random.Random = world.rng
         self.defect: Defect = world.plan.defect
@@ -160,7 +163,7 @@
 
     def settings(self) -> Settings:
         """Return the settings of the machine's control plane."""
-        return process_settings(self._world, f"core-{self.number}", self.ip, self.control_address)
+        return process_settings(self._world, f"core-{self.number}", self.ip, self.control_address, self.zone)
 
     def start(self) -> None:
         """Start a control plane process on what the disk has."""
--- a/mulleinhatch/simulation/control_plane/world.py
+++ b/mulleinhatch/simulation/control_plane/world.py
@@ -60,7 +60,7 @@
 
     def add_machine(self, former: Machine) -> Machine:
         """Start an empty machine at a new address, which replaces a machine that is or will be removed."""
-        machine = Machine(self._numbers, self)
+        machine = Machine(self._numbers, self, former.zone)
         self._numbers += 1
         if former.removed:
             self.machines[self.machines.index(former)] = machine
--- a/tests/system/test_control_state.py
+++ b/tests/system/test_control_state.py
@@ -186,6 +186,8 @@
         first_start=False,
         counts_for_quorum=False,
         machines_tolerated=1,
+        zones_tolerated=0,
+        regions_tolerated=0,
         heartbeat_s=1.0,
         data_directory="",
         file_descriptors=100,
--- a/tests/system/test_node_parts.py
+++ b/tests/system/test_node_parts.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from typing import Any
 
+from mulleinhatch.consensus.fault_tolerance import FaultTolerance
 from mulleinhatch.control_plane.backend_handoff import BackendHandoff
 from mulleinhatch.control_plane.configuration_changes import REJECTION_KINDS, ResultKind
 from mulleinhatch.control_plane.pause_detector import PauseDetector
@@ -14,7 +16,7 @@
 from mulleinhatch.control_plane.quorum_calls import QuorumCall
 from mulleinhatch.control_plane.registry import BackendRegistry
 from mulleinhatch.control_plane.write_gate import WriteGate
-from mulleinhatch.messages.cluster import Backend, Member, View
+from mulleinhatch.messages.cluster import Backend, HeartbeatResponse, Member, View
 from mulleinhatch.replication.chain import Replica
 from mulleinhatch.replication.state import ChangeOutcome
 from mulleinhatch.simulation.virtual_time import VirtualLoop
@@ -131,11 +133,12 @@
 
 
 class Writes(unittest.TestCase):
-    def gate(self, chain: list[str], identity: str = "a") -> WriteGate:
+    def gate(self, chain: list[str], identity: str = "a", zones_tolerated: int = 0) -> WriteGate:
         members = [member(name) for name in chain]
+        self.peers = Peers(member(identity))
         self.replica = Replica(identity)
         self.replica.restore(View(epoch=1, voters=members, chain=members), self.replica.base, [], 0, True)
-        return WriteGate(self.replica, machines_tolerated=1)
+        return WriteGate(self.replica, self.peers, FaultTolerance(1, zones_tolerated))
 
     def test_only_the_head_accepts_writes(self):
         self.assertTrue(self.gate(["a", "b"]).can_accept_writes())
@@ -144,6 +147,17 @@
     def test_a_chain_that_may_be_lost_completely_accepts_none(self):
         self.assertFalse(self.gate(["a"]).can_accept_writes())
 
+    def test_a_chain_within_one_zone_accepts_none_where_a_zone_may_be_lost(self):
+        gate = self.gate(["a", "b", "c"], zones_tolerated=1)
+        self.assertTrue(gate.can_accept_writes())  # nobody has said its zone yet
+        self.peers.own.zone = "z1"
+        for name, zone in (("b", "z1"), ("c", "z2")):
+            self.peers.record_response(HeartbeatResponse(sender=replace(member(name), zone=zone)), 0.0)
+        self.assertTrue(gate.can_accept_writes())
+        self.replica.view.chain = self.replica.view.chain[:2]
+        self.replica.view.voters = [*self.replica.view.voters, member("d")]
+        self.assertFalse(gate.can_accept_writes())
+
     def test_a_head_with_an_incomplete_log_accepts_none(self):
         gate = self.gate(["a", "b"])
         self.replica.log_complete = False
--- a/tests/system/test_old_messages.py
+++ b/tests/system/test_old_messages.py
@@ -50,6 +50,8 @@
     "DemandReport": cluster.DemandReport,
     "DemandAnswer": cluster.DemandResponse,
 }
+# Numbers of fields that were added since; a message of the old text has them empty.
+ADDED: dict[type[betterproto.Message], set[int]] = {cluster.Member: {5, 6}}
 CURRENT_WORDS: dict[str, type[msgspec.Struct]] = {
     "Letter": fleet_words.GossipMessage,
     "Upward": fleet_words.SummaryMessage,
@@ -76,10 +78,11 @@
 
 
 def by_number(value: Any) -> Any:
-    """A message as plain values by field numbers; bytes as {"bytes": hex}."""
+    """A message as plain values by field numbers; bytes as {"bytes": hex}; without added fields that are empty."""
     if isinstance(value, betterproto.Message):
-        fields = dataclasses.fields(value)
-        return {str(field.metadata["betterproto"].number): by_number(getattr(value, field.name)) for field in fields}
+        numbered = [(field.metadata["betterproto"].number, getattr(value, field.name)) for field in dataclasses.fields(value)]
+        added = ADDED.get(type(value), set())
+        return {str(number): by_number(one) for number, one in numbered if one or number not in added}
     if isinstance(value, list):
         return [by_number(one) for one in value]
     return {"bytes": value.hex()} if isinstance(value, bytes) else value
@@ -114,7 +117,9 @@
     def test_numbers_and_types_of_all_fields_stand(self):
         for name, kind in CURRENT.items():
             with self.subTest(name):
-                self.assertEqual(described(kind), described(old_class(name), CURRENT))
+                old, now = described(old_class(name), CURRENT), described(kind)
+                self.assertEqual({number: now[number] for number in now if number not in ADDED.get(kind, set())}, old)
+                self.assertEqual(set(now) - set(old), ADDED.get(kind, set()))
 
 
 class ClusterMessages(unittest.TestCase):
--- a/tests/system/test_views.py
+++ b/tests/system/test_views.py
@@ -6,6 +6,7 @@
 import unittest
 from collections.abc import Container
 
+from mulleinhatch.consensus.fault_tolerance import FaultTolerance
 from mulleinhatch.consensus.paxos import Proposal, ProposalOutcome, Voter, identities
 from mulleinhatch.consensus.view_planner import MemberHealth, plan_next_view
 from mulleinhatch.messages.cluster import AcceptRequest, Member, PrepareRequest, ProposalNumber, View, VoterState
@@ -115,28 +116,32 @@
     }
 
 
+def plan(view: View, machines: dict[str, MemberHealth], tolerated: int, zones: int = 0, regions: int = 0) -> View | None:
+    return plan_next_view(view, machines, FaultTolerance(tolerated, zones, regions))
+
+
 class ViewPlannerTest(unittest.TestCase):
     def names(self, view: View | None) -> tuple[str, str]:
         return "".join(identities(view.chain)), "".join(identities(view.voters))
 
     def test_no_change_while_all_are_healthy(self):
-        self.assertIsNone(plan_next_view(FIRST, health("abc"), 1))
+        self.assertIsNone(plan(FIRST, health("abc"), 1))
 
     def test_unreachable_member_leaves_the_chain_and_keeps_its_vote(self):
-        self.assertEqual(self.names(plan_next_view(FIRST, health("bc"), 1)), ("bc", "abc"))
+        self.assertEqual(self.names(plan(FIRST, health("bc"), 1)), ("bc", "abc"))
 
     def test_chain_stays_longer_than_the_tolerated_losses(self):
-        self.assertIsNone(plan_next_view(FIRST, health("c"), 1))
+        self.assertIsNone(plan(FIRST, health("c"), 1))
 
     def test_returning_member_joins_at_the_tail_once_caught_up(self):
         view = View(epoch=2, voters=[A, B, C], chain=[B, C])
-        self.assertIsNone(plan_next_view(view, health("abc"), 1))
-        self.assertEqual(self.names(plan_next_view(view, health("abc", "a"), 1)), ("bca", "abc"))
+        self.assertIsNone(plan(view, health("abc"), 1))
+        self.assertEqual(self.names(plan(view, health("abc", "a"), 1)), ("bca", "abc"))
 
     def test_wiped_disk_takes_the_vote_of_its_former_identity(self):
         reborn = member("a2", "a")
         view = View(epoch=2, voters=[A, B, C], chain=[B, C])
-        planned = plan_next_view(view, health(("b", "c", "a2"), ("a2",), (reborn,)), 1)
+        planned = plan(view, health(("b", "c", "a2"), ("a2",), (reborn,)), 1)
         self.assertEqual(identities(planned.voters), ("a2", "b", "c"))
         self.assertEqual(identities(planned.chain), ("b", "c", "a2"))
 
@@ -145,46 +150,46 @@
         view = View(epoch=2, voters=[A, B, C], chain=[A, B])
         behind = health("bc", "c")
         behind["b"] = MemberHealth(B, True, True, log_complete=False)
-        self.assertIsNone(plan_next_view(view, behind, 1))
-        self.assertEqual(self.names(plan_next_view(view, health("bc", "c"), 1)), ("bc", "abc"))
+        self.assertIsNone(plan(view, behind, 1))
+        self.assertEqual(self.names(plan(view, health("bc", "c"), 1)), ("bc", "abc"))
 
     def test_no_joiner_without_survivor(self):
         view = View(epoch=2, voters=[A, B, C], chain=[B, C])
-        self.assertIsNone(plan_next_view(view, health("a", "a"), 1))
+        self.assertIsNone(plan(view, health("a", "a"), 1))
 
     def test_newcomer_replaces_unreachable_voter_without_delay(self):
         """Regression, three `replace_core` in a day: a newcomer became a fourth voter, and the next loss left two of four."""
         view = View(epoch=2, voters=[A, B, C], chain=[B, C])
         for gone_s in (1.1, 9.0):
-            planned = plan_next_view(view, health("bcd", "d", (D,), gone_s), 1)
+            planned = plan(view, health("bcd", "d", (D,), gone_s), 1)
             self.assertEqual(self.names(planned), ("bcd", "dbc"))
 
     def test_newcomer_replaces_leaving_voter_that_still_responds(self):
         view = View(epoch=2, voters=[A, B, C], chain=[A, B, C, D])
         leaving = health("abcd", "d", (D,))
         leaving["a"] = MemberHealth(A, False, True, unreachable_for_s=0.05)  # it announces that it is leaving
-        self.assertEqual(self.names(plan_next_view(view, leaving, 1)), ("bcd", "dbc"))
+        self.assertEqual(self.names(plan(view, leaving, 1)), ("bcd", "dbc"))
 
     def test_newcomer_beside_healthy_voters_gets_no_vote(self):
         view = View(epoch=2, voters=[A, B, C], chain=[A, B, C])
-        self.assertEqual(self.names(plan_next_view(view, health("abcd", "d", (D,)), 1)), ("abcd", "abc"))
+        self.assertEqual(self.names(plan(view, health("abcd", "d", (D,)), 1)), ("abcd", "abc"))
 
     def test_longest_unreachable_voter_is_replaced_first(self):
         view = View(epoch=2, voters=[A, B, C, D, E], chain=[C, D, E])
         machines = health("cdef", "f", (D, E, member("f")))
         machines["a"] = MemberHealth(A, False, False, unreachable_for_s=2.0)
         machines["b"] = MemberHealth(B, False, False, unreachable_for_s=5.0)
-        self.assertEqual(self.names(plan_next_view(view, machines, 2)), ("cdef", "afcde"))
+        self.assertEqual(self.names(plan(view, machines, 2)), ("cdef", "afcde"))
 
     def test_number_of_voters_stays_odd_while_it_grows(self):
         view = View(epoch=1, voters=[A, B, C], chain=[A, B, C])
-        self.assertEqual(self.names(plan_next_view(view, health("abcde", "de", (D, E)), 2)), ("abcde", "abcde"))
-        self.assertEqual(self.names(plan_next_view(view, health("abcd", "d", (D,)), 2)), ("abcd", "abc"))
+        self.assertEqual(self.names(plan(view, health("abcde", "de", (D, E)), 2)), ("abcde", "abcde"))
+        self.assertEqual(self.names(plan(view, health("abcd", "d", (D,)), 2)), ("abcd", "abc"))
 
     def test_surplus_unreachable_voter_is_removed(self):
         """A view of an earlier version of the software may have an even number of voters."""
         view = View(epoch=3, voters=[A, B, C, D], chain=[B, C, D])
-        self.assertEqual(self.names(plan_next_view(view, health("bcd", "", (D,), 1.1), 1)), ("bcd", "bcd"))
+        self.assertEqual(self.names(plan(view, health("bcd", "", (D,), 1.1), 1)), ("bcd", "bcd"))
 
     def test_tolerated_losses_after_replacements_leave_a_majority_and_a_replica(self):
         """Try every sequence of three replacements: after each view, any one further loss is tolerated."""
@@ -201,17 +206,78 @@
                     lost_member.identity: MemberHealth(lost_member, False, False, 1.1, False)
                     for lost_member in [*view.voters, *view.chain]
                 }
-                view = plan_next_view(view, {**gone, **alive}, 1)
+                view = plan(view, {**gone, **alive}, 1)
                 self.assertIsNotNone(view, lost)
                 for further in machines:
                     remaining = set(machines) - {further}
                     self.assertGreater(2 * len(remaining & set(identities(view.voters))), len(view.voters), (lost, further))
                     self.assertTrue(remaining & set(identities(view.chain)), (lost, further))
 
+    def zoned(self, zones: str, regions: str = "") -> list[Member]:
+        """Return members a, b, ... with a zone and a region each, by one letter."""
+        regions = regions or "r" * len(zones)
+        return [
+            Member(identity=name, name=name, internal_address=f"{name}:2", zone=zone, region=region)
+            for name, zone, region in zip("abcdefg", zones, regions)
+        ]
+
+    def healthy(self, members: list[Member], lost: Container[str] = "") -> dict[str, MemberHealth]:
+        return {
+            node.identity: MemberHealth(
+                node, node.identity not in lost, node.identity not in lost, 2.0, node.identity not in lost
+            )
+            for node in members
+        }
+
+    def test_voters_move_to_other_zones_until_a_zone_may_be_lost(self):
+        members = self.zoned("xxyyz")
+        view = View(epoch=2, voters=[A, B, C], chain=[A, B, C])  # as it was planned before the zones were known
+        planned = plan(view, self.healthy(members), 1, zones=1)
+        self.assertEqual(sorted(node.zone for node in planned.voters), ["x", "y", "z"])
+        self.assertIsNone(plan(planned, self.healthy(members), 1, zones=1))
+
+    def test_voters_stay_where_no_exchange_helps(self):
+        members = self.zoned("xxx")
+        self.assertIsNone(plan(FIRST, self.healthy(members), 1, zones=1))
+        members = self.zoned("xxyy")  # no two zones keep a majority after the loss of one of them
+        view = View(epoch=2, voters=[A, B, C], chain=members)
+        self.assertIsNone(plan(view, self.healthy(members), 1, zones=1))
+
+    def test_a_replacement_comes_from_the_zone_with_fewest_voters(self):
+        members = self.zoned("xyzxyz")
+        view = View(epoch=2, voters=members[:3], chain=members[:3])
+        planned = plan(view, self.healthy(members, lost="c"), 1, zones=1)
+        self.assertEqual([node.zone for node in planned.voters], ["x", "y", "z"])
+
+    def test_a_chain_that_one_zone_could_take_is_no_successor(self):
+        members = self.zoned("xxyz")
+        view = View(epoch=2, voters=members[:3], chain=members)
+        self.assertIsNone(plan(view, self.healthy(members, lost="cd"), 1, zones=1))
+        self.assertEqual(self.names(plan(view, self.healthy(members, lost="d"), 1, zones=1))[0], "abc")
+
+    def test_regions_count_like_zones(self):
+        members = self.zoned("uvwxy", "rrsst")
+        view = View(epoch=2, voters=members[:3], chain=members)
+        planned = plan(view, self.healthy(members), 1, regions=1)
+        self.assertEqual(sorted(node.region for node in planned.voters), ["r", "s", "t"])
+
+    def test_any_tolerated_loss_leaves_a_majority_and_a_replica_in_every_layout(self):
+        for zones in itertools.product("xyz", repeat=6):
+            members = self.zoned("".join(zones))
+            view, machines = View(epoch=1, voters=members[:3], chain=members[:3]), self.healthy(members)
+            while (planned := plan(view, machines, 1, zones=1)) is not None:
+                view = planned
+            if len(set(zones)) < 3:
+                continue  # too few zones for a majority outside of each
+            for lost in "xyz":
+                left = [node for node in view.voters if node.zone != lost]
+                self.assertGreater(2 * len(left), len(view.voters), zones)
+                self.assertTrue([node for node in view.chain if node.zone != lost], zones)
+
     def test_members_that_cannot_reach_each_other_are_not_adjacent(self):
         machines = health("abc", "")
         machines["c"] = MemberHealth(C, True, False, unresponsive_peers=frozenset("b"))
-        self.assertEqual(self.names(plan_next_view(FIRST, machines, 1)), ("ab", "abc"))
+        self.assertEqual(self.names(plan(FIRST, machines, 1)), ("ab", "abc"))
 
 
 if __name__ == "__main__":
--- a/tests/system/test_virtual_core.py
+++ b/tests/system/test_virtual_core.py
@@ -13,7 +13,8 @@
 FIRST_SEED = 5000  # of the histories in which a planted defect is searched
 MAX_HISTORIES = 60  # in which a planted defect must be found
 SCRIPTED = Defect.SHORT_CHAIN  # too rare in random histories: test_worst_days has a script for it
-DEFECTS = [defect for defect in Defect if defect not in (Defect.NONE, SCRIPTED)]
+ZONED = Defect.IGNORE_ZONES  # needs a core in several zones
+DEFECTS = [defect for defect in Defect if defect not in (Defect.NONE, SCRIPTED, ZONED)]
 HISTORIES_A_CASE = 6
 
 
@@ -42,6 +43,17 @@
     _check([play(seed, 5, 2) for seed in range(first_seed, first_seed + 4)])
 
 
+@pytest.mark.parametrize("first_seed", range(3000, 3024, 4))
+def test_five_machines_in_three_zones_of_which_one_may_be_lost(first_seed: int) -> None:
+    histories = [play(seed, 5, 1, zones=3, zones_tolerated=1) for seed in range(first_seed, first_seed + 4)]
+    _check(histories)
+    assert any("zone" in event for history in histories for event in history.events)
+
+
+def test_voters_that_ignore_zones_are_found() -> None:
+    assert any(play(seed, 5, 1, ZONED, zones=3, zones_tolerated=1).violations for seed in range(3000, 3060))
+
+
 def test_disks_slower_than_the_timeout_of_an_append() -> None:
     """Regression: a head whose first append was answered before the tail had it never sent it again."""
     history = play(1, 5, 2, sync_duration_s=(0.25, 0.35), with_faults=False)
