--- a/benchmarks/footprint_planes.py
+++ b/benchmarks/footprint_planes.py
@@ -368,7 +368,12 @@
         await asyncio.sleep(0.02)
 
 
-async def _until_served(front: Client) -> None:
+async def until_served(front: Client) -> None:
+    """Send requests until one is served.
+
+    Raises:
+        TimeoutError: None was served in time.
+    """
     end = time.perf_counter() + GIVE_UP_S
     while (answer := await front.send(request_bytes(b"/read/first"))).status != 200:
         if time.perf_counter() > end:
@@ -400,7 +405,7 @@
                 if kind == "control":
                     await put_configuration(control)
                     await server.start()
-            await _until_served(front)
+            await until_served(front)
             await asyncio.sleep(load.settle_s)
             pids = {kind: plane.pid for kind, plane in planes.items()}
             for kind, pid in pids.items():
