--- a/mulleinhatch/data_plane/model_versions.py
+++ b/mulleinhatch/data_plane/model_versions.py
@@ -48,18 +48,20 @@
 
     def update(self, backends: Iterable[RegisteredBackend], now: float) -> None:
         """Learn the versions of a new registry snapshot."""
-        held = [
+        reported = [
             (backend, model, version)
             for backend in backends
             for model, version in backend.versions.items()
             if version  # 0: the version is not known
         ]
-        for backend, model, version in held:
+        for backend, model, version in reported:
             newest = self._newest.get((backend.service, model))
             if newest is None or version > newest.version:
                 self._newest[backend.service, model] = NewestVersion(version, now)
         self._outdated = frozenset(
-            (backend.id, model) for backend, model, version in held if version < self._newest[backend.service, model].version
+            (backend.id, model)
+            for backend, model, version in reported
+            if version < self._newest[backend.service, model].version
         )
 
     def is_outdated(self, backend: RegisteredBackend, model: str) -> bool:
