--- a/mulleinhatch/control_plane/snapshot_transfer.py
+++ b/mulleinhatch/control_plane/snapshot_transfer.py
@@ -24,14 +24,9 @@
         self._replica, self._state = replica, state
 
     async def on_snapshot(self, request: SnapshotRequest) -> SnapshotResponse:
-        """Return a snapshot, if this node is a replica of the chain in the epoch of the request and its log is complete.
-
-        The snapshot may lack entries that are committed: after a loss of power, a replica whose successor's disk is gone can't
-        tell which of its entries are. The joining node receives them from its predecessor in the next view, and leads or
-        answers nothing before its log is complete. Waiting for the commit here would wait for the successor that is gone.
-        """
+        """Return a snapshot, if this node is a replica of the chain in the epoch of the request."""
         replica = self._replica
-        available = request.epoch == replica.view.epoch and replica.position >= 0 and replica.log_complete
+        available = request.epoch == replica.view.epoch and replica.position >= 0 and replica.is_current
         response = SnapshotResponse(available=available, newest=replica.view)
         if available:
             response.snapshot = self._state.snapshot()
