--- a/mulleinhatch/control_plane/api/heartbeat_parser.py
+++ b/mulleinhatch/control_plane/api/heartbeat_parser.py
@@ -14,20 +14,19 @@
 
 from mulleinhatch.configuration.document import read_json
 from mulleinhatch.messages.cluster import Backend, LoadedModel
+from mulleinhatch.messages.parsing import MAX_COUNT
 
 MAX_REMEMBERED_BACKENDS = 4096  # above the backends of the target size; beyond it all are validated anew
 CHANGING_FIELDS = ("sequence", "cold_remaining_ms", "remaining_ms")  # numbers that differ from heartbeat to heartbeat
 
-MAX_INT = (1 << 63) - 1  # what the messages between control planes can carry
-
 
 def _is_count(value: Any) -> bool:
-    return isinstance(value, int) and 0 <= value <= MAX_INT
+    return isinstance(value, int) and 0 <= value <= MAX_COUNT
 
 
 def _is_duration(value: Any) -> bool:
     """Return whether a value is a number of milliseconds that a message can carry; NaN and infinities are none."""
-    return isinstance(value, (int, float)) and -MAX_INT <= value <= MAX_INT
+    return isinstance(value, (int, float)) and -MAX_COUNT <= value <= MAX_COUNT
 
 
 NON_NEGATIVE_INT = And(_is_count, error="{!r} must be a whole number from 0 to 2^63 - 1")
--- a/mulleinhatch/control_plane/placement/backend_report.py
+++ b/mulleinhatch/control_plane/placement/backend_report.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-MAX_COUNT = (1 << 63) - 1
+from mulleinhatch.messages.parsing import MAX_COUNT
 
 
 @dataclass(frozen=True)
--- a/mulleinhatch/messages/parsing.py
+++ b/mulleinhatch/messages/parsing.py
@@ -9,6 +9,8 @@
 
 from mulleinhatch.errors import MessageError
 
+MAX_COUNT = (1 << 63) - 1  # the largest number that the messages carry in every integer field of 64 bits
+
 ParsedMessage = TypeVar("ParsedMessage", bound=betterproto.Message)
 
 
