Log each send of a request, what settled it, and the status its client got

Each request now leaves one line with all of that; a rejection's line names its connection too. No logic changed.

--- a/mulleinhatch/data_plane/attempt.py
+++ b/mulleinhatch/data_plane/attempt.py
@@ -14,6 +14,7 @@
 from mulleinhatch.data_plane.request_context import RequestContext
 from mulleinhatch.data_plane.request_headers import backend_fields
 from mulleinhatch.data_plane.response_relay import ResponseRelay
+from mulleinhatch.data_plane.send_record import SendRecord, Settlement
 from mulleinhatch.networking.http_connection import ClientConnection
 from mulleinhatch.networking.http_streaming import Head, write_request
 
@@ -45,8 +46,8 @@
     def on_failed(self, attempt: Attempt) -> None:
         """The attempt failed; the request may have executed."""
 
-    def on_completed(self) -> None:
-        """The complete response was forwarded."""
+    def on_completed(self, status: int) -> None:
+        """The complete response was forwarded; `status` is its status."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +75,7 @@
         "_connection",
         "_is_counted",
         "_observer",
+        "_record",
         "_relay",
         "_resources",
         "_sent_at",
@@ -93,6 +95,8 @@
         self.is_finished = False
         self._is_counted = False  # Whether it counts as running at the backend.
         self._sent_at = 0.0
+        self._record = SendRecord(len(context.sends) + 1, backend.id, resources.loop.time())
+        context.sends.append(self._record)
 
     # Sending.
 
@@ -112,7 +116,7 @@
             if not self.is_finished:
                 self.is_finished = True
                 self.record_failure()
-                self._observer.on_unreachable(self)
+                self._report_unreachable()
             return
         if self.is_finished:
             # Race: the request was cancelled or its deadline passed while the connection was being opened.
@@ -121,19 +125,28 @@
             # Race: the backend started to drain or was deregistered while the connection was being opened.
             connection.close()
             self.is_finished = True
-            self._observer.on_unreachable(self)
+            self._report_unreachable()
         else:
             self._send(connection)
 
+    def _report_unreachable(self) -> None:
+        self._settle(Settlement.UNREACHABLE)
+        self._observer.on_unreachable(self)
+
+    def _settle(self, settlement: Settlement, status: int = 0) -> None:
+        self._record.settle(settlement, self._resources.loop.time(), status)
+
     def _send(self, connection: ClientConnection) -> None:
         if not self._observer.may_send():
             # Race: the permit expired while the request waited or the process was suspended. Nothing is sent.
             self.is_finished = True
             self._resources.pool.put_back(self.backend.id, connection)
+            self._settle(Settlement.NO_PERMIT)
             self._observer.on_permit_expired()
             return
         context, loop = self.context, self._resources.loop
         self._connection = connection
+        self._record.connection, self._record.reuse = connection.number, connection.requests
         last_event_id = context.event_filter.last_event_id if context.event_filter is not None else b""
         remaining_s = context.deadline - loop.time()
         fields = backend_fields(
@@ -160,6 +173,7 @@
 
     def abandon(self) -> None:
         """Stop the attempt without notifying the observer, as the response is no longer needed."""
+        self._settle(Settlement.ABANDONED)
         self.finish()
         if self._connect_task is not None:
             self._connect_task.cancel()
@@ -208,18 +222,18 @@
     def report_rejection(self, head: Head) -> None:
         """Report that the backend did not execute the request, according to its response head."""
         backend, context, health = self.backend, self.context, self._resources.health
+        now = self._resources.loop.time()
+        self._settle(Settlement.NOT_EXECUTED, head.status)
         LOG.info(
             "backend rejected a request without executing it",
             extra={
                 "request_id": context.request_id_text,
-                "backend": backend.id,
-                "status": head.status,
                 "model": context.model_key.model,
                 "adapter": context.model_key.adapter,
                 "running": health.of(backend.id).running,
+                **self._record.log_fields(self._record.started_at, now),
             },
         )
-        now = self._resources.loop.time()
         if head.status == MISDIRECTED:
             answered_by = head.field_values.get(b"instance-id", b"").decode("latin-1")
             health.record_misdirected(backend, answered_by, context.model_key, now)
@@ -227,10 +241,12 @@
             health.record_overload(backend, context.model_key, now)
         self._observer.on_rejected_by_backend(self, was_overloaded=head.status != MISDIRECTED)
 
-    def report_failed(self) -> None:
+    def report_failed(self, settlement: Settlement, status: int = 0) -> None:
         """Report that the attempt failed; the request may have executed."""
+        self._settle(settlement, status)
         self._observer.on_failed(self)
 
-    def report_completed(self) -> None:
+    def report_completed(self, head: Head) -> None:
         """Report that the complete response was forwarded."""
-        self._observer.on_completed()
+        self._settle(Settlement.COMPLETED, head.status)
+        self._observer.on_completed(head.status)
--- a/mulleinhatch/data_plane/listener.py
+++ b/mulleinhatch/data_plane/listener.py
@@ -107,7 +107,7 @@
             self.transport.close()
 
     def _on_read_timeout(self) -> None:
-        self.respond_error(408, "the request did not come whole in time")
+        self._answer_unread(408, "the request did not come whole in time")
 
     def data_received(self, data: bytes) -> None:
         """Read a request; a pipelined request waits until the preceding response is written."""
@@ -125,7 +125,14 @@
             self._read_message()
         except BadRequestError as error:
             self._is_closing = True
-            self.respond_error(error.status, f"the request can't be read: {error.cause}")
+            self._answer_unread(error.status, f"the request can't be read: {error.cause}")
+
+    def _answer_unread(self, status: int, reason: str) -> None:
+        """Answer a request that was not read completely."""
+        request_id = self._head.field_values.get(b"request-id", b"").decode("latin-1") if self._head is not None else ""
+        extra = {"request_id": request_id, "status": status, "reason": reason}
+        LOG.info("answered a request that was not read completely", extra=extra)
+        self.respond_error(status, reason)
 
     def _read_message(self) -> None:
         limits = self._listener.limits()
--- a/mulleinhatch/data_plane/request_lifecycle.py
+++ b/mulleinhatch/data_plane/request_lifecycle.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -25,14 +24,13 @@
 from mulleinhatch.data_plane.permit_patience import RATE_OVERCOMMIT, Patience
 from mulleinhatch.data_plane.permit_waits import Outcome, PermitWait
 from mulleinhatch.data_plane.request_context import RequestContext
-from mulleinhatch.data_plane.request_log import RequestLog
+from mulleinhatch.data_plane.request_log import RequestEnd, RequestLog
 from mulleinhatch.data_plane.request_state import NextStep
 from mulleinhatch.data_plane.retry_budget import RetryBudget
 from mulleinhatch.data_plane.wait_reason import WaitReason
 from mulleinhatch.quotas.balance import Permit
 from mulleinhatch.tenants.tenant import Tenant
 
-LOG = logging.getLogger(__name__)
 DEADLINE_GRACE_S = 0.05  # Added to the deadline, so that a response that is just arriving is still forwarded.
 MIN_SEND_TIME_S = 0.02  # A request with less time left is not retried.
 
@@ -282,6 +280,7 @@
             return
         self._finish()
         self._services.request_log.denied(denied)
+        self._services.request_log.ended(self, RequestEnd.ANSWERED, denied.status, denied.message)
         self.context.response_writer.respond_error(denied.status, denied.message, denied.retry_after_s)
 
     def _spend_retry(self) -> bool:
@@ -341,12 +340,13 @@
             self.context.event_filter.discard_partial_event()
         self._perform_step(next_step, "the stub broke off; whether it ran is not known")
 
-    def on_completed(self) -> None:
+    def on_completed(self, status: int) -> None:
         """Finish the request after its complete response was forwarded."""
         self._release_attempt(is_completed=True)
         self._finish()
         self.context.response_writer.finish()
         self._services.request_log.served()
+        self._services.request_log.ended(self, RequestEnd.FORWARDED, status)
 
     def _release_attempt(self, is_completed: bool = False, was_overloaded: bool = False) -> None:
         self._attempt = None
@@ -359,6 +359,7 @@
         if not self.is_finished:
             self._abandon_attempt()
             self._finish()
+            self._services.request_log.ended(self, RequestEnd.CLIENT_LEFT)
 
     def on_writable(self, is_writable: bool) -> None:
         """Pause reading from the backend while the client does not read."""
@@ -394,6 +395,7 @@
             self._respond_limited(why, retry_after_s)
         elif next_step is NextStep.ABORT:
             self._finish()
+            self._services.request_log.ended(self, RequestEnd.RESET, reason=why)
             self.context.response_writer.abort()
         else:
             self._respond_failure(504 if next_step is NextStep.TIME_OUT else 502, why)
@@ -408,20 +410,20 @@
         if retry_after_s is None:
             retry_after_s = self._services.scheduler.retry_after_s(self)
         self._finish()
-        LOG.debug("request answered as not executed", extra={"request_id": self.context.request_id_text, "reason": why})
         self._services.request_log.not_served(self, why, retry_after_s)
+        self._services.request_log.ended(self, RequestEnd.ANSWERED, 503, why)
         self.context.response_writer.respond_error(503, f"not run: {why}", retry_after_s)
 
     def _respond_limited(self, why: str, retry_after_s: float | None) -> None:
         self._finish()
-        LOG.debug("request answered as not executed", extra={"request_id": self.context.request_id_text, "reason": why})
         self._services.request_log.over_quota()
+        self._services.request_log.ended(self, RequestEnd.ANSWERED, 429, why)
         self.context.response_writer.respond_error(429, f"not run: {why}", retry_after_s)
 
     def _respond_failure(self, status: int, why: str) -> None:
         self._finish()
-        LOG.debug("request answered as failed", extra={"request_id": self.context.request_id_text, "reason": why})
         self._services.request_log.failed()
+        self._services.request_log.ended(self, RequestEnd.ANSWERED, status, why)
         self.context.response_writer.respond_error(status, why)
 
     def _finish(self) -> None:
--- a/mulleinhatch/data_plane/request_log.py
+++ b/mulleinhatch/data_plane/request_log.py
@@ -5,6 +5,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import Protocol
 
 from mulleinhatch.data_plane.access import UNAUTHORIZED, UNAVAILABLE, AccessDenied
@@ -17,6 +18,15 @@
 MAX_RECENT_REJECTIONS = 100  # Rejections that the command `why` can explain.
 
 
+class RequestEnd(Enum):
+    """How a request ended for its client. The values are part of log lines."""
+
+    FORWARDED = "a backend's response was forwarded"
+    ANSWERED = "answered by this data plane"
+    RESET = "the response had started and was reset"
+    CLIENT_LEFT = "the client closed its connection"
+
+
 class LoggedRequest(Protocol):
     """The logged data of a request; `request_lifecycle.ClientRequest` implements it."""
 
@@ -86,6 +96,33 @@
             }
         )
 
+    def ended(self, request: LoggedRequest, end: RequestEnd, status: int = 0, reason: str = "") -> None:
+        """Log the end of a request: the status that its client got, and each of its sends with what settled it.
+
+        Args:
+            request: The request.
+            end: How it ended.
+            status: Status that the client got, 0 if it got none or the response was reset.
+            reason: Why this data plane answered it by itself.
+        """
+        context, now, arrived_at = request.context, self._clock(), request.pending.arrived_at
+        LOG.info(
+            "request ended",
+            extra={
+                "request_id": context.request_id_text,
+                "end": end.value,
+                "status": status,
+                "reason": reason,
+                "held_s": round(now - arrived_at, 4),
+                "attempts": [record.log_fields(arrived_at, now) for record in context.sends],
+            },
+        )
+
+    def ended_at_once(self, request_id: str, status: int, reason: str) -> None:
+        """Log a request that was answered on its arrival, before it was queued."""
+        extra = {"request_id": request_id, "status": status, "reason": reason}
+        LOG.info("request answered on its arrival", extra=extra)
+
     def _describe(self, request: LoggedRequest) -> dict[str, str | bool | int]:
         context = request.context
         is_retry = self._timeouts.is_probable_retry(context.route, context.deadline - request.pending.arrived_at)
--- a/mulleinhatch/data_plane/response_relay.py
+++ b/mulleinhatch/data_plane/response_relay.py
@@ -12,6 +12,7 @@
 
 from mulleinhatch.data_plane.request_context import RequestContext
 from mulleinhatch.data_plane.request_state import ResponseVerdict, classify_response
+from mulleinhatch.data_plane.send_record import Settlement
 from mulleinhatch.networking.http_connection import Loss
 from mulleinhatch.networking.http_streaming import Head
 
@@ -51,10 +52,10 @@
     def report_rejection(self, head: Head) -> None:
         """Report that the backend did not execute the request."""
 
-    def report_failed(self) -> None:
+    def report_failed(self, settlement: Settlement, status: int = 0) -> None:
         """Report that the attempt failed; the request may have executed."""
 
-    def report_completed(self) -> None:
+    def report_completed(self, head: Head) -> None:
         """Report a complete response."""
 
 
@@ -143,10 +144,10 @@
             return
         attempt.record_success()
         if self._must_discard(head):
-            attempt.report_failed()
+            attempt.report_failed(Settlement.UNUSABLE, head.status)
             return
         self._forward_rest()
-        attempt.report_completed()
+        attempt.report_completed(head)
 
     def on_loss(self, loss: Loss) -> None:
         """Finish the attempt after its connection was lost or received bytes that are not a valid response."""
@@ -158,7 +159,8 @@
         if self._verdict is ResponseVerdict.NOT_EXECUTED:
             attempt.report_rejection(self._head)
         else:
-            attempt.report_failed()
+            settlement = Settlement.NO_RESPONSE if loss is Loss.NO_RESPONSE else Settlement.UNUSABLE
+            attempt.report_failed(settlement, self._head.status if self._head is not None else 0)
 
     # Forwarding.
 
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -107,17 +107,14 @@
         """
         table = self.snapshot.table
         if not table.version:
-            session.respond_error(503, "no configuration yet", DEFAULT_RETRY_AFTER_S)
-            return None
+            return self._answer(session, head, 503, "no configuration yet", DEFAULT_RETRY_AFTER_S)
         if not self._scheduler.accepts_requests():
-            session.respond_error(503, "not run: this instance ends", DEFAULT_RETRY_AFTER_S)
-            return None
+            return self._answer(session, head, 503, "not run: this instance ends", DEFAULT_RETRY_AFTER_S)
         access = self._decide_access(table, head)
         if isinstance(access, Err):
             denied = access.err_value
             self.request_log.denied(denied)
-            session.respond_error(denied.status, denied.message, denied.retry_after_s)
-            return None
+            return self._answer(session, head, denied.status, denied.message, denied.retry_after_s)
         now, route, tenant = self._clock(), access.ok_value.route, access.ok_value.tenant
         deadline = self._timeouts.deadline(route, head, now)
         service, classes = self._choose_service(route), self._priority_classes
@@ -126,6 +123,11 @@
         request.submit(self._admit)
         return None if request.is_finished else request
 
+    def _answer(self, session: ResponseWriter, head: Head, status: int, message: str, retry_after_s: float | None) -> None:
+        """Answer a request on its arrival."""
+        self.request_log.ended_at_once(head.field_values.get(b"request-id", b"").decode("latin-1"), status, message)
+        session.respond_error(status, message, retry_after_s)
+
     def _decide_access(self, table: RouteTable, head: Head) -> Result[Access, AccessDenied]:
         return decide_access(table, head, self.snapshot.is_current(self._clock(), self._configuration_apply_s))
 
--- a/mulleinhatch/networking/http_connection.py
+++ b/mulleinhatch/networking/http_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from enum import Enum
 from typing import Protocol
@@ -17,6 +18,7 @@
 MAX_RESPONSE_HEAD_BYTES = 65536
 CONNECT_TIMEOUT_S = 1.0
 TCP_USER_TIMEOUT_MS = 2500  # a peer that leaves bytes unacknowledged for this long is unreachable
+CONNECTION_NUMBERS = itertools.count(1)  # identify connections in log lines
 
 
 class Loss(Enum):
@@ -56,6 +58,7 @@
     """A connection to a backend or to another process of the system.
 
     Attributes:
+        number: Identifies the connection in this process.
         usable: Whether it may carry another request.
         idle_until: The loop time, in seconds, from which it must not be used again; 0 if it was never idle.
         requests: The number of requests sent.
@@ -63,6 +66,7 @@
     """
 
     def __init__(self) -> None:
+        self.number = next(CONNECTION_NUMBERS)
         self.transport: asyncio.Transport | None = None
         self.usable = False
         self.idle_until = 0.0
--- /dev/null
+++ b/tests/system/exchange_sockets.py
@@ -0,0 +1,228 @@
+"""A data plane's listener and router in the test's loop, scripted backends on loopback, and a client on a plain socket.
+
+Each step waits for the previous one, never for a fixed time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import unittest
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from mulleinhatch.configuration.document import Document
+from mulleinhatch.configuration.routes import build_route_table
+from mulleinhatch.data_plane.control_plane_snapshot import ControlPlaneSnapshot
+from mulleinhatch.data_plane.listener import Listener
+from mulleinhatch.data_plane.registry_snapshot import RegisteredBackend, RegistrySnapshot
+from mulleinhatch.data_plane.router import Router
+from mulleinhatch.process.settings import Bounds, Settings
+
+TIMEOUT_S = 10.0
+BODY = b"the whole body"
+EVENTS = [b"id: %d\ndata: x\n\n" % number for number in (1, 2, 3)]
+ROUTES = {
+    "safe": {"kind": "safe", "max_attempts": 2},
+    "unsafe": {"kind": "unsafe", "max_attempts": 2},
+    "stream": {"kind": "streaming", "max_attempts": 2},
+    "resumable": {"kind": "streaming", "max_attempts": 2, "resumable": True},
+}
+SETTINGS = Settings("d", "127.0.0.1", "z", "r", {}, "127.0.0.1:1", (), False, False, 1, 1.0, "", 100, 100.0, {}, Bounds())
+
+
+def head(status: int, request_id: bytes, *fields: bytes) -> bytes:
+    lines = [b"HTTP/1.1 %d X" % status, b"Request-Id: " + request_id, b"Server-Signature: s", *fields]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a TCP reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+@dataclass
+class Backend:
+    """Reads complete requests and handles each as scripted; the last action is repeated.
+
+    Attributes:
+        script: Names of the `_NAME` methods, one per request.
+        requests: Ids of the complete requests that it read.
+        last_event_ids: `Last-Event-Id` of each request, empty if missing.
+        on_arrival: Called when a complete request was read.
+        arrived: Set when the first complete request was read.
+        peer_closed: Set when the peer closed a connection while a request was being executed.
+    """
+
+    script: list[str]
+    requests: list[bytes] = field(default_factory=list)
+    last_event_ids: list[bytes] = field(default_factory=list)
+    on_arrival: Callable[[], None] = lambda: None
+    arrived: asyncio.Event = field(default_factory=asyncio.Event)
+    peer_closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                lines = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
+                fields = dict(line.lower().split(b": ", 1) for line in lines[1:] if b": " in line)
+                await reader.readexactly(int(fields.get(b"content-length", b"0")))
+                self.requests.append(fields[b"request-id"])
+                self.last_event_ids.append(fields.get(b"last-event-id", b""))
+                self.on_arrival()
+                action = self.script[min(len(self.requests), len(self.script)) - 1]
+                self.arrived.set()
+                await getattr(self, "_" + action)(reader, writer, fields[b"request-id"])
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def _respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        writer.write(head(200, request_id, b"Content-Length: %d" % len(BODY)) + BODY)
+
+    async def _respond_with_surplus(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes
+    ) -> None:
+        await self._respond(reader, writer, request_id)
+        await self._respond(reader, writer, b"another")
+
+    async def _not_executed(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        writer.write(head(503, request_id, b"Not-Executed: 1", b"Content-Length: 0"))
+
+    async def _misdirected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        writer.write(head(421, request_id, b"Content-Length: 0"))
+
+    async def _failure(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        writer.write(head(500, request_id, b"Content-Length: 4") + b"fail")
+
+    async def _close(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        writer.close()
+
+    async def _reset(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        reset(writer)
+
+    async def _garbage(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        writer.write(b"\x00\x01 no answer\r\n\r\n")
+
+    async def _other_id(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        await self._respond(reader, writer, b"another")
+        writer.close()
+
+    async def _partial_body(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        writer.write(head(200, request_id, b"Content-Length: %d" % len(BODY)) + BODY[:3])
+        await writer.drain()
+        writer.close()
+
+    async def _stream(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        self._write_events(writer, request_id, EVENTS[int(self.last_event_ids[-1] or b"0") :])
+        writer.write(b"0\r\n\r\n")
+
+    async def _truncated_stream(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        self._write_events(writer, request_id, [*EVENTS[:1], EVENTS[1][:5]])
+        await writer.drain()
+        writer.close()
+
+    def _write_events(self, writer: asyncio.StreamWriter, request_id: bytes, events: list[bytes]) -> None:
+        writer.write(head(200, request_id, b"Content-Type: text/event-stream", b"Transfer-Encoding: chunked"))
+        for event in events:
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+
+    async def _execute(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        """Execute the request until the peer closes the connection."""
+        await reader.read(1)
+        self.peer_closed.set()
+
+
+@dataclass
+class Response:
+    """The response that the client received; `complete` is False if it was truncated."""
+
+    status: int
+    body: bytes
+    complete: bool
+
+
+async def read_response(reader: asyncio.StreamReader) -> Response:
+    """Read one response, complete or truncated; the status is 0 if there is none."""
+    body = b""
+    status = 0
+    try:
+        lines = (await reader.readuntil(b"\r\n\r\n")).lower().split(b"\r\n")
+        status = int(lines[0].split()[1])
+        fields = dict(line.split(b": ", 1) for line in lines[1:] if b": " in line)
+        if fields.get(b"transfer-encoding") == b"chunked":
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readuntil(b"\r\n")
+        else:
+            body = await reader.readexactly(int(fields[b"content-length"]))
+        return Response(status, body, True)
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        return Response(status, body + getattr(error, "partial", b"") if status else b"", False)
+
+
+class ExchangeTestCase(unittest.IsolatedAsyncioTestCase):
+    @asynccontextmanager
+    async def data_plane(self, *backends: Backend) -> AsyncIterator[tuple[str, int]]:
+        loop = asyncio.get_running_loop()
+        router = Router(SETTINGS, loop, lambda name: None)
+        servers = [await asyncio.start_server(backend.serve, "127.0.0.1", 0) for backend in backends]
+        registered = tuple(
+            RegisteredBackend(
+                f"i-{number}",
+                "s",
+                f"127.0.0.1:{server.sockets[0].getsockname()[1]}",
+                "z",
+                4,
+                False,
+                False,
+                {},
+                {},
+                float("inf"),
+            )
+            for number, server in enumerate(servers)
+        )
+        routes = [
+            {"name": name, "host": "h", "path_prefix": f"/{name}/", "timeout_ms": 5000, "service": "s", **options}
+            for name, options in ROUTES.items()
+        ]
+        table = build_route_table(Document(1, {"version": 1, "routes": routes, "services": [{"name": "s"}]}))
+        registry = RegistrySnapshot({backend.id: backend for backend in registered}, {"s": registered})
+        router.apply_snapshot(ControlPlaneSnapshot(table, registry, 1, True))
+        listener = Listener(lambda: table.limits, router.begin)
+        with socket.create_server(("127.0.0.1", 0)) as unused:
+            address = unused.getsockname()
+        await listener.listen("%s:%d" % address)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                yield address
+        finally:
+            listener.close()
+            for server in servers:
+                server.close()
+
+    async def send_request(self, address: tuple[str, int], route: str, request_id: bytes = b"r1") -> Response:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(
+            b"POST /%b/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %b\r\nContent-Length: 2\r\n\r\nhi" % (route.encode(), request_id)
+        )
+        response = await read_response(reader)
+        writer.close()
+        return response
+
+    async def exchange(self, route: str, action: str) -> tuple[Response, list[Backend]]:
+        """Send a request to two backends: the first one that receives it performs `action`, the other one responds."""
+        second = "stream" if route in ("stream", "resumable") else "respond"
+        backends = [Backend([action, second]), Backend([action, second])]
+        for backend, other in zip(backends, reversed(backends)):
+            backend.on_arrival = lambda other=other: other.script.remove(action) if action in other.script else None
+        async with self.data_plane(*backends) as address:
+            return await self.send_request(address, route), backends
+
+    def request_count(self, backends: list[Backend]) -> int:
+        return sum(len(backend.requests) for backend in backends)
--- /dev/null
+++ b/tests/system/test_request_trail.py
@@ -0,0 +1,72 @@
+"""The log lines of one request tell each send, its backend and connection, what settled it, and the client's status."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import unittest
+
+from tests.system.exchange_sockets import Backend, ExchangeTestCase
+
+REQUEST_LOG = "mulleinhatch.data_plane.request_log"
+
+
+class RequestTrail(ExchangeTestCase):
+    async def trail(self, route: str, *scripts: str) -> logging.LogRecord:
+        """Send one request to backends with the given scripts and return its `request ended` line."""
+        with self.assertLogs(REQUEST_LOG) as captured:
+            async with self.data_plane(*(Backend([script]) for script in scripts)) as address:
+                await self.send_request(address, route, b"r1")
+        [record] = [record for record in captured.records if record.getMessage() == "request ended"]
+        self.assertEqual(record.request_id, "r1")
+        return record
+
+    async def test_a_served_request_tells_its_send_and_status(self):
+        record = await self.trail("unsafe", "respond")
+        [send] = record.attempts
+        self.assertEqual((record.end, record.status), ("a backend's response was forwarded", 200))
+        self.assertEqual((send["send"], send["backend"], send["reuse"]), (1, "i-0", 0))
+        self.assertEqual((send["settled_by"], send["status"]), ("complete response", 200))
+        self.assertGreater(send["connection"], 0)
+
+    async def test_a_rejected_request_tells_every_send_and_503(self):
+        record = await self.trail("unsafe", "not_executed", "not_executed")
+        self.assertEqual((record.end, record.status), ("answered by this data plane", 503))
+        self.assertEqual([send["send"] for send in record.attempts], [1, 2])
+        self.assertEqual({send["settled_by"] for send in record.attempts}, {"rejected without execution"})
+        self.assertEqual({send["backend"] for send in record.attempts}, {"i-0", "i-1"})
+
+    async def test_a_lost_connection_and_an_unusable_response_are_told_apart(self):
+        lost = await self.trail("unsafe", "reset")
+        self.assertEqual((lost.status, lost.attempts[0]["settled_by"]), (502, "connection ended without a response"))
+        unusable = await self.trail("unsafe", "partial_body")
+        self.assertEqual((unusable.status, unusable.attempts[0]["settled_by"]), (502, "response broken off or unusable"))
+        self.assertEqual(unusable.attempts[0]["status"], 200)
+
+    async def test_a_reset_stream_has_no_status(self):
+        record = await self.trail("stream", "truncated_stream")
+        self.assertEqual((record.end, record.status), ("the response had started and was reset", 0))
+
+    async def test_a_client_that_left_is_told(self):
+        backend = Backend(["execute"])
+        with self.assertLogs(REQUEST_LOG) as captured:
+            async with self.data_plane(backend) as address:
+                _, writer = await asyncio.open_connection(*address)
+                writer.write(b"POST /unsafe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n")
+                await backend.arrived.wait()
+                writer.close()
+                await backend.peer_closed.wait()
+        [record] = [record for record in captured.records if record.getMessage() == "request ended"]
+        self.assertEqual((record.end, record.status), ("the client closed its connection", 0))
+        self.assertEqual(record.attempts[0]["settled_by"], "abandoned by this data plane")
+
+    # The configuration of the test is not known to be current, so an unknown route gets 503 and not 404.
+    async def test_a_request_that_is_answered_on_its_arrival_is_told(self):
+        with self.assertLogs(REQUEST_LOG) as captured:
+            async with self.data_plane(Backend(["respond"])) as address:
+                await self.send_request(address, "unknown", b"r1")
+        self.assertEqual([(record.request_id, record.status) for record in captured.records], [("r1", 503)])
+
+
+if __name__ == "__main__":
+    unittest.main()
