--- a/tests/system/exchange_sockets.py
+++ b/tests/system/exchange_sockets.py
@@ -18,10 +18,12 @@
 from mulleinhatch.data_plane.control_plane_snapshot import ControlPlaneSnapshot
 from mulleinhatch.data_plane.listener import Listener
 from mulleinhatch.data_plane.registry_snapshot import RegisteredBackend, RegistrySnapshot
-from mulleinhatch.data_plane.router import Router
+from mulleinhatch.data_plane.router import SWEEP_INTERVAL_S, Router
 from mulleinhatch.process.settings import Bounds, Settings
 
 TIMEOUT_S = 10.0
+EXECUTION_S = 0.02
+MODEL = "m"
 BODY = b"the whole body"
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in (1, 2, 3)]
 ROUTES = {
@@ -52,6 +54,7 @@
     Attributes:
         script: Names of the `_NAME` methods, one per request.
         requests: Ids of the complete requests that it read.
+        executed: Ids of the requests that it executed, in order.
         last_event_ids: `Last-Event-Id` of each request, empty if missing.
         on_arrival: Called when a complete request was read.
         arrived: Set when the first complete request was read.
@@ -60,6 +63,7 @@
 
     script: list[str]
     requests: list[bytes] = field(default_factory=list)
+    executed: list[bytes] = field(default_factory=list)
     last_event_ids: list[bytes] = field(default_factory=list)
     on_arrival: Callable[[], None] = lambda: None
     arrived: asyncio.Event = field(default_factory=asyncio.Event)
@@ -83,6 +87,7 @@
             writer.close()
 
     async def _respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        self.executed.append(request_id)
         writer.write(head(200, request_id, b"Content-Length: %d" % len(BODY)) + BODY)
 
     async def _respond_with_surplus(
@@ -94,6 +99,16 @@
     async def _not_executed(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
         writer.write(head(503, request_id, b"Not-Executed: 1", b"Content-Length: 0"))
 
+    async def _repeat_rejection_and_respond(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes
+    ) -> None:
+        """Send a second copy of the rejection where the response is due, then execute the request."""
+        self.executed.append(request_id)
+        await self._not_executed(reader, writer, request_id)
+        await writer.drain()
+        await asyncio.sleep(EXECUTION_S)
+        writer.write(head(200, request_id, b"Content-Length: %d" % len(BODY)) + BODY)
+
     async def _misdirected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
         writer.write(head(421, request_id, b"Content-Length: 0"))
 
@@ -168,7 +183,9 @@
 
 class ExchangeTestCase(unittest.IsolatedAsyncioTestCase):
     @asynccontextmanager
-    async def data_plane(self, *backends: Backend) -> AsyncIterator[tuple[str, int]]:
+    async def data_plane(
+        self, *backends: Backend, models: dict[str, frozenset[str]] | None = None
+    ) -> AsyncIterator[tuple[str, int]]:
         loop = asyncio.get_running_loop()
         router = Router(SETTINGS, loop, lambda name: None)
         servers = [await asyncio.start_server(backend.serve, "127.0.0.1", 0) for backend in backends]
@@ -181,7 +198,7 @@
                 4,
                 False,
                 False,
-                {},
+                models or {},
                 {},
                 float("inf"),
             )
@@ -198,19 +215,28 @@
         with socket.create_server(("127.0.0.1", 0)) as unused:
             address = unused.getsockname()
         await listener.listen("%s:%d" % address)
+        sweeps = asyncio.ensure_future(self._sweep_forever(router)) if models else None
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 yield address
         finally:
+            if sweeps is not None:
+                sweeps.cancel()
             listener.close()
             for server in servers:
                 server.close()
 
-    async def send_request(self, address: tuple[str, int], route: str, request_id: bytes = b"r1") -> Response:
+    @staticmethod
+    async def _sweep_forever(router: Router) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            router.sweep()
+
+    async def send_request(self, address: tuple[str, int], route: str, request_id: bytes = b"r1", model: str = "") -> Response:
         reader, writer = await asyncio.open_connection(*address)
-        writer.write(
-            b"POST /%b/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %b\r\nContent-Length: 2\r\n\r\nhi" % (route.encode(), request_id)
-        )
+        lines = [f"POST /{route}/x HTTP/1.1", "Host: h", f"Request-Id: {request_id.decode()}", "Content-Length: 2"]
+        lines += [f"Model: {model}"] if model else []
+        writer.write("\r\n".join((*lines, "", "hi")).encode())
         response = await read_response(reader)
         writer.close()
         return response
