A soak of real processes whose backends reject, load, repeat answers and break off

benchmarks.answer_soak starts both planes as processes and judges REFUSED, TWICE and MIXED by what clients and backends saw; each violation shows the request's own log line.

--- /dev/null
+++ b/benchmarks/answer_soak_parts/server.py
@@ -0,0 +1,278 @@
+"""A backend of a soak of answers: executes requests in slots, obeys orders, and makes troubles with its answers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+import uuid
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from benchmarks.answer_soak_parts.records import Execution
+from benchmarks.answer_soak_parts.troubles import Ending, Repetition, Troubles
+from mulleinhatch.data_plane.request_headers import read_prompt
+from mulleinhatch.networking.http_grammar import BadRequestError
+from mulleinhatch.networking.http_streaming import Head, MessageReader, write_response
+from mulleinhatch.testing.fake_model_server.config import Counters, FakeModelServerConfig
+from mulleinhatch.testing.fake_model_server.model_store import ModelStore
+from mulleinhatch.testing.fake_model_server.registration import Registration
+
+READ_BYTES = 65536
+STREAM_EVENTS, EVENT_PAUSE_S, WORK_S = 5, 0.03, 0.02
+MAX_WAITING_FACTOR = 2  # of its slots
+ORDER_POLL_S = 0.01
+IDLE_REPETITION_S = 0.3  # longest time until a copy is sent on an idle connection
+LONG_BODY_BYTES = 100_000
+NOT_EXECUTED = (b"Not-Executed", b"1")
+
+
+def plain_body(request_id: str, target: bytes) -> bytes:
+    """Return the body of the answer to a request that is not a stream."""
+    return f"answer to {request_id} ".encode() + target
+
+
+def stream_event(request_id: str, number: int) -> bytes:
+    """Return one event of a stream; it is the same from every backend."""
+    return b"id: %d\ndata: %b %d\n\n" % (number, request_id.encode(), number)
+
+
+@dataclass
+class _Connection:
+    """One connection of a backend: its stream, and the copies that are to precede its next answer."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    copies: list[bytes] = field(default_factory=list)
+
+    def write(self, data: bytes) -> None:
+        """Write an answer, after the copies that take its place."""
+        self.writer.write(b"".join([*self.copies, data]))
+        self.copies.clear()
+
+    def reset(self) -> None:
+        """Close the connection with a TCP reset."""
+        sock = self.writer.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+
+class TroubledServer:
+    """One incarnation of a backend.
+
+    Args:
+        config: Its service, address, slots and models.
+        models: Models that it holds at its start.
+        control_addresses: Control-plane nodes that it sends heartbeats to.
+        troubles: Draws its troubles.
+        record: Called with each execution, when it begins.
+    """
+
+    def __init__(
+        self,
+        config: FakeModelServerConfig,
+        models: dict[str, set[str]],
+        control_addresses: list[str],
+        troubles: Troubles,
+        record: Callable[[Execution], None],
+    ) -> None:
+        self.id = f"i-{uuid.uuid4().hex[:10]}"
+        self.counters = Counters()
+        self._config, self._troubles, self._record = config, troubles, record
+        self._store = ModelStore(config, self.counters, models, None, lambda: self._running)
+        self._registration = Registration(self.id, config, self._store, control_addresses)
+        self._slots = asyncio.Semaphore(config.slots)
+        self._running = self._waiting = 0
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._connections: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen and register."""
+        host, _, port = self._config.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self._start_task(self._registration.run())
+
+    async def crash(self) -> None:
+        """Stop immediately and reset all connections."""
+        for task in list(self._tasks):
+            task.cancel()
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._connections):
+            writer.transport.abort()
+
+    async def leave(self, after_s: float) -> None:
+        """Announce draining, serve for `after_s` more seconds, deregister and stop."""
+        self._registration.is_draining = True
+        await self._registration.send_heartbeat()
+        await asyncio.sleep(after_s)
+        await self._registration.deregister()
+        await self.crash()
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Connections.
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._connections.add(writer)
+        connection, messages = _Connection(reader, writer), MessageReader(reads_responses=False)
+        try:
+            while data := await reader.read(READ_BYTES):
+                messages.feed(data)
+                while (head := messages.head()) is not None:
+                    if not await self._serve_request(connection, messages, head):
+                        return
+        except (OSError, BadRequestError, asyncio.CancelledError):
+            pass
+        finally:
+            self._connections.discard(writer)
+            writer.close()
+
+    async def _serve_request(self, connection: _Connection, messages: MessageReader, head: Head) -> bool:
+        """Read and answer one request; return whether the connection goes on."""
+        is_rejected_early = (head.length or 0) >= LONG_BODY_BYTES and self._troubles.rejects_early()
+        if is_rejected_early:
+            connection.write(self._response(head, 503, b"", NOT_EXECUTED))
+        body = messages.body()
+        while not messages.done:
+            data = await connection.reader.read(READ_BYTES)
+            if not data:
+                return False
+            messages.feed(data)
+            body += messages.body()
+        messages.next()
+        return is_rejected_early or await self._handle(connection, head, body)
+
+    # Requests and orders.
+
+    async def _handle(self, connection: _Connection, head: Head, body: bytes) -> bool:
+        expected_id = head.field_values.get(b"expect-instance", self.id.encode()).decode()
+        if expected_id != self.id:
+            return await self._answer(connection, self._response(head, 421, b""))
+        if head.target == b"/health":
+            return await self._answer(connection, self._response(head, 200, b""))
+        if head.target == b"/report":
+            return await self._answer(connection, self._response(head, 200, json.dumps(self._report()).encode()))
+        if head.target == b"/order":
+            status, message, work = self._store.accept(json.loads(body))
+            if work is not None:
+                self._start_task(work)
+            return await self._answer(connection, self._response(head, status, json.dumps({"message": message}).encode()))
+        return await self._handle_request(connection, head, body)
+
+    async def _handle_request(self, connection: _Connection, head: Head, body: bytes) -> bool:
+        prompt = read_prompt(head)
+        if prompt.model and not self._store.is_loaded(prompt.model, prompt.adapter):
+            return await self._answer(connection, self._response(head, 421, b""))
+        is_full = self._waiting > MAX_WAITING_FACTOR * self._config.slots
+        if is_full or self._troubles.rejects() or not await self._wait_for_slot(prompt.model, prompt.adapter):
+            return await self._answer(connection, self._response(head, 503, b"", NOT_EXECUTED))
+        try:
+            return await self._execute(connection, head, body)
+        finally:
+            self._running -= 1
+            self._slots.release()
+
+    async def _wait_for_slot(self, model: str, adapter: str) -> bool:
+        """Wait for a slot; return False if an order for the model came first, so that the request is rejected."""
+        self._waiting += 1
+        try:
+            while True:
+                if self._store.is_unloading(model, adapter):
+                    return False
+                try:
+                    async with asyncio.timeout(ORDER_POLL_S):
+                        await self._slots.acquire()
+                except TimeoutError:
+                    continue
+                self._running += 1
+                return True
+        finally:
+            self._waiting -= 1
+
+    async def _execute(self, connection: _Connection, head: Head, body: bytes) -> bool:
+        request_id = head.field_values.get(b"request-id", b"").decode("latin-1")
+        now = asyncio.get_running_loop().time()
+        self._record(Execution(request_id, now, self.id, head.target, body))
+        if head.target.startswith((b"/draft/", b"/report/")):
+            return await self._stream(connection, head, request_id)
+        await asyncio.sleep(WORK_S)
+        return await self._answer(connection, self._response(head, 200, plain_body(request_id, head.target)))
+
+    async def _stream(self, connection: _Connection, head: Head, request_id: str) -> bool:
+        first = int(head.field_values.get(b"last-event-id", b"0") or 0) + 1
+        fields = [*self._fields(head), (b"Content-Type", b"text/event-stream"), (b"Transfer-Encoding", b"chunked")]
+        start = b"HTTP/1.1 200 OK\r\n%b\r\n" % b"".join(b"%b: %b\r\n" % one for one in fields)
+        ending = self._troubles.ending()
+        if ending in (Ending.NONE_CLOSE, Ending.NONE_RESET, Ending.GARBAGE):
+            return self._break_off(connection, ending, b"")
+        connection.write(start)
+        for number in range(first, STREAM_EVENTS + 1):
+            await asyncio.sleep(EVENT_PAUSE_S)
+            event = stream_event(request_id, number)
+            if ending is not Ending.WHOLE and number == STREAM_EVENTS:
+                return self._break_off(connection, ending, b"%x\r\n%b" % (len(event), event[:-3]))
+            connection.writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await connection.writer.drain()
+        connection.writer.write(b"0\r\n\r\n")
+        return True
+
+    def _break_off(self, connection: _Connection, ending: Ending, data: bytes) -> bool:
+        if ending is Ending.GARBAGE:
+            data = b"\x00\x01 no answer\r\n\r\n"
+        connection.write(data)
+        if ending in (Ending.NONE_RESET, Ending.CUT_RESET):
+            connection.reset()
+        return False
+
+    # Answers.
+
+    def _fields(self, head: Head) -> list[tuple[bytes, bytes]]:
+        own_id = self.id.encode()
+        request_id = head.field_values.get(b"request-id")
+        echoed = [(b"Request-Id", request_id)] if request_id else []
+        return [(b"Server-Signature", own_id), (b"Instance-Id", own_id), *echoed]
+
+    def _response(self, head: Head, status: int, body: bytes, *fields: tuple[bytes, bytes]) -> bytes:
+        return write_response(status, [*self._fields(head), *fields], body)
+
+    async def _answer(self, connection: _Connection, response: bytes) -> bool:
+        """Send an answer with the troubles drawn for it; return whether the connection goes on."""
+        ending = self._troubles.ending()
+        if ending is not Ending.WHOLE:
+            is_cut = ending in (Ending.CUT_CLOSE, Ending.CUT_RESET)
+            return self._break_off(connection, ending, response[: len(response) * 2 // 3] if is_cut else b"")
+        if self._troubles.closes():
+            connection.write(response.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+            return False
+        connection.write(response)
+        repetition = self._troubles.repetition()
+        if repetition is Repetition.AT_ONCE:
+            connection.writer.write(response)
+        elif repetition is Repetition.NEXT:
+            connection.copies.append(response)
+        elif repetition is Repetition.WHILE_IDLE:
+            self._start_task(self._repeat_later(connection, response))
+        return True
+
+    async def _repeat_later(self, connection: _Connection, response: bytes) -> None:
+        await asyncio.sleep(self._troubles.pause_s(IDLE_REPETITION_S))
+        if not connection.writer.is_closing():
+            connection.copies.append(response)
+            connection.write(b"")
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "models": self._store.records(),
+            "busy": self._store.order is not None,
+            "sequence": self._store.revision,
+            "waiting": self._waiting,
+            "running": self._running,
+        }
--- a/benchmarks/soak_parts/fleet.py
+++ b/benchmarks/soak_parts/fleet.py
@@ -43,10 +43,11 @@
         control_planes: Number of control-plane nodes.
         data_planes: Number of data planes.
         bounds: Bounds to write to the settings.
+        tree: Source tree whose programs are run.
     """
 
-    def __init__(self, folder: Path, control_planes: int, data_planes: int, bounds: SoakBounds) -> None:
-        self._folder, self._bounds = folder, bounds
+    def __init__(self, folder: Path, control_planes: int, data_planes: int, bounds: SoakBounds, tree: Path = ROOT) -> None:
+        self._folder, self._bounds, self._tree = folder, bounds, tree
         self._network = free_network()
         self._control_planes, self._data_planes = control_planes, data_planes
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -101,7 +102,7 @@
         with path.with_suffix(".log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, SCRIPTS[name.partition("-")[0]]],
-                cwd=ROOT,
+                cwd=self._tree,
                 env={**os.environ, FILE_VARIABLE: str(path)},
                 stdout=log,
                 stderr=log,
@@ -126,6 +127,17 @@
             return [*lines, f"listen.control={ip}:{CONTROL_PORT}", f"data_directory={self._folder}/{name}"]
         return [*lines, f"listen.front={ip}:{FRONT_PORT}", f"listen.ready={ip}:{READY_PORT}"]
 
+    async def inject(self, name: str, kind: str, duration_s: float) -> None:
+        """Inject a fault of a process: "hang_up", "freeze", "kill" or "terminate" (see `faults.Fault`)."""
+        if kind == "hang_up":
+            self.hang_up(name)
+        elif kind == "freeze":
+            await self.freeze(name, duration_s)
+        elif kind == "kill":
+            await self.kill(name, duration_s)
+        else:
+            await self.terminate(name, duration_s)
+
     async def kill(self, name: str, restart_after_s: float) -> None:
         """Send SIGKILL to a process and restart it after a delay."""
         began_at = self._now()
--- a/benchmarks/soak_parts/scene.py
+++ b/benchmarks/soak_parts/scene.py
@@ -148,14 +148,8 @@
         try:
             if fault.target in self._backends:
                 await self._inject_backend_fault(fault)
-            elif fault.kind == "hang_up":
-                self._fleet.hang_up(fault.target)
-            elif fault.kind == "freeze":
-                await self._fleet.freeze(fault.target, fault.duration_s)
-            elif fault.kind == "kill":
-                await self._fleet.kill(fault.target, fault.duration_s)
             else:
-                await self._fleet.terminate(fault.target, fault.duration_s)
+                await self._fleet.inject(fault.target, fault.kind, fault.duration_s)
         finally:
             self._faulty_targets.discard(fault.target)
 
