A response settles the one send that it can belong to: a connection carries a request id once

Callers saw 503 for requests that ran, and unsafe requests run twice. Cause: all sends of a request carry one Request-Id, and a response was matched by it alone. A rejected request went back to the same backend on the same kept connection, where a second copy of the rejection settled the second send while the backend executed it.

Now a pooled connection is taken only if it has not carried the request's id (a request without id takes a new one), so a matching response can belong to no earlier send, whatever a backend repeats. Each send is settled by itself (send.Send), a request counts as not executed only if every send is settled as such, and it is not sent again while another send may have executed it. A connection ends after 1,000 requests, which bounds the ids.

--- a/mulleinhatch/data_plane/attempt.py
+++ b/mulleinhatch/data_plane/attempt.py
@@ -14,7 +14,7 @@
 from mulleinhatch.data_plane.request_context import RequestContext
 from mulleinhatch.data_plane.request_headers import backend_fields
 from mulleinhatch.data_plane.response_relay import ResponseRelay
-from mulleinhatch.data_plane.send_record import SendRecord, Settlement
+from mulleinhatch.data_plane.send import Settlement
 from mulleinhatch.networking.http_connection import ClientConnection
 from mulleinhatch.networking.http_streaming import Head, write_request
 
@@ -75,7 +75,7 @@
         "_connection",
         "_is_counted",
         "_observer",
-        "_record",
+        "_current_send",
         "_relay",
         "_resources",
         "_sent_at",
@@ -95,15 +95,14 @@
         self.is_finished = False
         self._is_counted = False  # Whether it counts as running at the backend.
         self._sent_at = 0.0
-        self._record = SendRecord(len(context.sends) + 1, backend.id, resources.loop.time())
-        context.sends.append(self._record)
+        # From here on the request counts as executed by the backend, until the send is settled otherwise.
+        self._current_send = context.state.begin_send(backend.id, resources.loop.time())
 
     # Sending.
 
     def start(self) -> None:
         """Send the request on an idle connection, or on a new one."""
-        self.context.state.begin_attempt()
-        connection = self._resources.pool.acquire(self.backend.id)
+        connection = self._resources.pool.acquire(self.backend.id, self.context.request_id)
         if connection is not None:
             self._send(connection)
         else:
@@ -134,7 +133,7 @@
         self._observer.on_unreachable(self)
 
     def _settle(self, settlement: Settlement, status: int = 0) -> None:
-        self._record.settle(settlement, self._resources.loop.time(), status)
+        self._current_send.settle(settlement, self._resources.loop.time(), status)
 
     def _send(self, connection: ClientConnection) -> None:
         if not self._observer.may_send():
@@ -146,7 +145,7 @@
             return
         context, loop = self.context, self._resources.loop
         self._connection = connection
-        self._record.connection, self._record.reuse = connection.number, connection.requests
+        self._current_send.connection, self._current_send.reuse = connection.number, connection.requests
         last_event_id = context.event_filter.last_event_id if context.event_filter is not None else b""
         remaining_s = context.deadline - loop.time()
         fields = backend_fields(
@@ -162,7 +161,8 @@
         self._observer.on_sent()
         self._is_counted = True
         self._sent_at = loop.time()
-        connection.send(write_request(context.head.method, context.head.target, fields, context.body), self._relay)
+        request = write_request(context.head.method, context.head.target, fields, context.body)
+        connection.send(request, self._relay, context.request_id)
         if context.event_filter is not None:
             self._relay.restart_stall_timer()
 
@@ -231,7 +231,7 @@
                 "model": context.model_key.model,
                 "adapter": context.model_key.adapter,
                 "running": health.of(backend.id).running,
-                **self._record.log_fields(self._record.started_at, now),
+                **self._current_send.log_fields(self._current_send.started_at, now),
             },
         )
         if head.status == MISDIRECTED:
--- a/mulleinhatch/data_plane/connection_pool.py
+++ b/mulleinhatch/data_plane/connection_pool.py
@@ -14,6 +14,7 @@
 
 CONNECT_TIMEOUT_S = 0.7
 DEFAULT_IDLE_TIMEOUT_S = 6.0  # If the backend's `Keep-Alive` has no timeout.
+MAX_REQUESTS_PER_CONNECTION = 1000  # Bounds the request ids that a connection remembers.
 IDLE_TIMEOUT_MARGIN_S = 0.7  # Close this long before the backend's timeout, so that no request arrives after it.
 
 
@@ -36,9 +37,9 @@
         """Return whether the backend has a usable idle connection."""
         return any(connection.usable for connection in self._idle.get(backend_id, ()))
 
-    def acquire(self, backend_id: str) -> ClientConnection | None:
-        """Take an idle connection out of the pool; None if there is none."""
-        return take_usable(self._idle.get(backend_id, []))
+    def acquire(self, backend_id: str, request_id: bytes) -> ClientConnection | None:
+        """Take an idle connection out of the pool that may carry a request with this id; None if there is none."""
+        return take_usable(self._idle.get(backend_id, []), lambda connection: connection.can_carry(request_id))
 
     async def open(self, address: str) -> ClientConnection:
         """Open a new connection.
@@ -54,6 +55,9 @@
         """Return a connection after a complete response, whose `head` may contain the backend's idle timeout."""
         if not connection.usable:
             return
+        if connection.requests >= MAX_REQUESTS_PER_CONNECTION:
+            connection.close()
+            return
         timeout_s = keep_alive_timeout_s(head) if head is not None else None
         idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S if timeout_s is None else timeout_s - IDLE_TIMEOUT_MARGIN_S
         if idle_timeout_s <= 0:
--- a/mulleinhatch/data_plane/request_context.py
+++ b/mulleinhatch/data_plane/request_context.py
@@ -10,7 +10,6 @@
 from mulleinhatch.data_plane.registry_snapshot import ModelKey
 from mulleinhatch.data_plane.request_headers import quota_tokens, read_prompt
 from mulleinhatch.data_plane.request_state import RequestState
-from mulleinhatch.data_plane.send_record import SendRecord
 from mulleinhatch.networking.http_streaming import Head
 from mulleinhatch.tenants.tenant import Tenant
 
@@ -63,7 +62,6 @@
         "request_id",
         "response_writer",
         "route",
-        "sends",
         "service",
         "state",
         "table",
@@ -90,7 +88,6 @@
         self.model_key = ModelKey(service, self.prompt.model, self.prompt.adapter)
         is_resumable = route.is_streaming and route.is_resumable
         self.state = RequestState(route.is_idempotent, is_resumable, route.max_attempts)
-        self.sends: list[SendRecord] = []
         self.event_filter = EventStreamFilter(head.field_values.get(b"last-event-id", b"")) if is_resumable else None
 
     def bind(self, table: RouteTable | None, tenant: Tenant | None, priority_classes: PriorityClassTable) -> None:
--- a/mulleinhatch/data_plane/request_lifecycle.py
+++ b/mulleinhatch/data_plane/request_lifecycle.py
@@ -264,7 +264,7 @@
             self.was_queued = True
             self._with_permit(services.scheduler.resume)
             return
-        if context.state.sends and not self._spend_retry():
+        if context.state.written_sends and not self._spend_retry():
             self._release_attempt()
             self._perform_step(context.state.no_backend(), "no budget for another stub")
             return
@@ -301,13 +301,12 @@
 
     def on_permit_expired(self) -> None:
         """Acquire a new permit; no byte of the request was written."""
-        self.context.state.unsent()
         self._release_attempt()
         self._with_permit(self._services.scheduler.resume)
 
     def on_sent(self) -> None:
         """Count the first send as a request in the retry budget."""
-        if self.context.state.sends == 1:
+        if self.context.state.written_sends == 1:
             self._services.retry_budget.record_request(self.context.service, self._services.loop.time())
 
     def on_first_byte(self, latency_s: float) -> None:
--- a/mulleinhatch/data_plane/request_log.py
+++ b/mulleinhatch/data_plane/request_log.py
@@ -114,7 +114,7 @@
                 "status": status,
                 "reason": reason,
                 "held_s": round(now - arrived_at, 4),
-                "attempts": [record.log_fields(arrived_at, now) for record in context.sends],
+                "attempts": [send.log_fields(arrived_at, now) for send in context.state.sends],
             },
         )
 
@@ -134,5 +134,5 @@
             "adapter": context.model_key.adapter,
             "wait_reason": request.wait_reason.value,
             "is_probable_retry": is_retry,
-            "sends": context.state.sends,
+            "sends": context.state.written_sends,
         }
--- a/mulleinhatch/data_plane/request_scheduler.py
+++ b/mulleinhatch/data_plane/request_scheduler.py
@@ -96,7 +96,7 @@
         still be served before its deadline.
         """
         now, pending, context = self._loop.time(), request.pending, request.context
-        if request.is_finished or pending.is_started or context.state.sends:
+        if request.is_finished or pending.is_started or context.state.written_sends:
             return
         ready_in_s = self._readiness.ready_in_s(context.model_key)
         if ready_in_s <= 0.0 or now + ready_in_s + DEFAULT_SERVICE_S <= pending.arrived_at + context.route.target_latency_s:
--- a/mulleinhatch/data_plane/request_state.py
+++ b/mulleinhatch/data_plane/request_state.py
@@ -9,17 +9,19 @@
 
 `FINAL_STEPS` lists the next step after an event if the request is not retried.
 
-A request counts as executed from the moment its first byte may have been sent, and stops counting only when the backend
-that it was sent to reports that it did not execute it. Statuses that promise "not executed" (408, 421, 429, 503) are sent
-only while nothing counts as executed.
+Each send is settled by itself (`send.Settlement`). A send counts as an execution from its start on, until it is settled by the
+backend's report that it did not execute the request, or because no byte was written. Statuses that promise "not executed" (408,
+421, 429, 503) are sent only while no send counts as an execution.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
+from mulleinhatch.data_plane.send import Send
+
 MAX_SENDS = 4  # Backends that a request is sent to while each rejects it without executing it.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)  # A client may safely retry any request after one of these.
 
@@ -105,56 +107,66 @@
 
 @dataclass(slots=True)
 class RequestState:
-    """Counts the attempts of one request and decides on its next step.
+    """The sends of one request and what settled them; decides on its next step.
 
     Attributes:
         idempotent: Whether the request may be executed more than once.
         resumable: Whether its stream may be continued at another backend.
         max_attempts: Maximum number of backends that may execute it.
-        sends: Number of backends that it was sent to.
-        executions: Number of backends that may have executed it.
+        sends: Its sends, in order.
         is_response_started: Whether the head of a response was forwarded to the client.
     """
 
     idempotent: bool
     resumable: bool
     max_attempts: int
-    sends: int = 0
-    executions: int = 0
+    sends: list[Send] = field(default_factory=list)
     is_response_started: bool = False
 
+    @property
+    def written_sends(self) -> int:
+        """Number of sends of which a byte may have reached a backend."""
+        return sum(send.was_written for send in self.sends)
+
+    @property
+    def possible_executions(self) -> int:
+        """Number of sends that a backend may have executed."""
+        return sum(send.may_have_executed for send in self.sends)
+
     @property
     def progress(self) -> Progress:
         """How far the execution may have got."""
         if self.is_response_started:
             return Progress.RESPONSE_STARTED
-        return Progress.MAYBE_EXECUTED if self.executions else Progress.NOT_EXECUTED
+        return Progress.MAYBE_EXECUTED if self.possible_executions else Progress.NOT_EXECUTED
 
     @property
     def may_run_again(self) -> bool:
-        """Whether another backend may execute the request although the current one may have executed it."""
+        """Whether another backend may execute the request although one may have executed it."""
         is_repeatable = self.idempotent and (not self.is_response_started or self.resumable)
-        return is_repeatable and self.executions < self.max_attempts
+        return is_repeatable and self.possible_executions < self.max_attempts
 
-    def begin_attempt(self) -> None:
-        """Count a send; from now on the request counts as executed by that backend."""
-        self.sends += 1
-        self.executions += 1
+    @property
+    def may_be_sent(self) -> bool:
+        """Whether the request may be sent to a backend now: no earlier send may have executed it, or it may run again."""
+        return self.progress is Progress.NOT_EXECUTED or self.may_run_again
 
-    def unsent(self) -> None:
-        """Revert a send of which no byte was written."""
-        self.sends -= 1
-        self.executions -= 1
+    def begin_send(self, backend_id: str, now: float) -> Send:
+        """Add a send; until it is settled otherwise, the request counts as executed by that backend."""
+        send = Send(len(self.sends) + 1, backend_id, now)
+        self.sends.append(send)
+        return send
 
     def unreachable(self, backends_tried: int) -> NextStep:
         """Handle a backend that no byte reached; `backends_tried` counts the backends tried so far, including it."""
-        self.unsent()
-        return NextStep.RETRY if backends_tried <= 2 * MAX_SENDS else self.no_backend()
+        return self._retry_or_give_up(backends_tried <= 2 * MAX_SENDS)
 
     def not_executed(self) -> NextStep:
         """Handle a backend's report that it did not execute the request."""
-        self.executions -= 1
-        return NextStep.RETRY if self.sends < MAX_SENDS else self.no_backend()
+        return self._retry_or_give_up(self.written_sends < MAX_SENDS)
+
+    def _retry_or_give_up(self, has_sends_left: bool) -> NextStep:
+        return NextStep.RETRY if has_sends_left and self.may_be_sent else self.no_backend()
 
     def connection_lost(self) -> NextStep:
         """Handle a connection loss after which it is unknown whether the backend executed the request."""
--- a/mulleinhatch/data_plane/response_relay.py
+++ b/mulleinhatch/data_plane/response_relay.py
@@ -12,7 +12,7 @@
 
 from mulleinhatch.data_plane.request_context import RequestContext
 from mulleinhatch.data_plane.request_state import ResponseVerdict, classify_response
-from mulleinhatch.data_plane.send_record import Settlement
+from mulleinhatch.data_plane.send import Settlement
 from mulleinhatch.networking.http_connection import Loss
 from mulleinhatch.networking.http_streaming import Head
 
--- a/mulleinhatch/data_plane/send_record.py
+++ b/mulleinhatch/data_plane/send.py
@@ -1,4 +1,4 @@
-"""The record of one send of a request to a backend: where it went and what settled it. Pure."""
+"""One send of a request to a backend: where it went, and what settled it. Pure."""
 
 from __future__ import annotations
 
@@ -12,15 +12,19 @@
     OPEN = "open"  # Not settled: the send is under way.
     COMPLETED = "complete response"
     NOT_EXECUTED = "rejected without execution"
-    UNREACHABLE = "no connection"  # No byte was written.
-    NO_PERMIT = "permit expired before the write"  # No byte was written.
+    UNREACHABLE = "no connection"
+    NO_PERMIT = "permit expired before the write"
     NO_RESPONSE = "connection ended without a response"
     UNUSABLE = "response broken off or unusable"
     ABANDONED = "abandoned by this data plane"  # The client left, or the time was over.
 
 
+UNWRITTEN = frozenset({Settlement.UNREACHABLE, Settlement.NO_PERMIT})  # No byte reached the backend.
+NEVER_EXECUTED = UNWRITTEN | {Settlement.NOT_EXECUTED}
+
+
 @dataclass(slots=True)
-class SendRecord:
+class Send:
     """One send of a request. Times are loop times in seconds.
 
     Attributes:
@@ -43,13 +47,23 @@
     status: int = 0
     settled_at: float = 0.0
 
+    @property
+    def was_written(self) -> bool:
+        """Whether a byte of it may have reached the backend; true while it is open."""
+        return self.settlement not in UNWRITTEN
+
+    @property
+    def may_have_executed(self) -> bool:
+        """Whether the backend may have executed the request, or still may."""
+        return self.settlement not in NEVER_EXECUTED
+
     def settle(self, settlement: Settlement, now: float, status: int = 0) -> None:
         """Record what settled the send; only the first settlement counts."""
         if self.settlement is Settlement.OPEN:
             self.settlement, self.settled_at, self.status = settlement, now, status
 
     def log_fields(self, since: float, now: float) -> dict[str, str | int | float]:
-        """Return the record for a log line, with its times relative to `since`."""
+        """Return the send for a log line, with its times relative to `since`."""
         return {
             "send": self.number,
             "backend": self.backend_id,
--- a/mulleinhatch/networking/http_connection.py
+++ b/mulleinhatch/networking/http_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import socket
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -73,6 +74,7 @@
         self.requests = 0
         self.pool: IdleConnectionOwner | None = None
         self._reader = MessageReader(reads_responses=True, max_head_bytes=MAX_RESPONSE_HEAD_BYTES)
+        self._request_ids: set[bytes] = set()  # of the requests that it carried
         self._sink: ResponseSink | None = None
         self._head: Head | None = None
         self._is_paused = False
@@ -87,11 +89,27 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
-    def send(self, data: bytes, sink: ResponseSink) -> None:
-        """Send the bytes of a request and pass its response to `sink`."""
+    def can_carry(self, request_id: bytes) -> bool:
+        """Return whether a response to a request with this id could belong to no other request on this connection.
+
+        A connection carries an id once: a late or repeated response to an earlier request with the same id would be taken for
+        the response to the later one. A request without an id needs a connection that has carried no request.
+        """
+        return not self.requests or (bool(request_id) and request_id not in self._request_ids)
+
+    def send(self, data: bytes, sink: ResponseSink, request_id: bytes = b"") -> None:
+        """Send the bytes of a request and pass its response to `sink`.
+
+        Args:
+            data: The request.
+            sink: Receives the response.
+            request_id: `Request-Id` of the request, by which the sink recognizes its response; empty for none.
+        """
         assert self._sink is None and self.transport is not None
         self._sink, self._head = sink, None
         self.requests += 1
+        if request_id:
+            self._request_ids.add(request_id)
         self.transport.write(data)
 
     def close(self) -> None:
@@ -197,14 +215,19 @@
         sink.on_loss(Loss.NO_RESPONSE if self._head is None else Loss.BROKEN)
 
 
-def take_usable(idle: list[ClientConnection]) -> ClientConnection | None:
-    """Remove and return the newest usable idle connection; close the unusable ones that are newer."""
+def take_usable(
+    idle: list[ClientConnection], is_suitable: Callable[[ClientConnection], bool] = lambda connection: True
+) -> ClientConnection | None:
+    """Remove and return the newest usable idle connection that is suitable; close the unusable ones that are newer."""
     now = asyncio.get_running_loop().time()
-    while idle:
-        connection = idle.pop()
-        if connection.usable and connection.idle_until > now:
+    for index in reversed(range(len(idle))):
+        connection = idle[index]
+        if not connection.usable or connection.idle_until <= now:
+            del idle[index]
+            connection.close()
+        elif is_suitable(connection):
+            del idle[index]
             return connection
-        connection.close()
     return None
 
 
