A Not-Executed field is believed in a rejection only, not beside a status that says the contrary

Callers could see 503, or a second execution, for a request whose backend sent Not-Executed in a 200 or a 500: the field alone was a promise. Now it counts in a 4xx or a 503; beside another status the response is unusable and the request may have executed. Test on sockets, failing before. A rejection that is cut in its body still settles its send: its head is the backend's word for this send (test, passed before).

--- a/mulleinhatch/data_plane/attempt.py
+++ b/mulleinhatch/data_plane/attempt.py
@@ -13,13 +13,13 @@
 from mulleinhatch.data_plane.registry_snapshot import RegisteredBackend
 from mulleinhatch.data_plane.request_context import RequestContext
 from mulleinhatch.data_plane.request_headers import backend_fields
+from mulleinhatch.data_plane.request_state import MISDIRECTED
 from mulleinhatch.data_plane.response_relay import ResponseRelay
 from mulleinhatch.data_plane.send import Settlement
 from mulleinhatch.networking.http_connection import ClientConnection
 from mulleinhatch.networking.http_streaming import Head, write_request
 
 LOG = logging.getLogger(__name__)
-MISDIRECTED = 421  # RFC 9110, section 15.5.20: the server can't respond for the requested target
 
 
 class AttemptObserver(Protocol):
--- a/mulleinhatch/data_plane/request_state.py
+++ b/mulleinhatch/data_plane/request_state.py
@@ -23,6 +23,8 @@
 from mulleinhatch.data_plane.send import Send
 
 MAX_SENDS = 4  # Backends that a request is sent to while each rejects it without executing it.
+MISDIRECTED = 421
+UNAVAILABLE = 503
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)  # A client may safely retry any request after one of these.
 
 
@@ -79,6 +81,18 @@
     FORWARDABLE = "forwarded to the client"
 
 
+def states_not_executed(status: int, fields: Mapping[bytes, bytes]) -> bool:
+    """Return whether a response head states that the backend did not execute the request.
+
+    A 421 does by itself (RFC 9110, section 15.5.20). `Not-Executed` does in a rejection: a 4xx, or a 503.
+    Other statuses are the outcome of an execution, so the field can't be believed there.
+
+    >>> states_not_executed(503, {b"not-executed": b"1"}), states_not_executed(500, {b"not-executed": b"1"})
+    (True, False)
+    """
+    return status == MISDIRECTED or (b"not-executed" in fields and (400 <= status < 500 or status == UNAVAILABLE))
+
+
 def classify_response(status: int, fields: Mapping[bytes, bytes], idempotent: bool) -> ResponseVerdict:
     """Classify a backend's response by its head.
 
@@ -94,8 +108,10 @@
         fields: Header fields, names in lower case.
         idempotent: Whether the request may be executed more than once.
     """
-    if status == 421 or b"not-executed" in fields:
+    if states_not_executed(status, fields):
         return ResponseVerdict.NOT_EXECUTED
+    if b"not-executed" in fields:
+        return ResponseVerdict.UNUSABLE  # It contradicts the status, which says that the request was executed.
     is_encoded = fields.get(b"content-encoding", b"identity").lower() != b"identity"
     if 200 <= status < 300 and (b"server-signature" not in fields or is_encoded):
         return ResponseVerdict.UNUSABLE
--- a/tests/system/exchange_sockets.py
+++ b/tests/system/exchange_sockets.py
@@ -113,6 +113,24 @@
         await asyncio.sleep(EXECUTION_S)
         writer.write(head(200, request_id, b"Content-Length: %d" % len(BODY)) + BODY)
 
+    async def _contradictory(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        """Execute the request and claim the contrary in a field of the successful response."""
+        self.executed.append(request_id)
+        writer.write(head(200, request_id, b"Not-Executed: 1", b"Content-Length: 0"))
+
+    async def _contradictory_failure(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes
+    ) -> None:
+        """Fail while executing the request and claim the contrary in a field of the response."""
+        self.executed.append(request_id)
+        writer.write(head(500, request_id, b"Not-Executed: 1", b"Content-Length: 0"))
+
+    async def _cut_rejection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        """Reject the request and break off in the body of the rejection."""
+        writer.write(head(503, request_id, b"Not-Executed: 1", b"Content-Length: 9") + b"no")
+        await writer.drain()
+        writer.close()
+
     async def _misdirected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
         writer.write(head(421, request_id, b"Content-Length: 0"))
 
--- a/tests/system/test_exchange_sockets.py
+++ b/tests/system/test_exchange_sockets.py
@@ -23,6 +23,19 @@
             response, backends = await self.exchange(route, action)
             self.assertEqual((response, self.request_count(backends)), (Response(200, BODY, True), 2), (route, action))
 
+    # Guards against a promise by the field alone: a backend that ran the request sent it in a 200 or a 500.
+    async def test_a_field_that_contradicts_the_status_is_not_believed(self):
+        for action in ("contradictory", "contradictory_failure"):
+            response, backends = await self.exchange("unsafe", action)
+            self.assertEqual((response.status, self.request_count(backends)), (502, 1), action)
+            response, backends = await self.exchange("safe", action)
+            self.assertEqual((response, self.request_count(backends)), (Response(200, BODY, True), 2), action)
+
+    async def test_a_rejection_that_is_cut_in_its_body_settles_the_send(self):
+        response, backends = await self.exchange("unsafe", "cut_rejection")
+        self.assertEqual((response, self.request_count(backends)), (Response(200, BODY, True), 2))
+        self.assertEqual(sum(len(backend.executed) for backend in backends), 1)
+
     async def test_a_request_that_may_have_executed_is_retried_only_if_idempotent(self):
         for action in ("close", "reset", "garbage", "other_id"):
             response, backends = await self.exchange("safe", action)
