Prove on real sockets where the data plane concludes that a request did not run

One claim was true only by the order of calls: a request that ends after the queue released it was started all the same; start now asks, and frees the slot.

--- a/mulleinhatch/data_plane/request_lifecycle.py
+++ b/mulleinhatch/data_plane/request_lifecycle.py
@@ -252,6 +252,10 @@
     def start(self) -> None:
         """Send the request to a backend, or return it to the queue if none is available."""
         services, context = self._services, self.context
+        if self.is_finished:
+            # It ended after the queue had released it.
+            services.scheduler.attempt_finished(self, is_completed=False, was_overloaded=False)
+            return
         if (denied := services.recheck_access(context)) is not None:
             self._deny(denied)
             return
--- a/tests/system/exchange_sockets.py
+++ b/tests/system/exchange_sockets.py
@@ -76,11 +76,15 @@
             while True:
                 lines = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
                 fields = dict(line.lower().split(b": ", 1) for line in lines[1:] if b": " in line)
+                action = self.script[min(len(self.requests) + 1, len(self.script)) - 1]
+                if action == "rejected_early":
+                    await self._not_executed(reader, writer, fields[b"request-id"])
                 await reader.readexactly(int(fields.get(b"content-length", b"0")))
                 self.requests.append(fields[b"request-id"])
                 self.last_event_ids.append(fields.get(b"last-event-id", b""))
                 self.on_arrival()
-                action = self.script[min(len(self.requests), len(self.script)) - 1]
+                if action == "rejected_early":
+                    continue
                 self.arrived.set()
                 await getattr(self, "_" + action)(reader, writer, fields[b"request-id"])
         except (asyncio.IncompleteReadError, OSError):
@@ -113,6 +117,22 @@
         await asyncio.sleep(EXECUTION_S)
         writer.write(head(200, request_id, b"Content-Length: %d" % len(BODY)) + BODY)
 
+    async def _rejected_twice(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        rejection = head(503, request_id, b"Not-Executed: 1", b"Content-Length: 0")
+        writer.write(rejection + rejection)
+
+    async def _rejected_and_again_later(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes
+    ) -> None:
+        await self._not_executed(reader, writer, request_id)
+        await writer.drain()
+        await asyncio.sleep(EXECUTION_S)
+        await self._not_executed(reader, writer, request_id)
+
+    async def _respond_slowly(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        await asyncio.sleep(EXECUTION_S)
+        await self._respond(reader, writer, request_id)
+
     async def _contradictory(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
         """Execute the request and claim the contrary in a field of the successful response."""
         self.executed.append(request_id)
@@ -206,10 +226,10 @@
 class ExchangeTestCase(unittest.IsolatedAsyncioTestCase):
     @asynccontextmanager
     async def data_plane(
-        self, *backends: Backend, models: dict[str, frozenset[str]] | None = None
+        self, *backends: Backend, models: dict[str, frozenset[str]] | None = None, limits: dict[str, int] | None = None
     ) -> AsyncIterator[tuple[str, int]]:
         loop = asyncio.get_running_loop()
-        router = Router(SETTINGS, loop, lambda name: None)
+        self.router = router = Router(SETTINGS, loop, lambda name: None)
         servers = [await asyncio.start_server(backend.serve, "127.0.0.1", 0) for backend in backends]
         registered = tuple(
             RegisteredBackend(
@@ -230,10 +250,12 @@
             {"name": name, "host": "h", "path_prefix": f"/{name}/", "timeout_ms": 5000, "service": "s", **options}
             for name, options in ROUTES.items()
         ]
-        table = build_route_table(Document(1, {"version": 1, "routes": routes, "services": [{"name": "s"}]}))
+        table = build_route_table(
+            Document(1, {"version": 1, "routes": routes, "services": [{"name": "s"}], "limits": limits or {}})
+        )
         registry = RegistrySnapshot({backend.id: backend for backend in registered}, {"s": registered})
         router.apply_snapshot(ControlPlaneSnapshot(table, registry, 1, True))
-        listener = Listener(lambda: table.limits, router.begin)
+        self.listener = listener = Listener(lambda: table.limits, router.begin)
         with socket.create_server(("127.0.0.1", 0)) as unused:
             address = unused.getsockname()
         await listener.listen("%s:%d" % address)
