A repeated answer of a backend settles no later order

Backends' answers to orders carry no id. A copy of a rejection, or of a report, that came where the answer to the next order on the connection was due made that order count as not started although the backend obeyed it (the state was then asked again by reports; the same if_revision kept it from being obeyed twice). Now a connection ends after any answer that is not an acceptance, and a report in place of an answer leaves the order unknown. A copy of an acceptance can still settle the next order on the connection: it costs time until a report shows it, and breaks no rule.

--- a/mulleinhatch/control_plane/placement/backend_report.py
+++ b/mulleinhatch/control_plane/placement/backend_report.py
@@ -41,6 +41,19 @@
         raise ValueError(f"invalid report: {error!r}") from None
 
 
+def is_report(body: bytes) -> bool:
+    """Return whether the body of a response is a report.
+
+    >>> is_report(b'{"models":[],"busy":false,"sequence":2}'), is_report(b'{"message":"in progress"}'), is_report(b"")
+    (True, False, False)
+    """
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return False
+    return isinstance(value, dict) and "sequence" in value
+
+
 def _count(value: Any) -> int:
     """Return the value as an integer that messages between control-plane nodes can carry.
 
--- a/mulleinhatch/control_plane/placement/order_client.py
+++ b/mulleinhatch/control_plane/placement/order_client.py
@@ -5,13 +5,15 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
+from mulleinhatch.control_plane.placement.backend_report import is_report
 from mulleinhatch.control_plane.placement.interfaces import LeadershipSource
 from mulleinhatch.control_plane.placement.leadership import NEVER_ISSUED_S, PlacementLeadership
 from mulleinhatch.control_plane.placement.order import ORDER_TIMEOUT_S, Order
 from mulleinhatch.errors import LeadershipError
 from mulleinhatch.messages.cluster import Backend
-from mulleinhatch.networking.http_client import HttpClient
+from mulleinhatch.networking.http_client import HttpCallError, HttpClient
 from mulleinhatch.networking.http_server import JSON_TYPE
 
 NEVER = -1e9  # earlier than any clock reading
@@ -68,7 +70,7 @@
 
         Raises:
             FencedOffError: A backend has rejected the current token; the order was not sent.
-            HttpCallError: No response arrived; the backend may have accepted the order.
+            HttpCallError: No response of its own arrived; the backend may have accepted the order.
         """
         token = self._leadership.token
         if self._leadership.is_token_rejected():
@@ -87,8 +89,13 @@
         response = await self._http_client.request(
             backend.address, "POST", "/order", json.dumps(body).encode(), ORDER_TIMEOUT_S, JSON_TYPE, expected_instance
         )
+        if response.status != HTTPStatus.ACCEPTED:
+            # Responses to orders name no order: a second copy of this rejection must not settle a later one.
+            self.discard_connections(backend)
+        if response.status == HTTPStatus.OK and is_report(response.body):
+            raise HttpCallError(backend.address, "a report arrived in place of the response")
         return OrderResponse(response.status, token)
 
     def discard_connections(self, backend: Backend) -> None:
-        """Close pooled connections to a backend that did not respond."""
+        """Close pooled connections to a backend whose further responses could be taken for those to other orders."""
         self._http_client.forget(backend.address)
