Service instance: a repeated rejection of the dependency settles no later call

Answers of the dependency name no call. A copy of a Never-Started that came where the answer to the next call was due ended that call as never started although it ran, so it could be made again. The connection now ends after any answer that is not a success. Test on real sockets, failing before.

--- a/mulleinhatch/instance/protocol/http_peers.py
+++ b/mulleinhatch/instance/protocol/http_peers.py
@@ -123,7 +123,7 @@
     Only a response with `Never-Started` proves that the call had no effect; any other failure may have had one.
 
     Returns:
-        The head; the status of a final response is replaced by the `Ending` of the call.
+        The head; the status of a final response is replaced by the `Ending` of the call. After a failure the connection closes.
 
     Raises:
         BadRequestError: As `parse_response_head`.
@@ -136,7 +136,9 @@
     response = parse_response_head(head)
     if response.status < 200:
         return response
-    return response._replace(status=_call_ending(response.status, head))
+    ending = _call_ending(response.status, head)
+    # Responses name no call: a second copy of a failure must not settle a later call on the same connection.
+    return response._replace(status=ending, closes_connection=response.closes_connection or ending is not Ending.OK)
 
 
 def _call_ending(status: int, head: bytes) -> Ending:
