A request that outlasts the grace period gets an answer before the process exits

Callers saw their connection closed without an answer when a data plane exited at the end of its grace period with requests under way. On real machines that looks like a close before the request was read, after which a client may repeat an unsafe request. Now such a request is answered 502 (503 if no send may have executed it); a response that has started is reset as before. Tests on sockets with the end of a shutdown.

--- a/benchmarks/answer_soak_parts/clients.py
+++ b/benchmarks/answer_soak_parts/clients.py
@@ -7,7 +7,7 @@
 import uuid
 from collections.abc import Callable
 
-from benchmarks.answer_soak_parts.deployment import HOST, MODELS, REPEATABLE_ROUTES, ROUTES, TIMEOUT_MS
+from benchmarks.answer_soak_parts.deployment import HOST, MODEL_SERVICE, MODELS, REPEATABLE_ROUTES, ROUTES, TIMEOUT_MS
 from benchmarks.answer_soak_parts.records import Try
 from benchmarks.answer_soak_parts.server import LONG_BODY_BYTES
 from mulleinhatch.networking.http_grammar import BadRequestError
@@ -23,6 +23,7 @@
 RESPONSE_SLACK_S = 2.0  # after its deadline a request without a response is abandoned
 LONG_BODY_SHARE, EARLY_LEAVE_SHARE = 0.05, 0.03
 EARLY_LEAVE_S = 0.5
+CHUNKED_SHARE, SLOW_SHARE, PIECE_PAUSE_S = 0.2, 0.15, 0.3
 
 
 class Client:
@@ -79,18 +80,25 @@
         name = MODELS[min(len(MODELS) - 1, int(self._random.expovariate(0.6)))]
         return f"{name}/a{self._random.randrange(1, 3)}" if self._random.random() < 0.2 else name
 
-    @staticmethod
-    def _message(one: Try, model: str, body: bytes, left_s: float) -> bytes:
+    def _message(self, one: Try, model: str, body: bytes, left_s: float) -> list[bytes]:
+        """Return the pieces of a request; a body may be chunked and may come in pieces."""
         lines = [
             f"POST /{one.route}/{one.id} HTTP/1.1",
             f"Host: {HOST}",
             f"Request-Id: {one.id}",
             f"Request-Deadline: {max(1, int(1000 * left_s))}",
-            f"Content-Length: {len(body)}",
             "Token-Usage: 200,40",
         ]
-        lines += [f"Model: {model}"] if ROUTES[one.route][1] == "scribe" else []
-        return "\r\n".join((*lines, "", "")).encode() + body
+        lines += [f"Model: {model}"] if ROUTES[one.route][1] == MODEL_SERVICE else []
+        if self._random.random() < CHUNKED_SHARE:
+            head = "\r\n".join((*lines, "Transfer-Encoding: chunked", "", "")).encode()
+            data = head + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        else:
+            data = "\r\n".join((*lines, f"Content-Length: {len(body)}", "", "")).encode() + body
+        if self._random.random() >= SLOW_SHARE:
+            return [data]
+        cut = self._random.randrange(1, len(data))
+        return [data[:cut], data[cut:]]
 
     async def _connect(self) -> bool:
         """Connect unless a connection is open; return whether one is."""
@@ -111,15 +119,18 @@
             self._stream[1].transport.abort()
             self._stream = None
 
-    async def _exchange(self, one: Try, message: bytes, deadline: float) -> float:
+    async def _exchange(self, one: Try, message: list[bytes], deadline: float) -> float:
         """Send a try and read its response; return the seconds after which it may be repeated."""
         loop, (reader, writer) = asyncio.get_running_loop(), self._stream
         leaves_early = self._random.random() < EARLY_LEAVE_SHARE
         wait_s = EARLY_LEAVE_S * self._random.random() if leaves_early else deadline - loop.time() + RESPONSE_SLACK_S
         is_kept, retry_after_s = False, 0.0
         try:
-            writer.write(message)
             async with asyncio.timeout(max(0.01, wait_s)):
+                writer.write(message[0])
+                for piece in message[1:]:
+                    await asyncio.sleep(self._random.uniform(0.0, PIECE_PAUSE_S))
+                    writer.write(piece)
                 is_kept, retry_after_s = await self._read(one, reader)
         except ConnectionResetError:
             one.was_unread = one.status == 0
--- a/benchmarks/answer_soak_parts/server.py
+++ b/benchmarks/answer_soak_parts/server.py
@@ -123,6 +123,8 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._connections.add(writer)
         connection, messages = _Connection(reader, writer), MessageReader(reads_responses=False)
+        if self._troubles.refuses_connection():
+            connection.reset()
         try:
             while data := await reader.read(READ_BYTES):
                 messages.feed(data)
@@ -172,20 +174,22 @@
         if prompt.model and not self._store.is_loaded(prompt.model, prompt.adapter):
             return await self._answer(connection, self._response(head, 421, b""))
         is_full = self._waiting > MAX_WAITING_FACTOR * self._config.slots
-        if is_full or self._troubles.rejects() or not await self._wait_for_slot(prompt.model, prompt.adapter):
-            return await self._answer(connection, self._response(head, 503, b"", NOT_EXECUTED))
+        due_at = asyncio.get_running_loop().time() + int(head.field_values.get(b"request-deadline", b"60000")) / 1000
+        if is_full or self._troubles.rejects() or not await self._wait_for_slot(prompt.model, prompt.adapter, due_at):
+            status = self._troubles.rejection_status()
+            return await self._answer(connection, self._response(head, status, b"rejected", NOT_EXECUTED))
         try:
             return await self._execute(connection, head, body)
         finally:
             self._running -= 1
             self._slots.release()
 
-    async def _wait_for_slot(self, model: str, adapter: str) -> bool:
-        """Wait for a slot; return False if an order for the model came first, so that the request is rejected."""
+    async def _wait_for_slot(self, model: str, adapter: str, due_at: float) -> bool:
+        """Wait for a slot; return False if an order for the model, or the deadline, came first: the request is rejected."""
         self._waiting += 1
         try:
             while True:
-                if self._store.is_unloading(model, adapter):
+                if self._store.is_unloading(model, adapter) or asyncio.get_running_loop().time() > due_at:
                     return False
                 try:
                     async with asyncio.timeout(ORDER_POLL_S):
@@ -204,7 +208,12 @@
         if head.target.startswith((b"/draft/", b"/report/")):
             return await self._stream(connection, head, request_id)
         await asyncio.sleep(WORK_S)
-        return await self._answer(connection, self._response(head, 200, plain_body(request_id, head.target)))
+        answer = plain_body(request_id, head.target)
+        if self._troubles.is_unframed():
+            lines = b"".join(b"%b: %b\r\n" % one for one in self._fields(head))
+            connection.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % lines + answer)
+            return False
+        return await self._answer(connection, self._response(head, 200, answer), head)
 
     async def _stream(self, connection: _Connection, head: Head, request_id: str) -> bool:
         first = int(head.field_values.get(b"last-event-id", b"0") or 0) + 1
@@ -213,6 +222,8 @@
         ending = self._troubles.ending()
         if ending in (Ending.NONE_CLOSE, Ending.NONE_RESET, Ending.GARBAGE):
             return self._break_off(connection, ending, b"")
+        if ending in (Ending.MUTE, Ending.CONTRADICTORY):
+            return await self._mislead(connection, head, ending)
         connection.write(start)
         for number in range(first, STREAM_EVENTS + 1):
             await asyncio.sleep(EVENT_PAUSE_S)
@@ -232,6 +243,14 @@
             connection.reset()
         return False
 
+    async def _mislead(self, connection: _Connection, head: Head, ending: Ending) -> bool:
+        """Say nothing about a request that ran, or the contrary; return whether the connection goes on."""
+        if ending is Ending.CONTRADICTORY:
+            connection.write(self._response(head, 500, b"failed", NOT_EXECUTED))
+            return True
+        await connection.reader.read(1)
+        return False
+
     # Answers.
 
     def _fields(self, head: Head) -> list[tuple[bytes, bytes]]:
@@ -243,10 +262,19 @@
     def _response(self, head: Head, status: int, body: bytes, *fields: tuple[bytes, bytes]) -> bytes:
         return write_response(status, [*self._fields(head), *fields], body)
 
-    async def _answer(self, connection: _Connection, response: bytes) -> bool:
-        """Send an answer with the troubles drawn for it; return whether the connection goes on."""
+    async def _answer(self, connection: _Connection, response: bytes, executed: Head | None = None) -> bool:
+        """Send an answer with the troubles drawn for it; return whether the connection goes on.
+
+        Args:
+            connection: Connection of the request.
+            response: The answer.
+            executed: Head of the request if it was executed, which a misleading answer needs.
+        """
         ending = self._troubles.ending()
-        if ending is not Ending.WHOLE:
+        if ending in (Ending.MUTE, Ending.CONTRADICTORY):
+            if executed is not None:
+                return await self._mislead(connection, executed, ending)
+        elif ending is not Ending.WHOLE:
             is_cut = ending in (Ending.CUT_CLOSE, Ending.CUT_RESET)
             return self._break_off(connection, ending, response[: len(response) * 2 // 3] if is_cut else b"")
         if self._troubles.closes():
--- a/benchmarks/answer_soak_parts/troubles.py
+++ b/benchmarks/answer_soak_parts/troubles.py
@@ -25,6 +25,8 @@
     CUT_CLOSE = "cut, close"
     CUT_RESET = "cut, reset"
     GARBAGE = "garbage"
+    MUTE = "no answer until the peer closes"
+    CONTRADICTORY = "500 with Not-Executed"
 
 
 @dataclass(frozen=True)
@@ -37,6 +39,8 @@
         broken: Answers that are broken off, missing or no answer.
         early: Long requests that are rejected before they were read.
         closing: Answers with `Connection: close`.
+        unframed: Answers without a length, which end with their connection.
+        refused: New connections that are reset at once.
     """
 
     rejection: float
@@ -44,6 +48,8 @@
     broken: float
     early: float
     closing: float
+    unframed: float = 0.0
+    refused: float = 0.0
 
 
 def draw_rates(source: random.Random) -> TroubleRates:
@@ -56,6 +62,8 @@
         broken=source.choice((0.0, 0.02, 0.08)),
         early=source.choice((0.0, 0.3)),
         closing=source.choice((0.0, 0.05, 0.3)),
+        unframed=source.choice((0.0, 0.05)),
+        refused=source.choice((0.0, 0.0, 0.1)),
     )
 
 
@@ -93,6 +101,18 @@
         """Return whether an answer announces the end of its connection."""
         return self._draws("close", self._rates.closing)
 
+    def is_unframed(self) -> bool:
+        """Return whether an answer has no length and ends with its connection."""
+        return self._draws("unframed", self._rates.unframed)
+
+    def refuses_connection(self) -> bool:
+        """Return whether a new connection is reset at once."""
+        return self._draws("connection reset", self._rates.refused)
+
+    def rejection_status(self) -> int:
+        """Return the status of a rejection."""
+        return self._random.choice((503, 503, 503, 429))
+
     def repetition(self) -> Repetition:
         """Return when a second copy of an answer is sent."""
         if not self._random.random() < self._rates.repetition:
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -118,6 +118,7 @@
             if self._loop.time() > began_at + MIN_DRAIN_S and not self._listener.is_busy():
                 break
             await asyncio.sleep(DRAIN_POLL_S)
+        self._router.end_shutdown()
         self._listener.close()
         await asyncio.sleep(FINAL_FLUSH_S)
         self._stopped.set()
--- a/mulleinhatch/data_plane/request_lifecycle.py
+++ b/mulleinhatch/data_plane/request_lifecycle.py
@@ -32,6 +32,7 @@
 from mulleinhatch.tenants.tenant import Tenant
 
 DEADLINE_GRACE_S = 0.05  # Added to the deadline, so that a response that is just arriving is still forwarded.
+SHUTDOWN_REASON = "this instance ends"
 MIN_SEND_TIME_S = 0.02  # A request with less time left is not retried.
 
 
@@ -159,10 +160,16 @@
         if self.is_finished:
             return
         if self._attempt is None:
-            self._perform_step(self.context.state.no_backend(), "this instance ends")
+            self._perform_step(self.context.state.no_backend(), SHUTDOWN_REASON)
         else:
             self._deadline_timer = self._services.loop.call_at(self.context.deadline + DEADLINE_GRACE_S, self._on_deadline)
 
+    def end_for_shutdown(self) -> None:
+        """Answer the request because the process exits now, whatever its attempt has reached."""
+        if not self.is_finished:
+            self._abandon_attempt()
+            self._perform_step(self.context.state.no_backend(), SHUTDOWN_REASON)
+
     # The tenant's quota.
 
     def submit(self, admit: Callable[[ClientRequest], None]) -> None:
--- a/mulleinhatch/data_plane/request_scheduler.py
+++ b/mulleinhatch/data_plane/request_scheduler.py
@@ -178,6 +178,11 @@
         for request in list(self._requests):
             self._limit_wait(request)
 
+    def end_shutdown(self) -> None:
+        """Answer all unfinished requests: a close without an answer would not tell that they may have executed."""
+        for request in list(self._requests):
+            request.end_for_shutdown()
+
     def _limit_wait(self, request: ClientRequest) -> None:
         request.pending.deadline = min(request.pending.deadline, self._answer_before)
         request.answer_before(self._answer_before)
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -205,3 +205,7 @@
         """
         self._scheduler.begin_shutdown(ends_at)
         self.sweep()
+
+    def end_shutdown(self) -> None:
+        """Answer all requests that are still unfinished, right before the process exits."""
+        self._scheduler.end_shutdown()
--- a/tests/system/exchange_sockets.py
+++ b/tests/system/exchange_sockets.py
@@ -179,6 +179,10 @@
         self._write_events(writer, request_id, EVENTS[int(self.last_event_ids[-1] or b"0") :])
         writer.write(b"0\r\n\r\n")
 
+    async def _endless_stream(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
+        self._write_events(writer, request_id, EVENTS[:1])
+        await self._execute(reader, writer, request_id)
+
     async def _truncated_stream(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: bytes) -> None:
         self._write_events(writer, request_id, [*EVENTS[:1], EVENTS[1][:5]])
         await writer.drain()
--- a/tests/system/test_promises.py
+++ b/tests/system/test_promises.py
@@ -211,6 +211,31 @@
             writer.close()
         self.assertEqual((response, backend.requests), (Response(200, BODY, True), [b"r1"]))
 
+    # Guards against a close without an answer at the end of the grace period: the request may have executed.
+    async def test_a_request_that_outlasts_the_shutdown_is_answered_without_a_promise(self):
+        backend = Backend(["execute"])
+        async with self.data_plane(backend) as address:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(message(b"r1"))
+            await backend.arrived.wait()
+            self.listener.is_shutting_down = True
+            self.router.end_shutdown()
+            response = await read_response(reader)
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+        self.assertEqual((response.status, response.complete, backend.requests), (502, True, [b"r1"]))
+
+    async def test_a_stream_that_outlasts_the_shutdown_does_not_look_complete(self):
+        backend = Backend(["endless_stream"])
+        async with self.data_plane(backend) as address:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(message(b"r1", route=b"stream"))
+            await reader.readuntil(b"data: x")
+            self.router.end_shutdown()
+            remaining = await reader.read()
+            writer.close()
+        self.assertNotIn(b"0\r\n\r\n", remaining)
+
 
 class Deadlines(ExchangeTestCase):
     async def test_a_deadline_while_the_backend_works_promises_nothing(self):
