A truncated response to an HTTP/1.0 client is reset, so that it does not look complete

On real sockets the abort of a connection sends an orderly close, which completes a response without a length: a client of HTTP/1.0 took a broken stream for a whole one. The connection is now reset in that case only; chunked and sized responses are told by their framing, and a reset could overtake what was sent. Test on sockets, failing before.

--- a/mulleinhatch/data_plane/listener.py
+++ b/mulleinhatch/data_plane/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+import struct
 from collections.abc import Callable
 from typing import Protocol
 
@@ -18,6 +19,7 @@
 TCP_USER_TIMEOUT_MS = 4000  # A client that acknowledges no data for this long is considered disconnected.
 LISTEN_BACKLOG = 512
 MIN_RETRY_AFTER_S = 0.01
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, 0 s
 UNAUTHORIZED = 401
 CLOSING_STATUSES = (400, 408, 413, 431)  # After these, the start of the next request is unknown.
 
@@ -49,6 +51,7 @@
         self._is_responding = False  # A complete request was read and is not answered yet.
         self._is_closing = False
         self._is_chunked = False
+        self._is_close_delimited = False  # The response under way ends with the connection.
         self._timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport | None = None
         self.requests = 0
@@ -222,11 +225,12 @@
             if lower not in HOP_BY_HOP and lower != b"content-length":
                 lines.append(b"%b: %b\r\n" % (name, text))
         self._is_chunked = length is None and self._head.minor > 0
+        self._is_close_delimited = length is None and not self._is_chunked
         if length is not None:
             lines.append(b"Content-Length: %d\r\n" % length)
         elif self._is_chunked:
             lines.append(b"Transfer-Encoding: chunked\r\n")
-        if self._is_last_response() or (length is None and not self._is_chunked):
+        if self._is_last_response() or self._is_close_delimited:
             self._is_closing = True
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
@@ -243,10 +247,18 @@
         self._end_response(self._is_last_response())
 
     def abort(self) -> None:
-        """Reset the connection, so that the client does not mistake a truncated response for a complete one."""
+        """End the connection, so that the client does not mistake a truncated response for a complete one.
+
+        Only a response that ends with its connection needs a reset: a close would complete it. The others are told by their
+        framing, and a reset could overtake the part that was sent.
+        """
         self._request = None
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if self._is_close_delimited:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
 
     def _end_response(self, is_last: bool) -> None:
         self._request, self._head, self._is_responding = None, None, False
--- a/tests/system/test_exchange_sockets.py
+++ b/tests/system/test_exchange_sockets.py
@@ -55,6 +55,17 @@
         response, backends = await self.exchange("safe", "partial_body")
         self.assertEqual((response, self.request_count(backends)), (Response(200, BODY, True), 2))
 
+    # Guards against a truncated response to HTTP/1.0 that looks complete, as its connection is closed in order.
+    async def test_a_truncated_stream_to_an_old_client_is_reset(self):
+        backend = Backend(["truncated_stream"])
+        async with self.data_plane(backend) as address:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"POST /stream/x HTTP/1.0\r\nHost: h\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n")
+            with self.assertRaises(ConnectionResetError):
+                while await reader.read(1000):
+                    pass
+            writer.close()
+
     async def test_a_stream_is_resumed_after_its_last_event_only_if_resumable(self):
         response, backends = await self.exchange("resumable", "truncated_stream")
         self.assertEqual((response, self.request_count(backends)), (Response(200, b"".join(EVENTS), True), 2))
