The harness of the socket tests listens on a port that the system assigns

Seen once: 'address already in use' in test_a_response_is_forwarded_unchanged beside other runs. Cause: the harness looked for a free port, closed it and bound it again; another process took it in between. The listener now binds port 0.

--- a/tests/system/exchange_sockets.py
+++ b/tests/system/exchange_sockets.py
@@ -260,9 +260,8 @@
         registry = RegistrySnapshot({backend.id: backend for backend in registered}, {"s": registered})
         router.apply_snapshot(ControlPlaneSnapshot(table, registry, 1, True))
         self.listener = listener = Listener(lambda: table.limits, router.begin)
-        with socket.create_server(("127.0.0.1", 0)) as unused:
-            address = unused.getsockname()
-        await listener.listen("%s:%d" % address)
+        await listener.listen("127.0.0.1:0")
+        address = listener._server.sockets[0].getsockname()
         sweeps = asyncio.ensure_future(self._sweep_forever(router)) if models else None
         try:
             async with asyncio.timeout(TIMEOUT_S):
