The last response on a connection is not overtaken by a reset

Callers that sent bytes behind a request whose response was the last on its connection (Connection: close, a shutdown, 408, 413) could see a reset in place of the response, also of a 200 that had run: the close found unread input, and the kernel makes that a reset. A client takes a reset without a response for a request that was not read, and repeats it. The connection is now half-closed, and what still arrives is discarded for up to 1 s (RFC 9112, section 9.6). Test on sockets, failing before with a reset.

--- a/mulleinhatch/data_plane/listener.py
+++ b/mulleinhatch/data_plane/listener.py
@@ -19,6 +19,7 @@
 TCP_USER_TIMEOUT_MS = 4000  # A client that acknowledges no data for this long is considered disconnected.
 LISTEN_BACKLOG = 512
 MIN_RETRY_AFTER_S = 0.01
+LINGER_S = 1.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, 0 s
 UNAUTHORIZED = 401
 CLOSING_STATUSES = (400, 408, 413, 431)  # After these, the start of the next request is unknown.
@@ -52,6 +53,7 @@
         self._is_closing = False
         self._is_chunked = False
         self._is_close_delimited = False  # The response under way ends with the connection.
+        self._is_lingering = False  # The last response is written; what the client still sends is discarded.
         self._timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport | None = None
         self.requests = 0
@@ -114,6 +116,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Read a request; a pipelined request waits until the preceding response is written."""
+        if self._is_lingering:
+            return
         was_started = self._reader.started()
         self._reader.feed(data)
         if self._is_responding or self._is_closing:
@@ -177,7 +181,7 @@
     @property
     def is_open(self) -> bool:
         """Whether a response can still be written."""
-        return self.transport is not None and not self.transport.is_closing()
+        return self.transport is not None and not self.transport.is_closing() and not self._is_lingering
 
     @property
     def is_responding(self) -> bool:
@@ -264,8 +268,7 @@
         self._request, self._head, self._is_responding = None, None, False
         self._body, self._body_bytes, self._is_chunked = [], 0, False
         if is_last:
-            self._is_closing = True
-            self.transport.close()
+            self._close_after_response()
             return
         if self._reader.done:
             self._reader.next()
@@ -276,6 +279,21 @@
         else:
             self._await_request()
 
+    def _close_after_response(self) -> None:
+        """Close the connection without losing the response that was just written.
+
+        A close with unread input becomes a reset, which can overtake the response (RFC 9112, section 9.6): the client would
+        take its request for unread. So what it still sends is read and discarded first, for a limited time.
+        """
+        self._is_closing = True
+        if not self._reader.surplus() and not self._reader.started():
+            self.transport.close()
+            return
+        self._is_lingering = True
+        self.transport.write_eof()
+        self.transport.resume_reading()
+        self._start_timer(LINGER_S, self.transport.close)
+
     def _read_pipelined(self) -> None:
         if self.is_open and not self._is_responding:
             self._read()
--- a/tests/system/test_promises.py
+++ b/tests/system/test_promises.py
@@ -183,6 +183,20 @@
             writer.close()
         self.assertEqual((response, backend.requests), (Response(200, BODY, True), [b"r1", b"r3"]))
 
+    # Guards against a reset that overtakes the last response, as bytes behind the request were left unread.
+    async def test_the_last_response_arrives_although_the_client_goes_on_sending(self):
+        backend = Backend(["respond_slowly"])
+        async with self.data_plane(backend, limits={"max_body_bytes": 8}) as address:
+            for first, status in ((message(b"r1", b"", b"Connection: close"), 200), (message(b"r2", b"x" * 9), 413)):
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(first)
+                for _ in range(20):
+                    writer.write(LONG_BODY[:50_000])
+                response = await read_response(reader)
+                self.assertEqual((response.status, response.complete, await reader.read()), (status, True, b""))
+                writer.close()
+        self.assertEqual(backend.requests, [b"r1"])
+
     async def test_a_request_that_arrives_with_the_shutdown_is_closed_unread_or_answered(self):
         backend = Backend(["respond"])
         async with self.data_plane(backend) as address:
