Requests that ended without trouble share a log line

Requests that their first send served, and those that ended without a send, now share a line a second with the connection, the status and the reason; each other request keeps its own line.

--- a/benchmarks/answer_soak_parts/scene.py
+++ b/benchmarks/answer_soak_parts/scene.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.answer_soak_parts.checks import LOG_DELAY_S
 from benchmarks.answer_soak_parts.clients import Client
 from benchmarks.answer_soak_parts.deployment import (
     ADAPTER_SLOTS,
@@ -38,7 +39,9 @@
 CHANGE_PAUSE_S = (0.3, 1.5)
 BACKEND_LEAVE_S = 1.0
 BACKEND_ZONES = 3
-END_MESSAGES = ("request ended", "request answered on its arrival", "answered a request that was not read completely")
+SERVED_MESSAGE = "requests served by their first send"
+UNSENT_MESSAGE = "requests that ended without a send"
+END_MESSAGES = ("request ended", "answered a request that was not read completely")
 
 
 @dataclass(frozen=True)
@@ -97,6 +100,7 @@
             for client in clients:
                 client.cancel()
             await asyncio.gather(changes, *clients, return_exceptions=True)
+            await asyncio.sleep(LOG_DELAY_S)
             self.records.unrecovered += [f"{name} ended by itself" for name in self._fleet.ended_by_themselves()]
             return self.records
         finally:
@@ -266,3 +270,11 @@
                     continue  # The process was killed while it wrote the line.
                 if line.get("message") in END_MESSAGES:
                     self.records.log_lines.setdefault(line.get("request_id", ""), []).append(line)
+                elif line.get("message") == SERVED_MESSAGE:
+                    for request_id, status, _, backend, connection, reuse in line["requests"]:
+                        send = {"send": 1, "backend": backend, "connection": connection, "reuse": reuse}
+                        told = {"status": status, "attempts": [send]}
+                        self.records.log_lines.setdefault(request_id, []).append(told)
+                elif line.get("message") == UNSENT_MESSAGE:
+                    for request_id, status, _, reason in line["requests"]:
+                        self.records.log_lines.setdefault(request_id, []).append({"status": status, "reason": reason})
--- a/mulleinhatch/data_plane/request_log.py
+++ b/mulleinhatch/data_plane/request_log.py
@@ -12,10 +12,12 @@
 from mulleinhatch.data_plane.admission_queue import PendingRequest
 from mulleinhatch.data_plane.client_timeouts import ClientTimeouts
 from mulleinhatch.data_plane.request_context import RequestContext
+from mulleinhatch.data_plane.send import Send
 from mulleinhatch.data_plane.wait_reason import WaitReason
 
 LOG = logging.getLogger(__name__)
 MAX_RECENT_REJECTIONS = 100  # Rejections that the command `why` can explain.
+MAX_REQUESTS_IN_LINE = 100
 
 
 class RequestEnd(Enum):
@@ -46,6 +48,9 @@
     def __init__(self, clock: Callable[[], float], timeouts: ClientTimeouts) -> None:
         self._clock, self._timeouts = clock, timeouts
         self.counters = {"served": 0, "refused": 0, "failed": 0, "over_quota": 0, "unauthorized": 0, "out_of_touch": 0}
+        # Id, status, seconds held, backend, connection, requests that the connection had carried before.
+        self._served: list[tuple[str, int, float, str, int, int]] = []
+        self._unsent: list[tuple[str, int, float, str]] = []  # Id, status, seconds held, reason.
         self.recent_rejections: deque[dict[str, str | float]] = deque(maxlen=MAX_RECENT_REJECTIONS)
 
     def served(self) -> None:
@@ -106,6 +111,12 @@
             reason: Why this data plane answered it by itself.
         """
         context, now, arrived_at = request.context, self._clock(), request.pending.arrived_at
+        if end is RequestEnd.FORWARDED and len(context.state.sends) == 1:
+            self._record_served(context.request_id_text, context.state.sends[0], status, now - arrived_at)
+            return
+        if not context.state.sends:
+            self._record_unsent(context.request_id_text, status, reason or end.value, now - arrived_at)
+            return
         LOG.info(
             "request ended",
             extra={
@@ -118,10 +129,31 @@
             },
         )
 
+    def _record_served(self, request_id: str, send: Send, status: int, held_s: float) -> None:
+        """Remember a request that its first send served; such requests share a log line, which costs much less."""
+        entry = (request_id, status, round(held_s, 4), send.backend_id, send.connection, send.reuse)
+        self._served.append(entry)
+        if len(self._served) >= MAX_REQUESTS_IN_LINE:
+            self.flush()
+
+    def _record_unsent(self, request_id: str, status: int, reason: str, held_s: float) -> None:
+        """Remember a request that ended without a send; such requests share a log line, too."""
+        self._unsent.append((request_id, status, round(held_s, 4), reason))
+        if len(self._unsent) >= MAX_REQUESTS_IN_LINE:
+            self.flush()
+
+    def flush(self) -> None:
+        """Log the requests that share a line and ended since the last call; called once a second and at the end."""
+        if self._served:
+            LOG.info("requests served by their first send", extra={"requests": self._served})
+            self._served = []
+        if self._unsent:
+            LOG.info("requests that ended without a send", extra={"requests": self._unsent})
+            self._unsent = []
+
     def ended_at_once(self, request_id: str, status: int, reason: str) -> None:
         """Log a request that was answered on its arrival, before it was queued."""
-        extra = {"request_id": request_id, "status": status, "reason": reason}
-        LOG.info("request answered on its arrival", extra=extra)
+        self._record_unsent(request_id, status, reason, 0.0)
 
     def _describe(self, request: LoggedRequest) -> dict[str, str | bool | int]:
         context = request.context
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -188,7 +188,10 @@
         self._scheduler.start_ready()
 
     def sweep(self) -> None:
-        """Reject or start waiting requests; once a second, drop stale connections and state. Runs every `SWEEP_INTERVAL_S`."""
+        """Reject or start waiting requests; once a second, drop stale state and log served requests.
+
+        Runs every `SWEEP_INTERVAL_S`.
+        """
         now = self._clock()
         self._scheduler.sweep()
         if now - self._pool_swept_at > POOL_SWEEP_INTERVAL_S:
@@ -196,6 +199,7 @@
             self.pool.sweep(set(self.snapshot.backends.by_id))
             self.queue.prune()
             self.health.prune(now)
+            self.request_log.flush()
 
     def begin_shutdown(self, ends_at: float) -> None:
         """Reject the requests that can't be completed before the process exits.
@@ -207,5 +211,6 @@
         self.sweep()
 
     def end_shutdown(self) -> None:
-        """Answer all requests that are still unfinished, right before the process exits."""
+        """Answer all requests that are still unfinished, and log the rest, right before the process exits."""
         self._scheduler.end_shutdown()
+        self.request_log.flush()
