--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -121,4 +121,5 @@
         self._router.end_shutdown()
         self._listener.close()
         await asyncio.sleep(FINAL_FLUSH_S)
+        self._router.request_log.flush()
         self._stopped.set()
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -211,6 +211,5 @@
         self.sweep()
 
     def end_shutdown(self) -> None:
-        """Answer all requests that are still unfinished, and log the rest, right before the process exits."""
+        """Answer all requests that are still unfinished, right before the process exits."""
         self._scheduler.end_shutdown()
-        self.request_log.flush()
