The soaks share their faults, backends' lives and reports; the model tests their runner

What the incident's soak had in common with the older one stands once: FaultInjector, RegisteredServer (also of the fake model server), print_violations.

--- a/benchmarks/answer_soak.py
+++ b/benchmarks/answer_soak.py
@@ -20,14 +20,11 @@
 from pathlib import Path
 
 import fire
-from rich.console import Console
-from rich.table import Table
 
 from benchmarks.answer_soak_parts.checks import AnswerChecker, figures
 from benchmarks.answer_soak_parts.scene import AnswerSoak, AnswerSoakSize
 from benchmarks.soak_parts.fleet import ROOT
-
-MAX_PRINTED_VIOLATIONS = 3
+from benchmarks.soak_parts.report import print_violations
 
 
 def run_seed(seed: int, size: AnswerSoakSize, folder: Path, tree: Path = ROOT) -> dict:
@@ -38,14 +35,7 @@
 
 def print_result(result: dict) -> None:
     """Print the table of one seed, its first violations, and the JSON line."""
-    table = Table("check", "violations", title=f"seed {result['seed']}")
-    for name, lines in result["violations"].items():
-        table.add_row(name, str(len(lines)))
-    console = Console(width=140)
-    console.print(table)
-    for name, lines in result["violations"].items():
-        for line in lines[:MAX_PRINTED_VIOLATIONS]:
-            console.print(f"{name}: {line}", markup=False)
+    print_violations(f"seed {result['seed']}", result["violations"])
     found = {name: len(lines) for name, lines in result["violations"].items() if lines}
     line = {"benchmark": "answer_soak", "seed": result["seed"], "figures": result["figures"]}
     print(json.dumps({**line, "violations": found, "holds": not found}), flush=True)
--- a/benchmarks/answer_soak_parts/scene.py
+++ b/benchmarks/answer_soak_parts/scene.py
@@ -5,10 +5,8 @@
 import asyncio
 import json
 import random
-from collections.abc import Coroutine
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 from benchmarks.answer_soak_parts.checks import LOG_DELAY_S
 from benchmarks.answer_soak_parts.clients import Client
@@ -27,17 +25,15 @@
 from benchmarks.answer_soak_parts.server import TroubledServer
 from benchmarks.answer_soak_parts.troubles import Troubles, draw_rates
 from benchmarks.soak_parts.bounds import SoakBounds
-from benchmarks.soak_parts.faults import Fault, draw_faults
+from benchmarks.soak_parts.fault_injection import FaultInjector
 from benchmarks.soak_parts.fleet import ROOT, Fleet
-from benchmarks.soak_parts.records import Disturbance
 from mulleinhatch.networking.http_client import HttpCallError, HttpClient
-from mulleinhatch.testing.fake_model_server.config import FakeModelServerConfig
+from mulleinhatch.testing.fake_model_server.config import Counters, FakeModelServerConfig
 
 START_TIMEOUT_S, RECOVERY_TIMEOUT_S = 40.0, 20.0
 CALL_TIMEOUT_S = 1.0
 POLL_S = 0.1
 CHANGE_PAUSE_S = (0.3, 1.5)
-BACKEND_LEAVE_S = 1.0
 BACKEND_ZONES = 3
 SERVED_MESSAGE = "requests served by their first send"
 UNSENT_MESSAGE = "requests that ended without a send"
@@ -83,8 +79,8 @@
         self.records = AnswerRecords(disturbances=self._fleet.disturbances)
         self._backends: dict[str, TroubledServer] = {}
         self._incarnations = 0
-        self._faulty_targets: set[str] = set()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._counters: list[Counters] = []  # of all incarnations of the backends
+        self._faults = FaultInjector(self._fleet, self._backends, self._start_backend)
         self._http = HttpClient()
         self._version = 0
 
@@ -94,7 +90,7 @@
             await self._start()
             clients = [asyncio.ensure_future(client.run()) for client in self._clients()]
             changes = asyncio.ensure_future(self._change_forever())
-            await self._inject_faults()
+            await self._faults.inject(self._seed, self._size.seconds)
             changes.cancel()
             await self._check_recovery()
             for client in clients:
@@ -143,6 +139,7 @@
         )
         await backend.start()
         self._backends[name] = backend
+        self._counters.append(backend.counters)
 
     def _clients(self) -> list[Client]:
         names, clients = self._fleet.data_plane_names, []
@@ -191,46 +188,7 @@
             return False
         return answer.status == 200
 
-    # Faults.
-
-    async def _inject_faults(self) -> None:
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        processes = [*self._fleet.control_plane_names, *self._fleet.data_plane_names]
-        for fault in draw_faults(self._seed, self._size.seconds, processes, sorted(self._backends)):
-            await asyncio.sleep(max(0.0, started_at + fault.at_s - loop.time()))
-            if fault.target not in self._faulty_targets:
-                self._start_task(self._inject(fault))
-        await asyncio.sleep(max(0.0, started_at + self._size.seconds - loop.time()))
-        while self._tasks:
-            await asyncio.gather(*list(self._tasks))
-
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _inject(self, fault: Fault) -> None:
-        self._faulty_targets.add(fault.target)
-        try:
-            if fault.target in self._backends:
-                await self._inject_backend_fault(fault)
-            else:
-                await self._fleet.inject(fault.target, fault.kind, fault.duration_s)
-        finally:
-            self._faulty_targets.discard(fault.target)
-
-    async def _inject_backend_fault(self, fault: Fault) -> None:
-        loop, backend = asyncio.get_running_loop(), self._backends[fault.target]
-        began_at = loop.time()
-        if fault.kind == "crash":
-            await backend.crash()
-        else:
-            await backend.leave(BACKEND_LEAVE_S)
-        self.records.capacity_violations += backend.counters.capacity_violations
-        await asyncio.sleep(fault.duration_s)
-        await self._start_backend(fault.target)
-        self.records.disturbances.append(Disturbance(fault.target, fault.kind, began_at, loop.time(), fault.kind == "leave"))
+    # End.
 
     async def _check_recovery(self) -> None:
         """Wait until each data plane serves a client again; record those that do not in time."""
@@ -247,15 +205,11 @@
         except TimeoutError:
             self.records.unrecovered += [f"{name} served no request after the faults" for name in sorted(waiting)]
 
-    # End.
-
     async def _end(self) -> None:
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._faults.cancel()
         for backend in self._backends.values():
-            self.records.capacity_violations += backend.counters.capacity_violations
             await backend.crash()
+        self.records.capacity_violations = sum(counters.capacity_violations for counters in self._counters)
         self._fleet.end()
         self._read_logs()
 
--- a/benchmarks/answer_soak_parts/server.py
+++ b/benchmarks/answer_soak_parts/server.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 import uuid
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -18,6 +18,7 @@
 from mulleinhatch.networking.http_streaming import Head, MessageReader, write_response
 from mulleinhatch.testing.fake_model_server.config import Counters, FakeModelServerConfig
 from mulleinhatch.testing.fake_model_server.model_store import ModelStore
+from mulleinhatch.testing.fake_model_server.registered_server import RegisteredServer
 from mulleinhatch.testing.fake_model_server.registration import Registration
 
 READ_BYTES = 65536
@@ -60,7 +61,7 @@
         self.writer.transport.abort()
 
 
-class TroubledServer:
+class TroubledServer(RegisteredServer):
     """One incarnation of a backend.
 
     Args:
@@ -83,45 +84,14 @@
         self.counters = Counters()
         self._config, self._troubles, self._record = config, troubles, record
         self._store = ModelStore(config, self.counters, models, None, lambda: self._running)
-        self._registration = Registration(self.id, config, self._store, control_addresses)
+        super().__init__(config.address, Registration(self.id, config, self._store, control_addresses))
         self._slots = asyncio.Semaphore(config.slots)
         self._running = self._waiting = 0
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[Any]] = set()
-        self._connections: set[asyncio.StreamWriter] = set()
-
-    async def start(self) -> None:
-        """Listen and register."""
-        host, _, port = self._config.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
-        self._start_task(self._registration.run())
-
-    async def crash(self) -> None:
-        """Stop immediately and reset all connections."""
-        for task in list(self._tasks):
-            task.cancel()
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._connections):
-            writer.transport.abort()
-
-    async def leave(self, after_s: float) -> None:
-        """Announce draining, serve for `after_s` more seconds, deregister and stop."""
-        self._registration.is_draining = True
-        await self._registration.send_heartbeat()
-        await asyncio.sleep(after_s)
-        await self._registration.deregister()
-        await self.crash()
-
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
 
     # Connections.
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._connections.add(writer)
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve requests, orders and reports one after another, until a trouble ends the connection."""
         connection, messages = _Connection(reader, writer), MessageReader(reads_responses=False)
         if self._troubles.refuses_connection():
             connection.reset()
@@ -133,9 +103,6 @@
                         return
         except (OSError, BadRequestError, asyncio.CancelledError):
             pass
-        finally:
-            self._connections.discard(writer)
-            writer.close()
 
     async def _serve_request(self, connection: _Connection, messages: MessageReader, head: Head) -> bool:
         """Read and answer one request; return whether the connection goes on."""
@@ -165,7 +132,7 @@
         if head.target == b"/order":
             status, message, work = self._store.accept(json.loads(body))
             if work is not None:
-                self._start_task(work)
+                self.start_task(work)
             return await self._answer(connection, self._response(head, status, json.dumps({"message": message}).encode()))
         return await self._handle_request(connection, head, body)
 
@@ -287,7 +254,7 @@
         elif repetition is Repetition.NEXT:
             connection.copies.append(response)
         elif repetition is Repetition.WHILE_IDLE:
-            self._start_task(self._repeat_later(connection, response))
+            self.start_task(self._repeat_later(connection, response))
         return True
 
     async def _repeat_later(self, connection: _Connection, response: bytes) -> None:
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -21,17 +21,15 @@
 from pathlib import Path
 
 import fire
-from rich.console import Console
-from rich.table import Table
 
 from benchmarks.soak_parts.bounds import SoakBounds
 from benchmarks.soak_parts.checks import SoakChecker, figures, served_shares
 from benchmarks.soak_parts.quota_check import fullest_windows
 from benchmarks.soak_parts.records import Observations
+from benchmarks.soak_parts.report import print_violations
 from benchmarks.soak_parts.scene import SoakRun, SoakSize
 
 QUICK_SECONDS = 6.0
-MAX_PRINTED_VIOLATIONS = 5
 BOUNDS = SoakBounds()
 
 
@@ -57,14 +55,7 @@
 
 def print_result(result: dict) -> None:
     """Print the table of one seed, its first violations, and the JSON line."""
-    table = Table("check", "violations", title=f"seed {result['seed']}")
-    for name, lines in result["violations"].items():
-        table.add_row(name, str(len(lines)))
-    console = Console(width=140)
-    console.print(table)
-    for name, lines in result["violations"].items():
-        for line in lines[:MAX_PRINTED_VIOLATIONS]:
-            console.print(f"{name}: {line}", markup=False)
+    print_violations(f"seed {result['seed']}", result["violations"])
     holds = {name: not lines for name, lines in result["violations"].items()}
     print(json.dumps({"benchmark": "soak", "seed": result["seed"], "figures": result["figures"], "holds": holds}), flush=True)
 
--- a/benchmarks/soak_parts/backends.py
+++ b/benchmarks/soak_parts/backends.py
@@ -11,6 +11,7 @@
 from mulleinhatch.networking.http_streaming import Head, MessageReader, write_response
 from mulleinhatch.testing.fake_model_server.config import Counters, FakeModelServerConfig
 from mulleinhatch.testing.fake_model_server.model_store import ModelStore
+from mulleinhatch.testing.fake_model_server.registered_server import RegisteredServer
 from mulleinhatch.testing.fake_model_server.registration import Registration
 
 READ_BYTES = 65536
@@ -36,7 +37,7 @@
     return b"".join(stream_event(request_id, number) for number in range(first, STREAM_EVENTS + 1))
 
 
-class RecordingBackend:
+class RecordingBackend(RegisteredServer):
     """One incarnation of a backend of a service without models.
 
     Args:
@@ -58,43 +59,21 @@
         on_interrupted: Callable[[str], None] = lambda request_id: None,
     ) -> None:
         self.id = f"i-{uuid.uuid4().hex[:10]}"
-        self.service, self.address = service, address
+        self.service = service
         self._record, self._on_interrupted = record, on_interrupted
         config = FakeModelServerConfig(service, address, zone, SLOTS)
         store = ModelStore(config, Counters(), {}, None, lambda: 0)
-        self._registration = Registration(self.id, config, store, control_addresses)
-        self._server: asyncio.Server | None = None
-        self._heartbeats: asyncio.Task[None] | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        super().__init__(address, Registration(self.id, config, store, control_addresses))
         self._running: set[str] = set()
 
-    async def start(self) -> None:
-        """Listen and register."""
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
-        self._heartbeats = asyncio.ensure_future(self._registration.run())
-
     async def crash(self) -> None:
         """Stop immediately and reset all connections."""
         for request_id in self._running:
             self._on_interrupted(request_id)
-        if self._heartbeats is not None:
-            self._heartbeats.cancel()
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def leave(self, after_s: float) -> None:
-        """Announce draining, serve for `after_s` more seconds, deregister and stop."""
-        self._registration.is_draining = True
-        await self._registration.send_heartbeat()
-        await asyncio.sleep(after_s)
-        await self._registration.deregister()
-        await self.crash()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
+        await super().crash()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve requests one after another."""
         messages = MessageReader(reads_responses=False)
         try:
             raw = b""
@@ -115,9 +94,6 @@
                     raw = b""
         except (OSError, BadRequestError, asyncio.CancelledError):
             pass
-        finally:
-            self._writers.discard(writer)
-            writer.close()
 
     async def _handle(self, head: Head, body: bytes, raw: bytes, writer: asyncio.StreamWriter) -> None:
         instance_id = (b"Instance-Id", self.id.encode())
--- a/benchmarks/soak_parts/scene.py
+++ b/benchmarks/soak_parts/scene.py
@@ -4,26 +4,24 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Coroutine
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 from benchmarks.soak_parts.backends import RecordingBackend
 from benchmarks.soak_parts.bounds import SoakBounds
 from benchmarks.soak_parts.changes import SERVICE, Operator, initial_document, tenant
 from benchmarks.soak_parts.clients import Client, Exchange, PlannedRequest
-from benchmarks.soak_parts.faults import Fault, draw_faults
+from benchmarks.soak_parts.fault_injection import FaultInjector
 from benchmarks.soak_parts.fleet import Fleet
 from benchmarks.soak_parts.leaks import find_leaks
-from benchmarks.soak_parts.records import Disturbance, Observations
+from benchmarks.soak_parts.records import Observations
 from mulleinhatch.networking.http_client import HttpCallError, HttpClient
 
 START_TIMEOUT_S = 30.0
 POLL_S = 0.1
 STALL_PROBE_S = 0.05
 CHANGE_PAUSE_S = (0.2, 1.5)
-BACKEND_LEAVE_S = 1.0
 AFTER_LAST_CHANGE_S = 6.0  # seconds of traffic after the apply time: most of a quota window under the lower limit
 MAX_REJECTED_CHANGES = 20  # the operator stops: further rejections add no information
 CLIENTS_PER_DATA_PLANE = 4
@@ -63,8 +61,7 @@
         self.observations.disturbances = self._fleet.disturbances
         self._operator = Operator(self._fleet.control_addresses, self.observations, random.Random(f"operator {seed}"))
         self._backends: dict[str, RecordingBackend] = {}
-        self._faulty_targets: set[str] = set()  # targets of faults in progress
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._faults = FaultInjector(self._fleet, self._backends, self._start_backend)
         self._http_client = HttpClient()
         self._changes_enabled = True
         self._changes: asyncio.Task[None] | None = None
@@ -127,44 +124,7 @@
     async def _inject_faults(self) -> None:
         """Inject the faults while the operator changes the configuration; return when all faults are over."""
         self._changes = asyncio.ensure_future(self._change_forever())
-        processes = [*self.observations.cores, *self.observations.fronts]
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        for fault in draw_faults(self._seed, self._size.seconds, processes, sorted(self._backends)):
-            await asyncio.sleep(max(0.0, started_at + fault.at_s - loop.time()))
-            if fault.target not in self._faulty_targets:
-                self._start_task(self._inject_fault(fault))
-        await asyncio.sleep(max(0.0, started_at + self._size.seconds - loop.time()))
-        while self._tasks:
-            await asyncio.gather(*list(self._tasks))
-
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _inject_fault(self, fault: Fault) -> None:
-        self._faulty_targets.add(fault.target)
-        try:
-            if fault.target in self._backends:
-                await self._inject_backend_fault(fault)
-            else:
-                await self._fleet.inject(fault.target, fault.kind, fault.duration_s)
-        finally:
-            self._faulty_targets.discard(fault.target)
-
-    async def _inject_backend_fault(self, fault: Fault) -> None:
-        loop, backend = asyncio.get_running_loop(), self._backends[fault.target]
-        began_at = loop.time()
-        if fault.kind == "crash":
-            await backend.crash()
-        else:
-            await backend.leave(BACKEND_LEAVE_S)
-        await asyncio.sleep(fault.duration_s)
-        await self._start_backend(fault.target)
-        self.observations.disturbances.append(
-            Disturbance(fault.target, fault.kind, began_at, loop.time(), fault.kind == "leave")
-        )
+        await self._faults.inject(self._seed, self._size.seconds)
 
     async def _change_forever(self) -> None:
         source = random.Random(f"pauses {self._seed}")
@@ -274,10 +234,10 @@
         self.observations.leaks = find_leaks(texts, keys)
 
     async def _end(self) -> None:
-        tasks = [*self._tasks, self._changes] if self._changes is not None else list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._changes is not None:
+            self._changes.cancel()
+            await asyncio.gather(self._changes, return_exceptions=True)
+        await self._faults.cancel()
         for backend in self._backends.values():
             await backend.crash()
         self._fleet.end()
--- a/mulleinhatch/testing/fake_model_server/server.py
+++ b/mulleinhatch/testing/fake_model_server/server.py
@@ -5,20 +5,20 @@
 import asyncio
 import json
 import uuid
-from collections.abc import Coroutine
 from typing import Any
 
 from mulleinhatch.networking.http_grammar import BadRequestError
 from mulleinhatch.networking.http_streaming import Head, MessageReader, write_response
 from mulleinhatch.testing.fake_model_server.config import Counters, FakeModelServerConfig
 from mulleinhatch.testing.fake_model_server.model_store import ModelStore
+from mulleinhatch.testing.fake_model_server.registered_server import RegisteredServer
 from mulleinhatch.testing.fake_model_server.registration import Registration
 from mulleinhatch.testing.fake_model_server.request_runner import RequestRunner
 
 READ_BYTES = 65536
 
 
-class FakeModelServer:
+class FakeModelServer(RegisteredServer):
     """One incarnation of a backend.
 
     Args:
@@ -44,10 +44,7 @@
         self.counters = Counters()
         self._requests = RequestRunner(self.id, config, self.counters)
         self._store = ModelStore(config, self.counters, models or {}, disk_models, lambda: self.running)
-        self._registration = Registration(self.id, config, self._store, control_addresses)
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[Any]] = set()
-        self._connections: set[asyncio.StreamWriter] = set()
+        super().__init__(config.address, Registration(self.id, config, self._store, control_addresses))
 
     @property
     def models(self) -> dict[str, set[str]]:
@@ -59,36 +56,8 @@
         """Return the number of running requests."""
         return self._requests.running
 
-    async def start(self) -> None:
-        """Listen and register."""
-        host, _, port = self.config.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve_connection, host, int(port))
-        self._start_task(self._registration.run())
-
-    async def crash(self) -> None:
-        """Stop without deregistering; connections are reset."""
-        for task in list(self._tasks):
-            task.cancel()
-        for writer in list(self._connections):
-            writer.transport.abort()
-        if self._server is not None:
-            self._server.close()
-
-    async def drain(self, after_s: float) -> None:
-        """Announce draining, serve for `after_s` more seconds, deregister and stop."""
-        self._registration.is_draining = True
-        await self._registration.send_heartbeat()
-        await asyncio.sleep(after_s)
-        await self._registration.deregister()
-        await self.crash()
-
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._connections.add(writer)
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve requests, orders and reports one after another."""
         messages = MessageReader(reads_responses=False)
         try:
             while data := await reader.read(READ_BYTES):
@@ -102,9 +71,6 @@
                     await self._handle(head, body, writer)
         except (OSError, BadRequestError, asyncio.CancelledError):
             pass
-        finally:
-            self._connections.discard(writer)
-            writer.close()
 
     async def _handle(self, head: Head, body: bytes, writer: asyncio.StreamWriter) -> None:
         own_id = (b"Instance-Id", self.id.encode())
@@ -114,11 +80,11 @@
         elif head.target == b"/report":
             writer.write(write_response(200, [], json.dumps(self._report()).encode()))
         elif head.target == b"/health":
-            writer.write(write_response(503 if self._registration.is_draining else 200, [own_id], b""))
+            writer.write(write_response(503 if self.registration.is_draining else 200, [own_id], b""))
         elif head.target == b"/order":
             status, message, work = self._store.accept(json.loads(body))
             if work is not None:
-                self._start_task(work)
+                self.start_task(work)
             writer.write(write_response(status, [], json.dumps({"message": message}).encode()))
         else:
             await self._requests.run(head, self._store, writer)
--- a/tests/system/test_exchange_model.py
+++ b/tests/system/test_exchange_model.py
@@ -13,7 +13,7 @@
 import random
 import unittest
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from unittest import mock
 
@@ -39,6 +39,8 @@
 from mulleinhatch.process.settings import Bounds, Settings
 from mulleinhatch.simulation.virtual_time import VirtualLoop
 
+Kinds = tuple[str, str]
+History = tuple[tuple[str, int], ...]
 ROUTES = {
     "unsafe": {"kind": "unsafe", "max_attempts": 2},
     "safe": {"kind": "safe", "max_attempts": 2},
@@ -339,7 +341,9 @@
     return list(world.violations())
 
 
-def run_histories(histories: Iterator[tuple[tuple[str, str], tuple[tuple[str, int], ...]]]) -> tuple[int, list[str]]:
+def run_histories(
+    histories: Iterator[tuple[Kinds, History]], violations_of: Callable[[Kinds, History], Awaitable[list[str]]] = _violations_of
+) -> tuple[int, list[str]]:
     """Return the number of histories that were run, and the violations of the first one that violates an invariant."""
     loop = VirtualLoop()
 
@@ -347,7 +351,7 @@
         count = 0
         for kinds, events in histories:
             count += 1
-            if violations := await _violations_of(kinds, events):
+            if violations := await violations_of(kinds, events):
                 return count, [f"{kinds} {events}", *violations]
         return count, []
 
--- a/tests/system/test_send_histories.py
+++ b/tests/system/test_send_histories.py
@@ -22,8 +22,7 @@
 from mulleinhatch.data_plane.send import Send, Settlement
 from mulleinhatch.networking.http_connection import ClientConnection
 from mulleinhatch.networking.http_streaming import parse_request_head
-from mulleinhatch.simulation.virtual_time import VirtualLoop
-from tests.system.test_exchange_model import BackendTransport, World
+from tests.system.test_exchange_model import BackendTransport, History, Kinds, World, run_histories
 
 MODEL = "m"
 PAUSE_S = 0.3  # longer than a backend is avoided for a model after a rejection
@@ -34,9 +33,6 @@
 KINDS = ("unsafe", "streaming", "safe", "resumable")
 FIRST = (("not executed", 0), ("pause", 0))  # After the pause, the request is sent to the only holder again.
 
-Kinds = tuple[str, str]
-History = tuple[tuple[str, int], ...]
-
 
 class SendWorld(World):
     """Two requests for a model that one backend holds; its connections carry copies of their former answers."""
@@ -118,20 +114,7 @@
 
 def first_violation(histories: Iterator[tuple[Kinds, History]]) -> tuple[int, list[str]]:
     """Return the number of histories that were run, and the violations of the first one that violates an invariant."""
-    loop = VirtualLoop()
-
-    async def run_all() -> tuple[int, list[str]]:
-        count = 0
-        for kinds, events in histories:
-            count += 1
-            if violations := await violations_of(kinds, events):
-                return count, [f"{kinds} {events}", *violations]
-        return count, []
-
-    try:
-        return loop.run_until_complete(run_all())
-    finally:
-        loop.close()
+    return run_histories(histories, violations_of)
 
 
 def histories_after_a_rejection(depth: int) -> Iterator[tuple[Kinds, History]]:
