Split the quota permit of a request from its lifecycle

request_lifecycle.py had grown to 440 lines with two jobs: the steps of a request, and the acquisition, use and return of its permit. No behaviour changes; the tests of metered requests, with their planted defects, pass.

--- a/mulleinhatch/data_plane/request_lifecycle.py
+++ b/mulleinhatch/data_plane/request_lifecycle.py
@@ -3,9 +3,8 @@
 A request waits in the admission queue, is sent to a backend by an `Attempt`, and ends with exactly one response to the client.
 `request_state` decides the next step after each event; this module performs it.
 
-A request of a tenant with a limit needs a valid quota permit when it enters the queue, when it starts, and when it is
-written. If the permit has expired, the request gives up its slot and acquires a new one. A permit is consumed by a send after
-which the request may have executed; if the backend reports that it did not execute the request, the permit stays valid.
+If the request's quota permit (`request_permit`) has expired when it starts, the request gives up its slot and acquires a new
+one.
 """
 
 from __future__ import annotations
@@ -15,21 +14,15 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from result import Err
-
-from mulleinhatch.configuration.routes import Route
 from mulleinhatch.data_plane.access import AccessDenied
 from mulleinhatch.data_plane.admission_queue import PendingRequest, Rejection
 from mulleinhatch.data_plane.attempt import Attempt, AttemptResources
-from mulleinhatch.data_plane.permit_patience import RATE_OVERCOMMIT, Patience
-from mulleinhatch.data_plane.permit_waits import Outcome, PermitWait
 from mulleinhatch.data_plane.request_context import RequestContext
 from mulleinhatch.data_plane.request_log import RequestEnd, RequestLog
+from mulleinhatch.data_plane.request_permit import PermitServices, RequestPermit
 from mulleinhatch.data_plane.request_state import NextStep
 from mulleinhatch.data_plane.retry_budget import RetryBudget
 from mulleinhatch.data_plane.wait_reason import WaitReason
-from mulleinhatch.quotas.balance import Permit
-from mulleinhatch.tenants.tenant import Tenant
 
 DEADLINE_GRACE_S = 0.05  # Added to the deadline, so that a response that is just arriving is still forwarded.
 SHUTDOWN_REASON = "this instance ends"
@@ -64,30 +57,6 @@
         """Return whether a backend can take the request now."""
 
 
-class PermitSource(Protocol):
-    """Grants permits from the tenants' quotas; `quota_client.QuotaClient` implements it."""
-
-    def acquire(
-        self, tenant: str, tokens: int, patience: Patience, on_outcome: Callable[[Outcome], None]
-    ) -> Outcome | PermitWait:
-        """Return a permit or a refusal, or a pending wait for one of them."""
-
-    def redeem(self, permit: Permit) -> bool:
-        """Spend a permit on a request that is about to be written; return whether the request may be written."""
-
-    def reinstate(self, permit: Permit) -> None:
-        """Restore a spent permit after a backend reported that it did not execute the request."""
-
-    def refund(self, permit: Permit) -> None:
-        """Return the permit of a finished request to the quota; does nothing if the request may have executed."""
-
-    def try_defer(self, tenant: Tenant, tokens: int, data_planes: int) -> bool:
-        """Return whether a request may be queued without a permit; if so, the caller must call `end_deferral` later."""
-
-    def end_deferral(self, tenant: Tenant, tokens: int) -> None:
-        """Drop the deferral of a request that acquires its permit now, or has ended."""
-
-
 @dataclass(frozen=True, slots=True)
 class RequestServices:
     """Components of the data plane that are shared by all client requests."""
@@ -98,11 +67,9 @@
     retry_budget: RetryBudget
     request_log: RequestLog
     data_plane_count: Callable[[], int]  # Number of data planes that share the retry budget.
-    permits: PermitSource
+    permits: PermitServices
     # Checks a request's access against the current configuration; returns why it may no longer run, or None.
     recheck_access: Callable[[RequestContext], AccessDenied | None] = lambda context: None
-    # Returns whether a request is probably a retry, given its route and the seconds left at its arrival.
-    is_probable_retry: Callable[[Route, float], bool] = lambda route, remaining_s: False
 
 
 class ClientRequest:
@@ -116,16 +83,13 @@
     __slots__ = (
         "_attempt",
         "_deadline_timer",
-        "_deferred_for",
-        "_permit",
-        "_permit_wait",
         "_services",
         "context",
         "is_finished",
         "pending",
+        "permit",
         "rejected_by",
         "wait_reason",
-        "was_queued",
     )
 
     def __init__(self, services: RequestServices, context: RequestContext) -> None:
@@ -141,10 +105,7 @@
             deadline=context.deadline,
         )
         self._attempt: Attempt | None = None
-        self._permit: Permit | None = None
-        self._permit_wait: PermitWait | None = None
-        self._deferred_for: tuple[Tenant, int] | None = None  # Tenant and tokens, while it is queued without a permit.
-        self.was_queued = False  # Whether it was queued before it had a permit, or until its permit expired.
+        self.permit = RequestPermit(services.permits, context, self.pending.arrived_at, self._on_permit_refused)
         self.rejected_by: set[str] = set()  # Ids of backends that did not serve it; avoided while others are available.
         self.is_finished = False
         self.wait_reason = WaitReason.NONE  # Why no backend could take it when it arrived.
@@ -177,82 +138,21 @@
 
         If no backend can take the request yet, it is admitted first, up to a bound, and acquires its permit when it starts.
         """
-        if not self.is_metered:
+        if not self.permit.is_needed:
             admit(self)
             return
         self._services.scheduler.track(self)
-        if not self._services.scheduler.has_backend(self) and self._try_defer():
+        if not self._services.scheduler.has_backend(self) and self.permit.try_defer():
             admit(self)
         else:
             self._with_permit(admit)
 
-    def _try_defer(self) -> bool:
-        tenant, tokens = self.context.tenant, self.context.quota_tokens
-        if not self._services.permits.try_defer(tenant, tokens, self._services.data_plane_count()):
-            return False
-        self._deferred_for, self.was_queued = (tenant, tokens), True
-        return True
-
-    def _end_deferral(self) -> None:
-        if self._deferred_for is not None:
-            self._services.permits.end_deferral(*self._deferred_for)
-            self._deferred_for = None
-
-    @property
-    def is_metered(self) -> bool:
-        """Whether the request needs a permit: it has a limited tenant and a cost above 0. New configurations may change it."""
-        tenant = self.context.tenant
-        return tenant is not None and tenant.limit is not None and self.context.quota_tokens > 0
-
-    def _has_usable_permit(self) -> bool:
-        permit, context = self._permit, self.context
-        if permit is None or permit.tenant != context.tenant.name or permit.tokens < context.quota_tokens:
-            return False
-        return permit.is_usable(self._services.loop.time())
-
     def _with_permit(self, proceed: Callable[[ClientRequest], None]) -> None:
         """Call `proceed` as soon as the request has a usable permit; while it waits for one, it holds no slot."""
-        self._end_deferral()
-        if not self.is_metered or self._has_usable_permit():
-            proceed(self)
-            return
-        self._refund_permit()
-        context = self.context
-        outcome = self._services.permits.acquire(
-            context.tenant.name,
-            context.quota_tokens,
-            self._patience(),
-            lambda late_outcome: self._on_permit(late_outcome, proceed),
-        )
-        if isinstance(outcome, PermitWait):
-            self._permit_wait = outcome
-        else:
-            self._on_permit(outcome, proceed)
-
-    def _patience(self) -> Patience:
-        """Return how long the request may wait for a permit."""
-        context, arrived_at = self.context, self.pending.arrived_at
-        return Patience(
-            arrived_at,
-            context.route.target_latency_s,
-            context.deadline,
-            self._services.is_probable_retry(context.route, context.deadline - arrived_at),
-            RATE_OVERCOMMIT * context.tenant.limit.rate_per_s / max(1, self._services.data_plane_count()),
-            self.was_queued,
-        )
-
-    def _on_permit(self, outcome: Outcome, proceed: Callable[[ClientRequest], None]) -> None:
-        self._permit_wait = None
-        if isinstance(outcome, Err):
-            self._perform_step(self.context.state.no_permit(), "over the quota", outcome.err_value.retry_after_s)
-        else:
-            self._permit = outcome.ok_value
-            proceed(self)
+        self.permit.acquire(lambda: proceed(self))
 
-    def _refund_permit(self) -> None:
-        if self._permit is not None:
-            self._services.permits.refund(self._permit)
-            self._permit = None
+    def _on_permit_refused(self, retry_after_s: float) -> None:
+        self._perform_step(self.context.state.no_permit(), "over the quota", retry_after_s)
 
     # Called by the scheduler.
 
@@ -270,9 +170,9 @@
         if backend is None:
             services.scheduler.requeue(self)
             return
-        if self.is_metered and not self._has_usable_permit():
+        if self.permit.is_needed and not self.permit.is_usable():
             services.scheduler.attempt_finished(self, is_completed=False, was_overloaded=False)
-            self.was_queued = True
+            self.permit.expired_in_queue()
             self._with_permit(services.scheduler.resume)
             return
         if context.state.written_sends and not self._spend_retry():
@@ -306,9 +206,7 @@
 
     def may_send(self) -> bool:
         """Spend the permit on the write that follows; return whether the request may be written."""
-        if not self.is_metered:
-            return True
-        return self._has_usable_permit() and self._services.permits.redeem(self._permit)
+        return self.permit.redeem()
 
     def on_permit_expired(self) -> None:
         """Acquire a new permit; no byte of the request was written."""
@@ -328,8 +226,7 @@
 
     def on_rejected_by_backend(self, attempt: Attempt, was_overloaded: bool) -> None:
         """Handle a backend's statement that it did not execute the request."""
-        if self._permit is not None:
-            self._services.permits.reinstate(self._permit)
+        self.permit.reinstate()
         self._release_attempt(was_overloaded=was_overloaded)
         self.rejected_by.add(attempt.backend.id)
         self._perform_step(self.context.state.not_executed(), "no stub could take it")
@@ -343,7 +240,7 @@
     def on_failed(self, attempt: Attempt) -> None:
         """Handle a failed attempt; the request may have executed."""
         self._release_attempt()
-        self._permit = None  # Consumed, because the request may have executed.
+        self.permit.consume()
         self.rejected_by.add(attempt.backend.id)
         next_step = self.context.state.connection_lost()
         if next_step is NextStep.RETRY and self.context.event_filter is not None:
@@ -439,12 +336,5 @@
     def _finish(self) -> None:
         self.is_finished = True
         self._deadline_timer.cancel()
-        self._end_quota_use()
+        self.permit.end()
         self._services.scheduler.remove(self)
-
-    def _end_quota_use(self) -> None:
-        self._end_deferral()
-        if self._permit_wait is not None:
-            self._permit_wait.cancel()
-            self._permit_wait = None
-        self._refund_permit()
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -30,6 +30,7 @@
 from mulleinhatch.data_plane.request_context import RequestContext, ResponseWriter
 from mulleinhatch.data_plane.request_lifecycle import ClientRequest, RequestServices
 from mulleinhatch.data_plane.request_log import RequestLog
+from mulleinhatch.data_plane.request_permit import PermitServices
 from mulleinhatch.data_plane.request_scheduler import RequestScheduler
 from mulleinhatch.data_plane.retry_budget import RetryBudget
 from mulleinhatch.data_plane.traffic_split import WeightedRoundRobin
@@ -84,14 +85,16 @@
             AttemptResources(loop, self.pool, self._selector, self.health),
             RetryBudget(bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s),
             self.request_log,
-            lambda: self.snapshot.data_planes,
-            self.quotas,
+            self._count_data_planes,
+            PermitServices(self.quotas, clock, self._count_data_planes, self._timeouts.is_probable_retry),
             self._recheck_access,
-            self._timeouts.is_probable_retry,
         )
         self._configuration_apply_s = bounds.configuration_apply_s
         self._pool_swept_at = 0.0
 
+    def _count_data_planes(self) -> int:
+        return self.snapshot.data_planes
+
     # Called by the listener.
 
     def begin(self, session: ResponseWriter, head: Head, body: bytes) -> ClientRequest | None:
--- a/tests/system/test_quota_requests.py
+++ b/tests/system/test_quota_requests.py
@@ -335,9 +335,9 @@
             with mock.patch.object(DeferredTokens, "try_add", lambda *arguments: False):
                 await world.begin("a")
             request = world.requests["a"]
-            self.assertTrue(request._has_usable_permit())
+            self.assertTrue(request.permit.is_usable())
             with mock.patch.object(RequestContext, "quota_tokens", 2 * TOKENS):
-                self.assertFalse(request._has_usable_permit())
+                self.assertFalse(request.permit.is_usable())
 
         run_script(script)
 
@@ -571,8 +571,8 @@
 
     def test_detects_tokens_returned_after_a_request_may_have_run(self):
         def failed(request: ClientRequest, attempt: object) -> None:
-            request._services.permits.reinstate(request._permit)
-            request._services.permits.refund(request._permit)
+            request.permit.reinstate()
+            request.permit.refund()
             original(request, attempt)
 
         original = ClientRequest.on_failed
