--- a/tests/system/test_tenants_requests.py
+++ b/tests/system/test_tenants_requests.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import unittest
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
@@ -198,9 +197,8 @@
         for backend in made:
             backend.gate.set()
         listener = Listener(lambda: router.snapshot.table.limits, router.begin)
-        with socket.create_server(("127.0.0.1", 0)) as unused:
-            address = unused.getsockname()
-        await listener.listen("%s:%d" % address)
+        await listener.listen("127.0.0.1:0")
+        address = listener._server.sockets[0].getsockname()
         world = World(router, address, made, RegistrySnapshot({one.id: one for one in registered}, {"s": registered}))
         world.configure()
         try:
