--- a/mulleinhatch/data_plane/attempt.py
+++ b/mulleinhatch/data_plane/attempt.py
@@ -73,9 +73,9 @@
     __slots__ = (
         "_connect_task",
         "_connection",
+        "_current_send",
         "_is_counted",
         "_observer",
-        "_current_send",
         "_relay",
         "_resources",
         "_sent_at",
--- a/mulleinhatch/data_plane/request_log.py
+++ b/mulleinhatch/data_plane/request_log.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from mulleinhatch.data_plane.access import UNAUTHORIZED, UNAVAILABLE, AccessDenied
 from mulleinhatch.data_plane.admission_queue import PendingRequest
@@ -29,6 +29,26 @@
     CLIENT_LEFT = "the client closed its connection"
 
 
+class ServedRequest(NamedTuple):
+    """An entry of a log line: a request that its first send served. `reuse`: requests that the connection had carried before."""
+
+    request_id: str
+    status: int
+    held_s: float
+    backend: str
+    connection: int
+    reuse: int
+
+
+class UnsentRequest(NamedTuple):
+    """An entry of a log line: a request that ended without a send. `status` is 0 if its client left."""
+
+    request_id: str
+    status: int
+    held_s: float
+    reason: str
+
+
 class LoggedRequest(Protocol):
     """The logged data of a request; `request_lifecycle.ClientRequest` implements it."""
 
@@ -48,9 +68,8 @@
     def __init__(self, clock: Callable[[], float], timeouts: ClientTimeouts) -> None:
         self._clock, self._timeouts = clock, timeouts
         self.counters = {"served": 0, "refused": 0, "failed": 0, "over_quota": 0, "unauthorized": 0, "out_of_touch": 0}
-        # Id, status, seconds held, backend, connection, requests that the connection had carried before.
-        self._served: list[tuple[str, int, float, str, int, int]] = []
-        self._unsent: list[tuple[str, int, float, str]] = []  # Id, status, seconds held, reason.
+        self._served: list[ServedRequest] = []
+        self._unsent: list[UnsentRequest] = []
         self.recent_rejections: deque[dict[str, str | float]] = deque(maxlen=MAX_RECENT_REJECTIONS)
 
     def served(self) -> None:
@@ -131,14 +150,14 @@
 
     def _record_served(self, request_id: str, send: Send, status: int, held_s: float) -> None:
         """Remember a request that its first send served; such requests share a log line, which costs much less."""
-        entry = (request_id, status, round(held_s, 4), send.backend_id, send.connection, send.reuse)
-        self._served.append(entry)
+        served = ServedRequest(request_id, status, round(held_s, 4), send.backend_id, send.connection, send.reuse)
+        self._served.append(served)
         if len(self._served) >= MAX_REQUESTS_IN_LINE:
             self.flush()
 
     def _record_unsent(self, request_id: str, status: int, reason: str, held_s: float) -> None:
         """Remember a request that ended without a send; such requests share a log line, too."""
-        self._unsent.append((request_id, status, round(held_s, 4), reason))
+        self._unsent.append(UnsentRequest(request_id, status, round(held_s, 4), reason))
         if len(self._unsent) >= MAX_REQUESTS_IN_LINE:
             self.flush()
 
