--- a/mulleinhatch/data_plane/request_log.py
+++ b/mulleinhatch/data_plane/request_log.py
@@ -30,7 +30,7 @@
 
 
 class ServedRequest(NamedTuple):
-    """An entry of a log line: a request that its first send served. `reuse`: requests that the connection had carried before."""
+    """An entry of a log line: a request that its first send served. `reuse`: requests that the connection carried before."""
 
     request_id: str
     status: int
