--- a/mulleinhatch/data_plane/listener.py
+++ b/mulleinhatch/data_plane/listener.py
@@ -331,6 +331,11 @@
         if self._server is not None:
             self._server.close()
 
+    def close_sessions(self) -> None:
+        """Close all client connections; nothing more is read from them or answered."""
+        for session in list(self.sessions):
+            session.transport.close()
+
     def is_busy(self) -> bool:
         """Return whether any request is not answered yet."""
         return any(session.is_responding for session in self.sessions)
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -121,5 +121,6 @@
         self._router.end_shutdown()
         self._listener.close()
         await asyncio.sleep(FINAL_FLUSH_S)
+        self._listener.close_sessions()
         self._router.request_log.flush()
         self._stopped.set()
--- a/tests/system/test_promises.py
+++ b/tests/system/test_promises.py
@@ -239,6 +239,19 @@
             writer.close()
         self.assertEqual((response.status, response.complete, backend.requests), (502, True, [b"r1"]))
 
+    # Guards against a response after the last log line of the process: the log would not tell it.
+    async def test_nothing_is_answered_after_the_sessions_are_closed(self):
+        backend = Backend(["respond"])
+        async with self.data_plane(backend) as address:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(message(b"r1"))
+            self.assertEqual(await read_response(reader), Response(200, BODY, True))
+            writer.write(message(b"r2"))  # It lies in the socket, unread.
+            self.listener.close_sessions()
+            response = await read_response(reader)
+            writer.close()
+        self.assertEqual((response.status, backend.requests), (0, [b"r1"]))
+
     async def test_a_stream_that_outlasts_the_shutdown_does_not_look_complete(self):
         backend = Backend(["endless_stream"])
         async with self.data_plane(backend) as address:
