The log tells a process that held itself up from one that was stopped

After a gap the control plane logged 'this process was paused', whether the machine had stopped it or its own work had kept the event loop from running.

The selector of the loop now measures each turn, with the processor time used in it and the named work that took most of it. A pause whose turn used processor time is logged as 'this process held itself up' with that work; a turn of over 0.1 s is logged at most every 10 s; the longest of the last minute stands in the status of both planes. Processor time is read at most 20 times a second, as it is a system call.

--- a/mulleinhatch/control_plane/node.py
+++ b/mulleinhatch/control_plane/node.py
@@ -38,6 +38,7 @@
 from mulleinhatch.control_plane.write_gate import WriteGate
 from mulleinhatch.messages.cluster import Member, View
 from mulleinhatch.networking.http_client import HttpClient
+from mulleinhatch.process.loop_watch import LoopWatch
 from mulleinhatch.process.settings import Settings
 from mulleinhatch.process.supervision import supervise
 from mulleinhatch.replication.chain import Replica
@@ -74,14 +75,16 @@
         clock: Callable[[], float],
         observer: NodeObserver,
         state_store: StateStore | None = None,
+        watch: LoopWatch | None = None,
     ) -> None:
         self.settings, self.clock, self._observer = settings, clock, observer
+        self.watch = watch or LoopWatch()
         self.state_store = state_store or StateStore(settings.data_directory, clock)
         self.state = ControlState()
         self.progress = ProgressCondition(clock)
         self._client = InternalClient(http_client)
         self._tasks = BackgroundTasks()
-        self._pauses = PauseDetector(clock, self._extend_grace_periods)
+        self._pauses = PauseDetector(clock, self._extend_grace_periods, self.watch)
         self._tolerance = FaultTolerance(settings.machines_tolerated, settings.zones_tolerated, settings.regions_tolerated)
         self._applied_departures_index = 0  # departures in entries up to this index are applied to the registry
 
@@ -150,7 +153,7 @@
     def _wire_writes(self) -> None:
         gate = WriteGate(self.replica, self.peers, self._tolerance)
         self.configuration_changes = ConfigurationChanges(
-            self.clock, self.peers, self.replicated_log, self.view_changer, self.contact, gate
+            self.clock, self.peers, self.replicated_log, self.view_changer, self.contact, gate, self.watch
         )
         self.leadership_claims = LeadershipClaims(self.replicated_log, self.contact, gate)
         self.backend_departures = BackendDepartures(self.replicated_log, self.view_changer, self.contact, gate, self._client)
--- a/mulleinhatch/control_plane/process.py
+++ b/mulleinhatch/control_plane/process.py
@@ -20,6 +20,7 @@
 from mulleinhatch.messages import cluster
 from mulleinhatch.networking.http_client import HttpClient
 from mulleinhatch.networking.http_server import HttpServer
+from mulleinhatch.process.event_loop import running_watch
 from mulleinhatch.process.settings import Settings
 from mulleinhatch.process.supervision import run_until_stopped, supervise
 from mulleinhatch.quotas.limits import QuotaBounds
@@ -42,7 +43,7 @@
         self.loop = asyncio.get_running_loop()
         self.clock = self.loop.time
         self.http_client = HttpClient()
-        self.node = ControlPlaneNode(settings, self.http_client, self.clock, self)
+        self.node = ControlPlaneNode(settings, self.http_client, self.clock, self, watch=running_watch())
         self.distribution = Distribution(self.node, self.clock)
         # Backends may answer without a length; the content of their answers shows whether they are whole.
         backend_client = HttpClient(accepts_close_delimited=True)
--- a/mulleinhatch/control_plane/status.py
+++ b/mulleinhatch/control_plane/status.py
@@ -9,6 +9,7 @@
 from mulleinhatch.control_plane.quotas import QuotaAccountStatus
 from mulleinhatch.control_plane.registry import BackendRegistry
 from mulleinhatch.messages.cluster import Backend, Member, View
+from mulleinhatch.process.loop_watch import LoopWatch, turn_status
 from mulleinhatch.replication.chain import Replica
 from mulleinhatch.replication.state import ControlState
 
@@ -21,6 +22,7 @@
     registry: BackendRegistry
     replica: Replica
     state: ControlState
+    watch: LoopWatch
 
     @property
     def view(self) -> View:
@@ -69,6 +71,7 @@
         "peers": dict[str, PeerStatus],
         "stubs": dict[str, BackendStatus],
         "quotas": dict[str, QuotaAccountStatus],
+        "longest_turn": Mapping[str, str | float],
     },
 )
 
@@ -106,6 +109,7 @@
         "peers": {peer.member.name: _peer_status(peer, now) for peer in node.peers.by_identity.values()},
         "stubs": {backend_id: _backend_status(entry.backend) for backend_id, entry in node.registry.entries.items()},
         "quotas": quotas,
+        "longest_turn": turn_status(node.watch),
     }
 
 
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -16,6 +16,7 @@
 from mulleinhatch.data_plane.status import status_of
 from mulleinhatch.networking.http_client import HttpClient
 from mulleinhatch.networking.http_server import HttpServer, HttpServerRequest, HttpServerResponse
+from mulleinhatch.process.event_loop import running_watch
 from mulleinhatch.process.settings import Settings
 from mulleinhatch.process.supervision import supervise
 
@@ -32,6 +33,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._loop = asyncio.get_running_loop()
+        self._watch = running_watch()
         # Circular: the client notifies the reporter of a new leader, and the reporter sends through the client; the lambdas
         # resolve `_demand_reporter` at call time.
         http = HttpClient()
@@ -93,7 +95,7 @@
 
     def status(self) -> dict[str, Any]:
         """Return the content of the status page."""
-        return status_of(self._settings.name, self.is_ready, self._control_plane.leader, self._router)
+        return status_of(self._settings.name, self.is_ready, self._control_plane.leader, self._router, self._watch)
 
     # Shutdown.
 
--- a/mulleinhatch/data_plane/status.py
+++ b/mulleinhatch/data_plane/status.py
@@ -8,9 +8,10 @@
 from mulleinhatch.data_plane.backend_health import BackendHealthTracker
 from mulleinhatch.data_plane.registry_snapshot import RegisteredBackend
 from mulleinhatch.data_plane.router import Router
+from mulleinhatch.process.loop_watch import LoopWatch, turn_status
 
 
-def status_of(data_plane_name: str, is_ready: bool, leader: str, router: Router) -> dict[str, Any]:
+def status_of(data_plane_name: str, is_ready: bool, leader: str, router: Router, watch: LoopWatch) -> dict[str, Any]:
     """Return the content of the status page.
 
     Args:
@@ -18,6 +19,7 @@
         is_ready: Whether it accepts connections.
         leader: Address of the placement leader, empty if unknown.
         router: Provides the current snapshot, counters, queues and backends.
+        watch: Provides the longest turn of the event loop.
     """
     snapshot = router.snapshot
     return {
@@ -31,6 +33,7 @@
         "stubs": {backend.id: _backend_status(backend, router.health) for backend in snapshot.backends.by_id.values()},
         "refused": list(router.request_log.recent_rejections),
         "quotas": router.quotas.status(),
+        "longest_turn": turn_status(watch),
         "groups": [_queue_status(queue) for queue in router.queue.by_model.values()],
     }
 
--- a/tests/system/test_node_parts.py
+++ b/tests/system/test_node_parts.py
@@ -17,6 +17,7 @@
 from mulleinhatch.control_plane.registry import BackendRegistry
 from mulleinhatch.control_plane.write_gate import WriteGate
 from mulleinhatch.messages.cluster import Backend, HeartbeatResponse, Member, View
+from mulleinhatch.process.loop_watch import LoopWatch
 from mulleinhatch.replication.chain import Replica
 from mulleinhatch.replication.state import ChangeOutcome
 from mulleinhatch.simulation.virtual_time import VirtualLoop
@@ -66,7 +67,7 @@
         super().setUp()
         self.pauses_seen: list[float] = []
         self.skipped_s = 0.0
-        self.detector = PauseDetector(lambda: self.loop.time() + self.skipped_s, self.pauses_seen.append)
+        self.detector = PauseDetector(lambda: self.loop.time() + self.skipped_s, self.pauses_seen.append, LoopWatch())
         self.task = self.loop.create_task(self.detector.run())
         self.run_for(1.05)
 
--- a/tests/system/test_tenants_mixed_fleet.py
+++ b/tests/system/test_tenants_mixed_fleet.py
@@ -9,6 +9,7 @@
 from mulleinhatch.control_plane.configuration_changes import ConfigurationChanges, ResultKind
 from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.messages.cluster import Entry, Heartbeat, HeartbeatResponse, Member, View
+from mulleinhatch.process.loop_watch import LoopWatch
 from mulleinhatch.replication.state import ChangeOutcome, ControlState, EntryKind
 
 FIRST = {"version": 1, "routes": [], "services": [], "tenants": [{"name": "t1", "api_keys": ["k1"]}]}
@@ -62,7 +63,7 @@
         self.members = [Member(identity=name, name=name, internal_address=f"{name}:2") for name in "abc"]
         self.peers = Peers(self.members[0])
         self.log = Log(View(epoch=1, voters=self.members, chain=self.members))
-        self.changes = ConfigurationChanges(lambda: 1.0, self.peers, self.log, None, None, self)
+        self.changes = ConfigurationChanges(lambda: 1.0, self.peers, self.log, None, None, self, LoopWatch())
 
     def can_accept_writes(self) -> bool:
         return True
