--- a/mulleinhatch/simulation/control_plane/__init__.py
+++ b/mulleinhatch/simulation/control_plane/__init__.py
@@ -84,6 +84,7 @@
     defect: Defect = Defect.NONE,
     zones: int = 1,
     zones_tolerated: int = 0,
+    processor_share: float = 0.0,
 ) -> History:
     """Play one history whose events come from a script, on a control plane that has just started."""
 
@@ -91,7 +92,10 @@
         await world.start()
         await script(world)
 
-    return _run(begin, seed, HistoryPlan(machines, tolerated, defect, zones=zones, zones_tolerated=zones_tolerated))
+    plan = HistoryPlan(
+        machines, tolerated, defect, zones=zones, zones_tolerated=zones_tolerated, processor_share=processor_share
+    )
+    return _run(begin, seed, plan)
 
 
 def _record_exception(history: History, context: dict) -> None:
--- a/mulleinhatch/simulation/control_plane/clients.py
+++ b/mulleinhatch/simulation/control_plane/clients.py
@@ -70,6 +70,27 @@
     return {"name": "tenant", "api_keys": [f"key-{note}"], "rate_per_s": 100 + len(note), "burst": 10}
 
 
+def routes_of(count: int) -> list[dict[str, Any]]:
+    """Return so many valid routes to the service of each configuration, with the fields that operators set."""
+    return [
+        {
+            "name": f"route-{number}",
+            "host": f"host-{number % 97}.example",
+            "path_prefix": f"/path-{number}/",
+            "kind": "streaming",
+            "timeout_ms": 5000,
+            "target_latency_ms": 1000,
+            "priority": number % 3,
+            "max_attempts": 2,
+            "gap_aim_ms": 500,
+            "sticky": True,
+            "resumable": False,
+            "traffic_split": [{"service": "noted", "weight": 90}, {"service": "noted", "weight": 10}],
+        }
+        for number in range(count)
+    ]
+
+
 class Operator:
     """Sends changes that build on the newest version it knows; repeats each until it is acknowledged or rejected."""
 
@@ -90,6 +111,14 @@
                 await asyncio.sleep(world.rng.uniform(0.0, 3.0))
                 await self._resend(sent)
 
+    def large_change(self, base: int, routes: list[dict[str, Any]]) -> SubmittedChange:
+        """Create a patch with many routes that builds on a version."""
+        self._number += 1
+        version, note = base + 1, f"{self._name}-{self._number}"
+        upsert = {"routes": routes, "services": [{"name": "noted", "note": note}], "tenants": [tenant_of(note)]}
+        body = json.dumps({"version": version, "upsert": upsert}).encode()
+        return SubmittedChange("PATCH", base, body, version, note)
+
     def change(self, base: int) -> SubmittedChange:
         """Create a change that builds on a version."""
         self._number += 1
--- a/mulleinhatch/simulation/control_plane/machines.py
+++ b/mulleinhatch/simulation/control_plane/machines.py
@@ -170,7 +170,7 @@
         loop: VirtualLoop = self._world.loop
         self.starts += 1
         self.started_at = loop.time()
-        self.process = Process(f"core-{self.number}.{self.starts}")
+        self.process = Process(f"core-{self.number}.{self.starts}", self._world.plan.processor_share)
         observer = _DistributionObserver()
         node = ControlPlaneNode(
             self.settings(), self._world.network_client(self, self.process), loop.time, observer, self._disk()
--- a/mulleinhatch/simulation/virtual_time.py
+++ b/mulleinhatch/simulation/virtual_time.py
@@ -9,9 +9,13 @@
 import contextvars
 import heapq
 import selectors
+from collections import deque
 from collections.abc import Callable, Coroutine, Iterator
+from dataclasses import dataclass
 from typing import Any
 
+from mulleinhatch.simulation.processor_model import Processor
+
 
 class EventQueue:
     """The clock and the event queue of a simulated world: events run by time, simultaneous ones in the order scheduled."""
@@ -34,16 +38,36 @@
             yield
 
 
+@dataclass(frozen=True)
+class _DueCallback:
+    """A callback of a process that could not run when it became due."""
+
+    handles: list[asyncio.Handle]  # one, by which the callback may be cancelled
+    callback: Callable[..., Any]
+    args: tuple[Any, ...]
+    context: contextvars.Context
+
+
 class Process:
     """A group of tasks that fail together.
 
     A dead process runs no further step; a frozen one runs none until it is thawed.
+
+    Args:
+        name: The name of the process.
+        share: Its share of a core; 0 where its work takes no time.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, share: float = 0.0) -> None:
         self.name = name
         self.frozen = self.dead = False
-        self.parked: list[tuple[list[asyncio.Handle], Callable[..., Any], tuple[Any, ...], contextvars.Context]] = []
+        self.parked: list[_DueCallback] = []  # while it is frozen
+        self.processor = Processor(share) if share else None
+        self.queued: deque[_DueCallback] = deque()  # while it is busy
+
+    def processor_time(self) -> float:
+        """Return the processor time that the process has used, in seconds."""
+        return self.processor.time() if self.processor is not None else 0.0
 
 
 PROCESS: contextvars.ContextVar[Process | None] = contextvars.ContextVar("process", default=None)
@@ -86,8 +110,8 @@
         """Resume a frozen process: callbacks that became due meanwhile run now, in their order."""
         process.frozen = False
         parked, process.parked = process.parked, []
-        for handles, callback, args, context in parked:
-            self.call_soon(self._late, handles[0], callback, args, context=context)
+        for due in parked:
+            self.call_soon(self._late, due.handles[0], due.callback, due.args, context=due.context)
 
     @staticmethod
     def _late(handle: asyncio.Handle, callback: Callable[..., Any], args: tuple[Any, ...]) -> None:
@@ -120,9 +144,41 @@
 
         def gated() -> None:
             if process.frozen:
-                process.parked.append((handles, callback, args, own))
-            elif not process.dead:
+                process.parked.append(_DueCallback(handles, callback, args, own))
+            elif process.dead:
+                return
+            elif process.processor is None:
                 callback(*args)
+            else:
+                self._run_when_idle(process, _DueCallback(handles, callback, args, own))
 
         handles.append(schedule(gated, context=own))
         return handles[0]
+
+    def _run_when_idle(self, process: Process, due: _DueCallback) -> None:
+        """Run a callback of a process whose work takes time, after those that became due before it."""
+        if process.queued or process.processor.busy_until > self.now:
+            process.queued.append(due)
+            if len(process.queued) == 1:
+                self._schedule_queue(process)
+        else:
+            process.processor.run(self.now, due.callback, due.args)
+
+    def _schedule_queue(self, process: Process) -> None:
+        # The queue belongs to no process: it must also be emptied while the process is frozen.
+        context = contextvars.copy_context()
+        context.run(PROCESS.set, None)
+        self.call_at(process.processor.busy_until, self._run_queue, process, context=context)
+
+    def _run_queue(self, process: Process) -> None:
+        if process.dead:
+            process.queued.clear()
+        if process.frozen:
+            process.parked += process.queued
+            process.queued.clear()
+        while process.queued and process.processor.busy_until <= self.now:
+            due = process.queued.popleft()
+            if not due.handles[0].cancelled():
+                due.context.run(process.processor.run, self.now, due.callback, due.args)
+        if process.queued:
+            self._schedule_queue(process)
