SHORT: a large change no longer silences the head that checks it

Cause: the head checks a change in one piece on the event loop that also answers its peers' heartbeats. The schema costs 0.75 to 2.2 ms a route, so that 280 routes on half a core silence a machine for longer than ALIVE_S (1 s). The peers take it for dead, and the operator carries the same change to the next head.

Fix: the check is a series of steps, which a TimeSlicer runs for at most 5 ms of processor time (a sixtieth of the heartbeat interval) in one turn of the loop. The head goes on answering, whatever the size of the change. A document that was replaced during the check ends it with 'send it again'.

--- a/mulleinhatch/configuration/document.py
+++ b/mulleinhatch/configuration/document.py
@@ -1,6 +1,7 @@
 """The operator's configuration as an immutable document: reading, patching, digests.
 
-Errors are `ConfigurationError` in a `Result`; the message names the item, the key and the remedy.
+Errors are `ConfigurationError` in a `Result`; the message names the item, the key and the remedy. What takes long is offered as
+`Steps`, for an event loop, and at once.
 """
 
 from __future__ import annotations
@@ -23,6 +24,7 @@
     check_version,
 )
 from mulleinhatch.errors import ConfigurationError
+from mulleinhatch.steps import Steps, complete
 
 
 @dataclass(frozen=True)
@@ -63,6 +65,11 @@
 
 
 def read_complete(value: dict[str, Any], current: int) -> Result[Document, ConfigurationError]:
+    """Validate a complete configuration at once; see `read_complete_steps`."""
+    return complete(read_complete_steps(value, current))
+
+
+def read_complete_steps(value: dict[str, Any], current: int) -> Steps[Result[Document, ConfigurationError]]:
     """Validate a complete configuration.
 
     Args:
@@ -73,15 +80,15 @@
         return version
     if isinstance(limits := check_limits(value), Err):
         return limits
-    complete = _with_all_lists(value)
-    if not all(isinstance(complete[kind], list) for kind in ITEM_KINDS):
+    with_lists = _with_all_lists(value)
+    if not all(isinstance(with_lists[kind], list) for kind in ITEM_KINDS):
         return Err(ConfigurationError("routes and services must be lists"))
     for kind in ITEM_KINDS:
-        if isinstance(items := check_items(kind, complete[kind]), Err):
+        if isinstance(items := (yield from check_items(kind, with_lists[kind])), Err):
             return items
-    if isinstance(tenants := _check_all_tenants(value), Err):
+    if isinstance(tenants := (yield from _check_all_tenants(value)), Err):
         return tenants
-    return _check_document(Document(version.ok_value, complete))
+    return (yield from _check_document(Document(version.ok_value, with_lists)))
 
 
 def accept_complete(value: dict[str, Any], current: int) -> Result[Document, ConfigurationError]:
@@ -92,6 +99,11 @@
 
 
 def apply_patch(document: Document, value: dict[str, Any]) -> Result[Document, ConfigurationError]:
+    """Validate a patch at once and return the configuration after it; see `apply_patch_steps`."""
+    return complete(apply_patch_steps(document, value))
+
+
+def apply_patch_steps(document: Document, value: dict[str, Any]) -> Steps[Result[Document, ConfigurationError]]:
     """Validate a patch and return the configuration after it.
 
     Args:
@@ -105,14 +117,16 @@
     if isinstance(remove := _check_patch_lists(value, "remove"), Err):
         return remove
     for kind, items in upsert.ok_value.items():
-        if isinstance(checked := check_tenants(items) if kind == TENANTS else check_items(kind, items), Err):
+        check = check_tenants(items) if kind == TENANTS else check_items(kind, items)
+        if isinstance(checked := (yield from check), Err):
             return checked
     if isinstance(limits := check_limits(value), Err):
         return limits
     patched = _build_patched(document, value, version.ok_value)
-    if isinstance(keys := check_changed_keys(tenants_of(patched.value), upsert.ok_value.get(TENANTS, [])), Err):
+    changed_tenants = upsert.ok_value.get(TENANTS, [])
+    if isinstance(keys := (yield from check_changed_keys(tenants_of(patched.value), changed_tenants)), Err):
         return keys
-    return _check_document(patched)
+    return (yield from _check_document(patched))
 
 
 def accept_patch(document: Document, value: dict[str, Any]) -> Result[Document, ConfigurationError]:
@@ -138,22 +152,22 @@
     lists = {kind: _merge(document.value[kind], upsert.get(kind, ()), remove.get(kind, ())) for kind in ITEM_KINDS}
     if upsert.get(TENANTS) or remove.get(TENANTS):  # otherwise the list stays the same object, or absent
         lists[TENANTS] = _merge(tenants_of(document.value), upsert.get(TENANTS, ()), remove.get(TENANTS, ()))
-    complete = {**document.value, **lists, "version": version}
+    patched = {**document.value, **lists, "version": version}
     if "limits" in value:
-        complete["limits"] = value["limits"]
-    return Document(version, complete)
+        patched["limits"] = value["limits"]
+    return Document(version, patched)
 
 
-def _check_all_tenants(value: Mapping[str, Any]) -> Result[None, ConfigurationError]:
+def _check_all_tenants(value: Mapping[str, Any]) -> Steps[Result[None, ConfigurationError]]:
     if TENANTS not in value:
         return Ok(None)
-    if isinstance(checked := check_tenants(value[TENANTS]), Err):
+    if isinstance(checked := (yield from check_tenants(value[TENANTS])), Err):
         return checked
-    return check_shared_keys(value[TENANTS])
+    return (yield from check_shared_keys(value[TENANTS]))
 
 
-def _check_document(document: Document) -> Result[Document, ConfigurationError]:
-    if isinstance(references := check_references(document.value), Err):
+def _check_document(document: Document) -> Steps[Result[Document, ConfigurationError]]:
+    if isinstance(references := (yield from check_references(document.value)), Err):
         return references
     return Ok(document)
 
--- a/mulleinhatch/configuration/tenants.py
+++ b/mulleinhatch/configuration/tenants.py
@@ -12,8 +12,9 @@
 
 from result import Err, Ok, Result
 
-from mulleinhatch.configuration.validation import is_number
+from mulleinhatch.configuration.validation import ITEMS_PER_STEP, is_number
 from mulleinhatch.errors import ConfigurationError
+from mulleinhatch.steps import Steps
 from mulleinhatch.tenants.api_keys import KeyDigester, Secret
 from mulleinhatch.tenants.tenant import QuotaLimit, QuotaUnit, Tenant
 from mulleinhatch.tenants.tenant_table import NO_TENANTS, TenantTable
@@ -37,12 +38,14 @@
     return {item["name"]: build_tenant(item) for item in tenants_of(value) if not _find_error(item)}
 
 
-def check_tenants(items: Any) -> Result[None, ConfigurationError]:
+def check_tenants(items: Any) -> Steps[Result[None, ConfigurationError]]:
     """Check tenants one by one: names, keys and numbers."""
     if not isinstance(items, list):
         return Err(ConfigurationError(f"tenants must be a list; {REMEDY}"))
     names: set[str] = set()
     for number, item in enumerate(items, 1):
+        if number % ITEMS_PER_STEP == 0:
+            yield
         fault = _find_error(item)
         name = item.get("name") if isinstance(item, dict) else None
         if not isinstance(name, str) or not name:
@@ -78,10 +81,12 @@
     return value is None or (is_number(value) and value >= 0)
 
 
-def check_shared_keys(items: Iterable[Mapping[str, Any]]) -> Result[None, ConfigurationError]:
+def check_shared_keys(items: Iterable[Mapping[str, Any]]) -> Steps[Result[None, ConfigurationError]]:
     """Check that no two tenants of a complete configuration share a key."""
     owners: dict[str, str] = {}
-    for item in items:
+    for number, item in enumerate(items):
+        if number % ITEMS_PER_STEP == 0:
+            yield
         name = item["name"]
         for key in item["api_keys"]:
             if owners.setdefault(key, name) != name:
@@ -91,20 +96,22 @@
 
 def check_changed_keys(
     items: Iterable[Mapping[str, Any]], changed: Sequence[Mapping[str, Any]]
-) -> Result[None, ConfigurationError]:
+) -> Steps[Result[None, ConfigurationError]]:
     """Check that no tenant shares a key with a changed one; the others were checked before.
 
     Args:
         items: All tenants after the change.
         changed: The tenants that the change adds or replaces.
     """
-    if isinstance(checked := check_shared_keys(changed), Err):
+    if isinstance(checked := (yield from check_shared_keys(changed)), Err):
         return checked
     owners = {key: item["name"] for item in changed for key in item["api_keys"]}
     if not owners:
         return Ok(None)
     new_keys = owners.keys()
-    for item in items:
+    for number, item in enumerate(items):
+        if number % ITEMS_PER_STEP == 0:
+            yield
         if not new_keys.isdisjoint(item["api_keys"]):
             name = item["name"]
             other = next((owners[key] for key in item["api_keys"] if owners.get(key, name) != name), name)
--- a/mulleinhatch/configuration/validation.py
+++ b/mulleinhatch/configuration/validation.py
@@ -1,6 +1,7 @@
 """Validate a configuration: each item by a schema, then the references between items.
 
-Each check returns `Ok` or a `ConfigurationError` in `Err`; its message names the item, the key and the remedy.
+Each check returns `Ok` or a `ConfigurationError` in `Err`; its message names the item, the key and the remedy. Checks whose
+work grows with the configuration are `Steps`.
 """
 
 from __future__ import annotations
@@ -15,9 +16,11 @@
 
 from mulleinhatch.errors import ConfigurationError
 from mulleinhatch.messages.parsing import MAX_COUNT
+from mulleinhatch.steps import Steps
 
 ROUTE_KINDS = ("safe", "unsafe", "streaming")
 ITEM_KINDS = ("routes", "services")
+ITEMS_PER_STEP = 64  # in checks that take microseconds an item
 MAX_FLOAT = sys.float_info.max
 KEY_ERROR = re.compile(r"Key '([^']*)' error:")  # how the schema reports the key of an invalid value
 
@@ -109,11 +112,12 @@
     return Err(ConfigurationError(f"version must be {MAX_COUNT} at most; number it lower"))
 
 
-def check_items(kind: str, items: Any) -> Result[None, ConfigurationError]:
-    """Check the items under `routes` or `services` by their schema."""
+def check_items(kind: str, items: Any) -> Steps[Result[None, ConfigurationError]]:
+    """Check the items under `routes` or `services` by their schema, one item a step."""
     if not isinstance(items, list):
         return Err(ConfigurationError(f"{kind} must be a list"))
     for item in items:
+        yield
         try:
             ITEM_SCHEMAS[kind].validate(item)
         except SchemaError as error:
@@ -131,7 +135,7 @@
     return next((match.group(1) for match in found if match), "")
 
 
-def check_references(value: Mapping[str, Any]) -> Result[None, ConfigurationError]:
+def check_references(value: Mapping[str, Any]) -> Steps[Result[None, ConfigurationError]]:
     """Check that names and addresses are unique, and that every route has a known service of positive weight."""
     for kind in ITEM_KINDS:
         names = [item["name"] for item in value[kind]]
@@ -139,7 +143,9 @@
             return Err(ConfigurationError(f"{kind}: two items share a name; give each its own"))
     services = {service["name"] for service in value["services"]}
     addresses: set[tuple[str, str]] = set()
-    for route in value["routes"]:
+    for number, route in enumerate(value["routes"]):
+        if number % ITEMS_PER_STEP == 0:
+            yield
         if isinstance(checked := _check_route_services(route, services), Err):
             return checked
         address = route["host"].lower(), route["path_prefix"]
--- a/mulleinhatch/control_plane/configuration_changes.py
+++ b/mulleinhatch/control_plane/configuration_changes.py
@@ -22,7 +22,7 @@
 from mulleinhatch.control_plane.view_change import ViewChanger
 from mulleinhatch.control_plane.write_gate import WriteGate
 from mulleinhatch.messages.cluster import Member
-from mulleinhatch.process.loop_watch import LoopWatch
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.state import Change, ChangeOutcome, EntryKind, Rejection
 
 LOG = logging.getLogger(__name__)
@@ -71,10 +71,10 @@
         view_changer: ViewChanger,
         contact: MajorityContact,
         gate: WriteGate,
-        watch: LoopWatch,
+        slicer: TimeSlicer,
     ) -> None:
         self._clock, self._peers, self._log = clock, peers, log
-        self._view_changer, self._contact, self._gate, self._watch = view_changer, contact, gate, watch
+        self._view_changer, self._contact, self._gate, self._slicer = view_changer, contact, gate, slicer
 
     async def change(self, method: str, base: int | None, body: bytes) -> ConfigurationResult:
         """Apply a change.
@@ -112,8 +112,10 @@
         no_change_pending = await log.progress.wait_for(lambda: not log.has_pending_change(), remaining_s())
         if not no_change_pending or not self._gate.can_accept_writes():
             return ConfigurationResult(ResultKind.RETRY, "an earlier change is not settled yet; send it again")
-        with self._watch.activity("check of a configuration change"):
-            checked = log.state.check(method, base, body)
+        checked_against = log.state.document
+        checked = await self._slicer.run("check of a configuration change", log.state.check_steps(method, base, body))
+        if log.state.document is not checked_against:
+            return VIEW_CHANGING  # meanwhile another head's change was applied
         if isinstance(checked, Err):
             return await self._reject(checked.err_value)
         change = self._to_compatible_change(checked.ok_value)
--- a/mulleinhatch/control_plane/node.py
+++ b/mulleinhatch/control_plane/node.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
@@ -41,6 +42,7 @@
 from mulleinhatch.process.loop_watch import LoopWatch
 from mulleinhatch.process.settings import Settings
 from mulleinhatch.process.supervision import supervise
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.chain import Replica
 from mulleinhatch.replication.state import ControlState
 
@@ -76,9 +78,11 @@
         observer: NodeObserver,
         state_store: StateStore | None = None,
         watch: LoopWatch | None = None,
+        processor_time: Callable[[], float] = time.thread_time,
     ) -> None:
         self.settings, self.clock, self._observer = settings, clock, observer
         self.watch = watch or LoopWatch()
+        self.slicer = TimeSlicer(self.watch, processor_time=processor_time)
         self.state_store = state_store or StateStore(settings.data_directory, clock)
         self.state = ControlState()
         self.progress = ProgressCondition(clock)
@@ -153,7 +157,7 @@
     def _wire_writes(self) -> None:
         gate = WriteGate(self.replica, self.peers, self._tolerance)
         self.configuration_changes = ConfigurationChanges(
-            self.clock, self.peers, self.replicated_log, self.view_changer, self.contact, gate, self.watch
+            self.clock, self.peers, self.replicated_log, self.view_changer, self.contact, gate, self.slicer
         )
         self.leadership_claims = LeadershipClaims(self.replicated_log, self.contact, gate)
         self.backend_departures = BackendDepartures(self.replicated_log, self.view_changer, self.contact, gate, self._client)
--- a/mulleinhatch/replication/state.py
+++ b/mulleinhatch/replication/state.py
@@ -14,17 +14,17 @@
 
 from mulleinhatch.configuration.document import (
     EMPTY,
-    ConfigurationError,
     Document,
     accept_complete,
     accept_patch,
-    apply_patch,
+    apply_patch_steps,
     change_digest,
-    read_complete,
+    read_complete_steps,
     read_json,
 )
 from mulleinhatch.errors import ReplicationError
 from mulleinhatch.messages.cluster import Entry, Snapshot
+from mulleinhatch.steps import Steps, complete
 
 
 class EntryKind(IntEnum):
@@ -132,13 +132,18 @@
     # Checking.
 
     def check(self, method: str, base: int | None, body: bytes) -> Result[Change, Rejection]:
-        """Check whether a change may be appended after the current state.
+        """Check a change at once; see `check_steps`."""
+        return complete(self.check_steps(method, base, body))
+
+    def check_steps(self, method: str, base: int | None, body: bytes) -> Steps[Result[Change, Rejection]]:
+        """Check whether a change may be appended after the state as it is when the check begins.
 
         Args:
             method: PUT for a complete configuration, PATCH for a patch.
             base: The version that the change builds on; None where the request has no If-Match.
             body: The body of the request.
         """
+        current = self.document
         digest = change_digest(method, body)
         if digest in self.digests:
             return _reject(ChangeOutcome.ALREADY_APPLIED, "already applied")
@@ -149,21 +154,18 @@
             return _reject(ChangeOutcome.HISTORY_COMPACTED, "so old a change may have been taken; read the configuration")
         if base is None:
             return _reject(ChangeOutcome.INVALID, "If-Match must give the version that the change builds on, 0 for the first")
-        document = self._check_document(method, read.ok_value)
+        if method == "PUT":
+            document = yield from read_complete_steps(read.ok_value, current.version)
+        else:
+            document = yield from apply_patch_steps(current, read.ok_value)
         if isinstance(document, Err):
-            outcome = ChangeOutcome.INVALID if base == self.document.version else ChangeOutcome.CONFLICT
+            outcome = ChangeOutcome.INVALID if base == current.version else ChangeOutcome.CONFLICT
             return _reject(outcome, str(document.err_value))
-        if base != self.document.version:
-            current = self.document.version
-            return _reject(ChangeOutcome.CONFLICT, f"version {current} is current; read it and build on it")
+        if base != current.version:
+            return _reject(ChangeOutcome.CONFLICT, f"version {current.version} is current; read it and build on it")
         kind = EntryKind.CONFIGURATION if method == "PUT" else EntryKind.PATCH
         return Ok(Change(kind, body, digest, document.ok_value))
 
-    def _check_document(self, method: str, value: dict) -> Result[Document, ConfigurationError]:
-        if method == "PUT":
-            return read_complete(value, self.document.version)
-        return apply_patch(self.document, value)
-
     # Applying.
 
     def apply(self, entry: Entry) -> None:
--- a/mulleinhatch/simulation/control_plane/defects.py
+++ b/mulleinhatch/simulation/control_plane/defects.py
@@ -27,6 +27,7 @@
 from mulleinhatch.messages.cluster import LeaveResponse
 from mulleinhatch.replication.chain import Replica
 from mulleinhatch.replication.state import ChangeOutcome, ControlState
+from mulleinhatch.steps import complete
 
 
 class Defect(Enum):
@@ -109,9 +110,9 @@
 
 def _check_without_base(real: Any) -> Any:
     def check(self: ControlState, method: str, base: int | None, body: bytes) -> Any:
-        checked = real(self, method, base, body)
+        checked = yield from real(self, method, base, body)
         if isinstance(checked, Err) and checked.err_value.outcome is ChangeOutcome.CONFLICT:
-            return real(self, method, self.document.version, body)
+            return (yield from real(self, method, self.document.version, body))
         return checked
 
     return check
@@ -121,9 +122,11 @@
     def check(self: ControlState, method: str, base: int | None, body: bytes) -> Any:
         known, self.digests = self.digests, {}
         try:
-            return real(self, method, base, body)
+            checked = complete(real(self, method, base, body))
         finally:
             self.digests = known
+        yield
+        return checked
 
     return check
 
@@ -185,9 +188,9 @@
     if defect is Defect.CONFIRM_WITHOUT_EPOCH:
         return [mock.patch.object(Peers, "has_confirmed_majority", Peers.reaches_majority)]
     if defect is Defect.FORGET_DIGESTS:
-        return [mock.patch.object(ControlState, "check", _forget_digests(ControlState.check))]
+        return [mock.patch.object(ControlState, "check_steps", _forget_digests(ControlState.check_steps))]
     if defect is Defect.ACCEPT_STALE_BASE:
-        return [mock.patch.object(ControlState, "check", _check_without_base(ControlState.check))]
+        return [mock.patch.object(ControlState, "check_steps", _check_without_base(ControlState.check_steps))]
     if defect is Defect.SHUT_DOWN_AT_ONCE:
         return [mock.patch.object(shutdown, "leave", _shut_down_at_once)]
     if defect is Defect.CURRENT_BEFORE_COMMIT:
--- a/mulleinhatch/simulation/control_plane/machines.py
+++ b/mulleinhatch/simulation/control_plane/machines.py
@@ -173,7 +173,12 @@
         self.process = Process(f"core-{self.number}.{self.starts}", self._world.plan.processor_share)
         observer = _DistributionObserver()
         node = ControlPlaneNode(
-            self.settings(), self._world.network_client(self, self.process), loop.time, observer, self._disk()
+            self.settings(),
+            self._world.network_client(self, self.process),
+            loop.time,
+            observer,
+            self._disk(),
+            processor_time=self.process.processor_time,
         )
         node.open()
         distribution = observer.distribution = Distribution(node, loop.time)
--- a/tests/system/test_tenants_mixed_fleet.py
+++ b/tests/system/test_tenants_mixed_fleet.py
@@ -10,6 +10,7 @@
 from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.messages.cluster import Entry, Heartbeat, HeartbeatResponse, Member, View
 from mulleinhatch.process.loop_watch import LoopWatch
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.state import ChangeOutcome, ControlState, EntryKind
 
 FIRST = {"version": 1, "routes": [], "services": [], "tenants": [{"name": "t1", "api_keys": ["k1"]}]}
@@ -63,7 +64,7 @@
         self.members = [Member(identity=name, name=name, internal_address=f"{name}:2") for name in "abc"]
         self.peers = Peers(self.members[0])
         self.log = Log(View(epoch=1, voters=self.members, chain=self.members))
-        self.changes = ConfigurationChanges(lambda: 1.0, self.peers, self.log, None, None, self, LoopWatch())
+        self.changes = ConfigurationChanges(lambda: 1.0, self.peers, self.log, None, None, self, TimeSlicer(LoopWatch()))
 
     def can_accept_writes(self) -> bool:
         return True
