A change is carried out once, and holds up no leadership claim while it is checked

Callers saw: beside a long check the placement had no leader (a claim waits for the lock that the check holds), other changes got 503 after 0.9 s and lost their place, and a change on an old version was read and checked in full before its 412.

The lock that changes and claims share is now held from the proposal on only; the document is compared after the check. A change under way is known by its base and digest: a request that repeats it joins it, and it goes on when its operator no longer waits. A base that is not the current version is rejected before the body is read (RFC 9110, 13.2.1), unless the change may have been applied so long ago that its digest was dropped.

--- a/mulleinhatch/control_plane/configuration_changes.py
+++ b/mulleinhatch/control_plane/configuration_changes.py
@@ -15,8 +15,11 @@
 
 from result import Err
 
+from mulleinhatch.configuration.document import change_digest
 from mulleinhatch.configuration.tenants import tenants_of
+from mulleinhatch.control_plane.background_tasks import BackgroundTasks
 from mulleinhatch.control_plane.majority_contact import MajorityContact
+from mulleinhatch.control_plane.ongoing_changes import ChangeKey, OngoingChanges
 from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.control_plane.replicated_log import ReplicatedLog
 from mulleinhatch.control_plane.view_change import ViewChanger
@@ -26,8 +29,8 @@
 from mulleinhatch.replication.state import Change, ChangeOutcome, EntryKind, Rejection
 
 LOG = logging.getLogger(__name__)
-CHANGE_TIMEOUT_S = 0.9  # limit of the wait for earlier changes; the commit may take 50% longer
-MIN_WAIT_S = 0.05
+COMMIT_TIMEOUT_S = 1.35  # for the commit of a change, from when it is in the log of the head
+ANSWER_TIMEOUT_S = 2.5  # for one request; operators wait longer than their usual second for the answer to a large body
 
 
 class ResultKind(Enum):
@@ -72,9 +75,12 @@
         contact: MajorityContact,
         gate: WriteGate,
         slicer: TimeSlicer,
+        tasks: BackgroundTasks,
     ) -> None:
         self._clock, self._peers, self._log = clock, peers, log
         self._view_changer, self._contact, self._gate, self._slicer = view_changer, contact, gate, slicer
+        self._ongoing: OngoingChanges[ConfigurationResult] = OngoingChanges(tasks)
+        self._turn = asyncio.Lock()  # held by one change at a time, from its check to its end
 
     async def change(self, method: str, base: int | None, body: bytes) -> ConfigurationResult:
         """Apply a change.
@@ -90,40 +96,44 @@
         if not self._gate.can_accept_writes() or not await self._contact.wait_for_majority_contact():
             chain = self._log.replica.view.chain
             return self._redirect(chain[0] if chain else None)
-        started_at = self._clock()
-        try:
-            async with asyncio.timeout(CHANGE_TIMEOUT_S):
-                await self._gate.change_lock.acquire()
-        except TimeoutError:
-            return ConfigurationResult(ResultKind.RETRY, "another change is under way; send it again")
-        try:
-            return await self._change(method, base, body, started_at)
-        except OSError:
-            return ConfigurationResult(ResultKind.RETRY, "the disk refused the change; send it again")
-        finally:
-            self._gate.change_lock.release()
-
-    async def _change(self, method: str, base: int | None, body: bytes, started_at: float) -> ConfigurationResult:
+        digest = change_digest(method, body)
+        if digest in self._log.state.digests:
+            return ConfigurationResult(ResultKind.OK)
+        key = ChangeKey(base, digest)
+        result = await self._ongoing.join(key, lambda: self._change_in_turn(method, base, body), ANSWER_TIMEOUT_S)
+        return result or ConfigurationResult(ResultKind.RETRY, "the change is under way; send it again unchanged")
+
+    async def _change_in_turn(self, method: str, base: int | None, body: bytes) -> ConfigurationResult:
+        """Apply a change after those that came before it."""
+        async with self._turn:
+            try:
+                return await self._change(method, base, body)
+            except OSError:
+                return ConfigurationResult(ResultKind.RETRY, "the disk refused the change; send it again")
+
+    async def _change(self, method: str, base: int | None, body: bytes) -> ConfigurationResult:
         log, epoch = self._log, self._log.replica.view.epoch
-
-        def remaining_s() -> float:
-            return max(MIN_WAIT_S, CHANGE_TIMEOUT_S - (self._clock() - started_at))
-
-        no_change_pending = await log.progress.wait_for(lambda: not log.has_pending_change(), remaining_s())
+        no_change_pending = await log.progress.wait_for(lambda: not log.has_pending_change(), COMMIT_TIMEOUT_S)
         if not no_change_pending or not self._gate.can_accept_writes():
             return ConfigurationResult(ResultKind.RETRY, "an earlier change is not settled yet; send it again")
         checked_against = log.state.document
         checked = await self._slicer.run("check of a configuration change", log.state.check_steps(method, base, body))
-        if log.state.document is not checked_against:
-            return VIEW_CHANGING  # meanwhile another head's change was applied
         if isinstance(checked, Err):
             return await self._reject(checked.err_value)
         change = self._to_compatible_change(checked.ok_value)
+        async with self._gate.change_lock:
+            if log.state.document is not checked_against:
+                return VIEW_CHANGING  # meanwhile a change of another head was applied
+            return await self._commit(change, epoch)
+
+    async def _commit(self, change: Change, epoch: int) -> ConfigurationResult:
+        """Append a checked change to the log, and wait until it is committed. The caller holds the change lock."""
+        log = self._log
         async with log.lock:
             # While the lock was awaited, a view change may have added a pending change of another head to the log.
             if log.has_pending_change() or not await log.propose(int(change.kind), change.body, change.digest, epoch):
                 return VIEW_CHANGING
-        if not await log.progress.wait_for(lambda: change.digest in log.state.digests, remaining_s() + 0.5 * CHANGE_TIMEOUT_S):
+        if not await log.progress.wait_for(lambda: change.digest in log.state.digests, COMMIT_TIMEOUT_S):
             return ConfigurationResult(ResultKind.RETRY, "not settled yet; send it again unchanged")
         if not self._gate.can_accept_writes():
             # A former head can learn of the commit before the head does: from the tail by a snapshot, or as the next tail.
--- a/mulleinhatch/control_plane/node.py
+++ b/mulleinhatch/control_plane/node.py
@@ -157,7 +157,7 @@
     def _wire_writes(self) -> None:
         gate = WriteGate(self.replica, self.peers, self._tolerance)
         self.configuration_changes = ConfigurationChanges(
-            self.clock, self.peers, self.replicated_log, self.view_changer, self.contact, gate, self.slicer
+            self.clock, self.peers, self.replicated_log, self.view_changer, self.contact, gate, self.slicer, self._tasks
         )
         self.leadership_claims = LeadershipClaims(self.replicated_log, self.contact, gate)
         self.backend_departures = BackendDepartures(self.replicated_log, self.view_changer, self.contact, gate, self._client)
--- a/mulleinhatch/control_plane/write_gate.py
+++ b/mulleinhatch/control_plane/write_gate.py
@@ -13,7 +13,7 @@
     """Admits writes at the head of a chain that keeps a replica after any tolerated loss.
 
     Attributes:
-        change_lock: Held by one configuration change or leadership claim at a time, from its check to its end.
+        change_lock: Held by one checked configuration change or leadership claim at a time, until it is committed.
     """
 
     def __init__(self, replica: Replica, peers: Peers, tolerance: FaultTolerance) -> None:
--- a/mulleinhatch/replication/state.py
+++ b/mulleinhatch/replication/state.py
@@ -147,6 +147,8 @@
         digest = change_digest(method, body)
         if digest in self.digests:
             return _reject(ChangeOutcome.ALREADY_APPLIED, "already applied")
+        if base is not None and base != current.version and base >= self.forgotten_version:
+            return _reject_base(current)  # not read: whatever it contains, it can't have been applied before
         if isinstance(read := read_json(body), Err):
             return _reject(ChangeOutcome.INVALID, str(read.err_value))
         version = read.ok_value.get("version")
@@ -154,15 +156,14 @@
             return _reject(ChangeOutcome.HISTORY_COMPACTED, "so old a change may have been taken; read the configuration")
         if base is None:
             return _reject(ChangeOutcome.INVALID, "If-Match must give the version that the change builds on, 0 for the first")
+        if base != current.version:
+            return _reject_base(current)
         if method == "PUT":
             document = yield from read_complete_steps(read.ok_value, current.version)
         else:
             document = yield from apply_patch_steps(current, read.ok_value)
         if isinstance(document, Err):
-            outcome = ChangeOutcome.INVALID if base == current.version else ChangeOutcome.CONFLICT
-            return _reject(outcome, str(document.err_value))
-        if base != current.version:
-            return _reject(ChangeOutcome.CONFLICT, f"version {current.version} is current; read it and build on it")
+            return _reject(ChangeOutcome.INVALID, str(document.err_value))
         kind = EntryKind.CONFIGURATION if method == "PUT" else EntryKind.PATCH
         return Ok(Change(kind, body, digest, document.ok_value))
 
@@ -264,5 +265,9 @@
         self.recent = []
 
 
+def _reject_base(current: Document) -> Err[Rejection]:
+    return _reject(ChangeOutcome.CONFLICT, f"version {current.version} is current; read it and build on it")
+
+
 def _reject(outcome: ChangeOutcome, message: str) -> Err[Rejection]:
     return Err(Rejection(outcome, message))
--- a/tests/system/test_tenants_mixed_fleet.py
+++ b/tests/system/test_tenants_mixed_fleet.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
 from typing import Any
 
+from mulleinhatch.control_plane.background_tasks import BackgroundTasks
 from mulleinhatch.control_plane.configuration_changes import ConfigurationChanges, ResultKind
 from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.messages.cluster import Entry, Heartbeat, HeartbeatResponse, Member, View
@@ -64,7 +66,9 @@
         self.members = [Member(identity=name, name=name, internal_address=f"{name}:2") for name in "abc"]
         self.peers = Peers(self.members[0])
         self.log = Log(View(epoch=1, voters=self.members, chain=self.members))
-        self.changes = ConfigurationChanges(lambda: 1.0, self.peers, self.log, None, None, self, TimeSlicer(LoopWatch()))
+        self.change_lock = asyncio.Lock()  # this test is the write gate
+        slicer, tasks = TimeSlicer(LoopWatch()), BackgroundTasks()
+        self.changes = ConfigurationChanges(lambda: 1.0, self.peers, self.log, None, None, self, slicer, tasks)
 
     def can_accept_writes(self) -> bool:
         return True
@@ -76,7 +80,7 @@
             self.peers.record_response(HeartbeatResponse(sender=member, epoch=1, current=True), 1.0)
 
     async def change(self, method: str, base: int, body: bytes) -> None:
-        result = await self.changes._change(method, base, body, 1.0)
+        result = await self.changes._change(method, base, body)
         self.assertIs(result.kind, ResultKind.OK, result)
 
     async def patched_kind(self, body: bytes = PATCH) -> EntryKind:
