An update of the configuration is encoded once for all data planes, in slices

A data plane without a configuration cost the JSON of all routes in one piece, 66 ms for 8,000.

ConfigurationEncoder keeps the updates to the current version and encodes each in steps of 64 items or 64 KiB, which the TimeSlicer runs. An update that was overtaken meanwhile is encoded again, at most three times for one poll.

--- a/mulleinhatch/configuration/document.py
+++ b/mulleinhatch/configuration/document.py
@@ -14,6 +14,7 @@
 
 from result import Err, Ok, Result
 
+from mulleinhatch.configuration.encoding import json_chunks
 from mulleinhatch.configuration.tenants import TENANTS, check_changed_keys, check_shared_keys, check_tenants, tenants_of
 from mulleinhatch.configuration.validation import (
     ITEM_KINDS,
@@ -41,7 +42,7 @@
 
     def to_json(self) -> bytes:
         """Return the configuration as compact JSON."""
-        return json.dumps(self.value, separators=(",", ":")).encode()
+        return b"".join(json_chunks(self.value))
 
 
 PATCH_KINDS = (*ITEM_KINDS, TENANTS)
--- a/mulleinhatch/control_plane/distribution.py
+++ b/mulleinhatch/control_plane/distribution.py
@@ -7,22 +7,22 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+from mulleinhatch.control_plane.configuration_encoder import ConfigurationEncoder, EncodedConfiguration
 from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.control_plane.registry import BackendRegistry
 from mulleinhatch.messages.cluster import Member, PollRequest, View
 from mulleinhatch.messages.encoded import EncodedPollResponse
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.state import ControlState
 
 MAX_WAIT_S = 5.0
 COALESCE_S = 0.004  # changes within this time are sent in one response
 POLLER_EXPIRY_S = 12.0  # how long a data plane is counted after its last poll
-MAX_PATCHES = 32  # a data plane further behind gets the complete configuration
+MAX_ENCODINGS = 3  # for one poll
 MIN_INTERVAL_PER_DATA_PLANE_S = 0.002  # least time between two responses to a data plane, per data plane in the system
 CONTACT_CHECK_S = 0.25  # interval of the check, shared by all waiting polls, that a majority still confirms the view
 NEVER_S = -1e9
@@ -64,9 +64,10 @@
     Args:
         node: The node whose configuration and backends are distributed.
         clock: Returns the monotonic time in seconds.
+        slicer: Runs the encoding of the configuration.
     """
 
-    def __init__(self, node: DistributionNode, clock: Callable[[], float]) -> None:
+    def __init__(self, node: DistributionNode, clock: Callable[[], float], slicer: TimeSlicer) -> None:
         self._node = node
         self._clock = clock
         self._pollers: dict[str, PollerState] = {}
@@ -74,8 +75,7 @@
         self._waiting = 0  # polls that wait for a change
         self._had_contact = False  # at the last check
         self._contact_check: asyncio.TimerHandle | None = None
-        self._full_configuration = b""  # compressed; a cache for `_full_configuration_version`
-        self._full_configuration_version = -1
+        self._encoder = ConfigurationEncoder(node.state, slicer)
 
     def notify_changed(self) -> None:
         """Wake all waiting polls; call it whenever something that data planes use has changed."""
@@ -116,8 +116,22 @@
                 remaining_s = min(remaining_s, max(0.001, until_due_s))
             self._schedule_contact_check()
             await self._wait_for_change(remaining_s)
+        update = await self._encode_update(request)
         poller.polled_at = poller.answered_at = self._clock()
-        return self._build_response(request)
+        return self._build_response(request, update)
+
+    async def _encode_update(self, request: PollRequest) -> EncodedConfiguration | None:
+        """Return the update to the newest configuration, None where the data plane has it.
+
+        Where the configuration changes faster than it is encoded, the data plane gets none, and polls again.
+        """
+        for _ in range(MAX_ENCODINGS):
+            if self._node.state.document.version <= request.configuration_version:
+                return None
+            update = await self._encoder.encode(request.configuration_version)
+            if update.version == self._node.state.document.version:
+                return update
+        return None
 
     def _schedule_contact_check(self) -> None:
         """Schedule a check that a majority still confirms the view: no event wakes the polls when the majority is lost."""
@@ -171,7 +185,7 @@
             or node.state.departure_index > request.departure_index
         )
 
-    def _build_response(self, request: PollRequest) -> EncodedPollResponse:
+    def _build_response(self, request: PollRequest, update: EncodedConfiguration | None) -> EncodedPollResponse:
         node = self._node
         changes = node.registry.changes_since(request.registry_source, request.registry_cursor)
         head = node.head
@@ -189,18 +203,6 @@
             leader_address=head.internal_address if head else "",
             data_planes=self.count_all_data_planes(),
         )
-        if node.state.document.version > request.configuration_version:
-            response.base_version, response.configuration = self._encode_configuration(request.configuration_version)
+        if update is not None:
+            response.base_version, response.configuration = update.base_version, update.data
         return response
-
-    def _encode_configuration(self, known_version: int) -> tuple[int, bytes]:
-        """Return the base version of the bytes (0 for a complete configuration), and the bytes: compressed JSON."""
-        patches = self._node.state.patches_since(known_version) if known_version else None
-        if patches is not None and len(patches) <= MAX_PATCHES:
-            return known_version, zlib.compress(b"[" + b",".join(patches) + b"]")
-        document = self._node.state.document
-        if self._full_configuration_version != document.version:
-            text = json.dumps(document.value, separators=(",", ":"))
-            self._full_configuration = zlib.compress(text.encode(), 6)
-            self._full_configuration_version = document.version
-        return 0, self._full_configuration
--- a/mulleinhatch/control_plane/process.py
+++ b/mulleinhatch/control_plane/process.py
@@ -44,7 +44,7 @@
         self.clock = self.loop.time
         self.http_client = HttpClient()
         self.node = ControlPlaneNode(settings, self.http_client, self.clock, self, watch=running_watch())
-        self.distribution = Distribution(self.node, self.clock)
+        self.distribution = Distribution(self.node, self.clock, self.node.slicer)
         # Backends may answer without a length; the content of their answers shows whether they are whole.
         backend_client = HttpClient(accepts_close_delimited=True)
         self.placement = PlacementController(self.node, backend_client, self.clock, settings.bounds)
--- a/mulleinhatch/simulation/control_plane/machines.py
+++ b/mulleinhatch/simulation/control_plane/machines.py
@@ -181,7 +181,7 @@
             processor_time=self.process.processor_time,
         )
         node.open()
-        distribution = observer.distribution = Distribution(node, loop.time)
+        distribution = observer.distribution = Distribution(node, loop.time, node.slicer)
         self.control = ControlApi(node, loop.time, dict)
         self.internal_api = build_internal_api(node)
         self.internal_api.register("poll", cluster.PollRequest, distribution.poll)
