--- a/mulleinhatch/configuration/document.py
+++ b/mulleinhatch/configuration/document.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import hashlib
-import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -15,6 +14,7 @@
 from result import Err, Ok, Result
 
 from mulleinhatch.configuration.encoding import json_chunks
+from mulleinhatch.configuration.json_reader import read_json_steps
 from mulleinhatch.configuration.tenants import TENANTS, check_changed_keys, check_shared_keys, check_tenants, tenants_of
 from mulleinhatch.configuration.validation import (
     ITEM_KINDS,
@@ -55,9 +55,14 @@
 
 
 def read_json(body: bytes) -> Result[dict[str, Any], ConfigurationError]:
+    """Parse a JSON object at once; see `read_object_steps`."""
+    return complete(read_object_steps(body))
+
+
+def read_object_steps(body: bytes) -> Steps[Result[dict[str, Any], ConfigurationError]]:
     """Parse a JSON object; a key that occurs twice in an object is an error."""
     try:
-        value = json.loads(body, object_pairs_hook=_reject_duplicate_keys)
+        value = yield from read_json_steps(body, _reject_duplicate_keys)
     except (ValueError, RecursionError) as error:
         return Err(ConfigurationError(f"the body is no JSON that can be read whole ({error}); send it again complete"))
     if not isinstance(value, dict):
--- a/mulleinhatch/control_plane/configuration_changes.py
+++ b/mulleinhatch/control_plane/configuration_changes.py
@@ -16,6 +16,7 @@
 from result import Err
 
 from mulleinhatch.configuration.document import change_digest
+from mulleinhatch.configuration.encoding import joined, json_chunks
 from mulleinhatch.configuration.tenants import tenants_of
 from mulleinhatch.control_plane.background_tasks import BackgroundTasks
 from mulleinhatch.control_plane.majority_contact import MajorityContact
@@ -174,7 +175,9 @@
             is_confirmed = False
         if not is_confirmed or not replica.is_tail:
             return VIEW_CHANGING
-        return ConfigurationResult(ResultKind.OK, text=self._log.state.document.to_json())
+        chunks = json_chunks(self._log.state.document.value)
+        text = await self._slicer.run("encoding of the configuration for an operator", joined(chunks))
+        return ConfigurationResult(ResultKind.OK, text=text)
 
     def _redirect(self, member: Member | None) -> ConfigurationResult:
         """Redirect an operator to the member that serves the request, if it is another node and reachable."""
--- a/mulleinhatch/control_plane/log_compaction.py
+++ b/mulleinhatch/control_plane/log_compaction.py
@@ -12,6 +12,7 @@
     entry_records,
 )
 from mulleinhatch.control_plane.view_change import ViewChanger
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.storage.records import Record, RecordKind
 
 ENTRIES_BEFORE_SNAPSHOT = 128
@@ -25,9 +26,15 @@
     """
 
     def __init__(
-        self, log: ReplicatedLog, state_store: StateStore, view_changer: ViewChanger, registry: BackendRegistry
+        self,
+        log: ReplicatedLog,
+        state_store: StateStore,
+        view_changer: ViewChanger,
+        registry: BackendRegistry,
+        slicer: TimeSlicer,
     ) -> None:
         self._log, self._state_store, self._view_changer, self._registry = log, state_store, view_changer, registry
+        self._slicer = slicer
         self.rewrite_due = False
 
     def _is_due(self) -> bool:
@@ -43,8 +50,12 @@
         if not self._is_due():
             return
         replica = self._log.replica
+        # Before the lock is taken: entries are written while a large state is encoded.
+        snapshot = await self._slicer.run("encoding of a snapshot for the disk", self._log.state.snapshot_steps())
         async with self._log.lock:
-            remaining = replica.compact(self._log.state.snapshot())
+            if not self._is_due() or not replica.base.index <= snapshot.index <= replica.committed:
+                return  # meanwhile the log was compacted, or another snapshot was installed
+            remaining = replica.compact(snapshot)
             records = [
                 Record(RecordKind.IDENTITY, replica.identity.encode()),
                 Record(RecordKind.SNAPSHOT, bytes(replica.base)),
--- a/mulleinhatch/control_plane/node.py
+++ b/mulleinhatch/control_plane/node.py
@@ -132,8 +132,8 @@
         self.contact = MajorityContact(
             self.replica, self.peers, self._pauses, self.progress, self.view_changer.confirms_epoch, self._publish_change
         )
-        self.replicated_log = ReplicatedLog(self.replica, self.state, self.state_store, self.progress, self)
-        self.log_compactor = LogCompactor(self.replicated_log, self.state_store, self.view_changer, self.registry)
+        self.replicated_log = ReplicatedLog(self.replica, self.state, self.state_store, self.progress, self, self.slicer)
+        self.log_compactor = LogCompactor(self.replicated_log, self.state_store, self.view_changer, self.registry, self.slicer)
         self._wire_heartbeats()
         self._wire_writes()
         self._wire_loops()
@@ -166,7 +166,7 @@
         self._log_replicator = LogReplicator(
             self.replicated_log, self.peers, self._client, self.view_changer, self.log_compactor
         )
-        self.snapshot_server = SnapshotServer(self.replica, self.state)
+        self.snapshot_server = SnapshotServer(self.replica, self.state, self.slicer)
         fetcher = SnapshotFetcher(self.clock, self.peers, self._client, self.view_changer, self.replicated_log)
         self._catch_up = CatchUp(self.replica, self.status, fetcher, self.log_compactor, self.progress, self.request_heartbeat)
         self._view_manager = ViewManager(
--- a/mulleinhatch/control_plane/replicated_log.py
+++ b/mulleinhatch/control_plane/replicated_log.py
@@ -8,6 +8,7 @@
 from mulleinhatch.control_plane.progress import ProgressCondition
 from mulleinhatch.control_plane.state_store import StateStore, commit_record, entry_records, log_complete_record
 from mulleinhatch.messages.cluster import AppendRequest, AppendResponse
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.chain import LogWrite, Replica
 from mulleinhatch.replication.state import CONFIGURATION_KINDS, ControlState
 from mulleinhatch.storage.records import Record, RecordKind
@@ -42,9 +43,10 @@
         state_store: StateStore,
         progress: ProgressCondition,
         listener: StateListener,
+        slicer: TimeSlicer,
     ) -> None:
         self.replica, self.state, self.progress = replica, state, progress
-        self._state_store, self._listener = state_store, listener
+        self._state_store, self._listener, self._slicer = state_store, listener, slicer
         self.lock = asyncio.Lock()
 
     async def write(self, write: LogWrite) -> None:
@@ -55,6 +57,7 @@
         """
         records = []
         if write.snapshot is not None:
+            await self._read_body(write.snapshot.configuration)
             records.append(Record(RecordKind.SNAPSHOT, bytes(write.snapshot)))
         records += entry_records(write.entries)
         if records:
@@ -108,7 +111,13 @@
             write = replica.on_append(request)
             if write is None:
                 return replica.build_response(False)
+            is_tail = replica.is_tail
+            if is_tail:  # it commits and applies them as soon as they are on its disk
+                await self._read_bodies(write)
             await self.write(write)
+            if not is_tail:
+                self.progress.notify_progress()  # the successor gets them while they are read here
+                await self._read_bodies(write)
             if request.epoch != replica.view.epoch:
                 return replica.build_response(False)
             await self._persist_log_complete(request)
@@ -121,6 +130,15 @@
         await self.progress.wait_for(lambda: replica.committed >= last or request.epoch != replica.view.epoch, COMMIT_WAIT_S)
         return replica.build_response(request.epoch == replica.view.epoch)
 
+    async def _read_bodies(self, write: LogWrite) -> None:
+        for entry in write.entries:
+            if entry.kind in CONFIGURATION_KINDS:
+                await self._read_body(entry.body)
+
+    async def _read_body(self, body: bytes) -> None:
+        """Read the body of an entry or of a snapshot in slices, so that it is applied quickly once it is committed."""
+        await self._slicer.run("reading of a replicated configuration", self.state.parsed_bodies.read_steps(body))
+
     async def _persist_log_complete(self, request: AppendRequest) -> None:
         """Persist that the log is complete before it takes effect, if the append brings the last entry of the predecessor."""
         if not self.replica.log_complete and self.replica.last_index >= request.sender_last:
--- a/mulleinhatch/control_plane/snapshot_transfer.py
+++ b/mulleinhatch/control_plane/snapshot_transfer.py
@@ -10,6 +10,7 @@
 from mulleinhatch.control_plane.replicated_log import ReplicatedLog
 from mulleinhatch.control_plane.view_change import ViewChanger
 from mulleinhatch.messages.cluster import Member, SnapshotRequest, SnapshotResponse
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.chain import LogWrite, Replica
 from mulleinhatch.replication.state import ControlState
 
@@ -20,8 +21,8 @@
 class SnapshotServer:
     """Serves snapshots of this replica's state."""
 
-    def __init__(self, replica: Replica, state: ControlState) -> None:
-        self._replica, self._state = replica, state
+    def __init__(self, replica: Replica, state: ControlState, slicer: TimeSlicer) -> None:
+        self._replica, self._state, self._slicer = replica, state, slicer
 
     async def on_snapshot(self, request: SnapshotRequest) -> SnapshotResponse:
         """Return a snapshot, if this node is a replica of the chain in the epoch of the request and its log is complete.
@@ -31,13 +32,17 @@
         gets these entries from its predecessor in the next view, and does not count as current before it knows that they are
         committed. A joining node of an earlier version would count as current at once, so only a current replica serves it.
         """
+        if not self._may_serve(request):
+            return SnapshotResponse(available=False, newest=self._replica.view)
+        snapshot = await self._slicer.run("encoding of a snapshot for a peer", self._state.snapshot_steps())
+        if not self._may_serve(request):  # the view changed meanwhile
+            return SnapshotResponse(available=False, newest=self._replica.view)
+        return SnapshotResponse(available=True, newest=self._replica.view, snapshot=snapshot)
+
+    def _may_serve(self, request: SnapshotRequest) -> bool:
         replica = self._replica
         is_sufficient = replica.is_current or (replica.log_complete and request.awaits_commit)
-        available = request.epoch == replica.view.epoch and replica.position >= 0 and is_sufficient
-        response = SnapshotResponse(available=available, newest=replica.view)
-        if available:
-            response.snapshot = self._state.snapshot()
-        return response
+        return request.epoch == replica.view.epoch and replica.position >= 0 and is_sufficient
 
 
 class SnapshotFetcher:
--- a/mulleinhatch/replication/state.py
+++ b/mulleinhatch/replication/state.py
@@ -20,10 +20,12 @@
     apply_patch_steps,
     change_digest,
     read_complete_steps,
-    read_json,
+    read_object_steps,
 )
+from mulleinhatch.configuration.encoding import joined, json_chunks
 from mulleinhatch.errors import ReplicationError
 from mulleinhatch.messages.cluster import Entry, Snapshot
+from mulleinhatch.replication.parsed_bodies import ParsedBodies
 from mulleinhatch.steps import Steps, complete
 
 
@@ -116,6 +118,7 @@
         departed_backends: Ids of departed backends with the indexes of their entries, oldest first.
         forgotten_version: Changes up to this version may have been applied although their digests were dropped.
         recent: Recent patches with the versions they were applied to.
+        parsed_bodies: Bodies of entries and snapshots that will be applied soon.
     """
 
     def __init__(self) -> None:
@@ -128,6 +131,7 @@
         self.departed_backends: dict[str, int] = {}
         self.forgotten_version = 0
         self.recent: list[tuple[int, Entry]] = []
+        self.parsed_bodies = ParsedBodies()
 
     # Checking.
 
@@ -149,7 +153,7 @@
             return _reject(ChangeOutcome.ALREADY_APPLIED, "already applied")
         if base is not None and base != current.version and base >= self.forgotten_version:
             return _reject_base(current)  # not read: whatever it contains, it can't have been applied before
-        if isinstance(read := read_json(body), Err):
+        if isinstance(read := (yield from read_object_steps(body)), Err):
             return _reject(ChangeOutcome.INVALID, str(read.err_value))
         version = read.ok_value.get("version")
         if isinstance(version, int) and version <= self.forgotten_version:
@@ -165,6 +169,7 @@
         if isinstance(document, Err):
             return _reject(ChangeOutcome.INVALID, str(document.err_value))
         kind = EntryKind.CONFIGURATION if method == "PUT" else EntryKind.PATCH
+        self.parsed_bodies.keep(body, read.ok_value)
         return Ok(Change(kind, body, digest, document.ok_value))
 
     # Applying.
@@ -192,7 +197,7 @@
             del self.departed_backends[next(iter(self.departed_backends))]
 
     def _apply_change(self, entry: Entry) -> None:
-        value = json.loads(entry.body)
+        value = self.parsed_bodies.take(entry.body)
         if entry.kind == EntryKind.CONFIGURATION:
             document = accept_complete(value, self.document.version)
         else:
@@ -238,23 +243,29 @@
     # Snapshots.
 
     def snapshot(self) -> Snapshot:
-        """Return a snapshot of the state; `recent` is not part of it."""
-        return Snapshot(
+        """Return a snapshot of the state at once; see `snapshot_steps`."""
+        return complete(self.snapshot_steps())
+
+    def snapshot_steps(self) -> Steps[Snapshot]:
+        """Return a snapshot of the state as it is at the first step; `recent` is not part of it."""
+        document = self.document
+        snapshot = Snapshot(
             index=self.index,
             epoch=self.epoch,
-            configuration_version=self.document.version,
-            configuration=self.document.to_json(),
+            configuration_version=document.version,
             digests=[f"{digest} {version}" for digest, version in self.digests.items()],
             leader=self.leader,
             fencing_token=self.fencing_token,
             departed_backends=[f"{backend_id} {index}" for backend_id, index in self.departed_backends.items()],
             forgotten_version=self.forgotten_version,
         )
+        snapshot.configuration = yield from joined(json_chunks(document.value))
+        return snapshot
 
     def restore(self, snapshot: Snapshot) -> None:
         """Replace the state by that of a snapshot."""
         self.index, self.epoch = snapshot.index, snapshot.epoch
-        value = json.loads(snapshot.configuration) if snapshot.configuration else EMPTY.value
+        value = self.parsed_bodies.take(snapshot.configuration) if snapshot.configuration else EMPTY.value
         self.document = Document(snapshot.configuration_version, value)
         pairs = (text.split(" ") for text in snapshot.digests)
         self.digests = {digest: int(version) for digest, version in pairs}
