A change of a route no longer builds every tenant anew

The same cause on related paths: each version of the configuration made a control plane build all tenants for its quotas in one piece, and a data plane compare and copy the list of all tenants, whatever had changed.

BuiltItems follows the items of successive configurations by identity, which a patch keeps for all items that it does not change. The tenants of quotas and the table of keys are built from what was added and removed, the table in steps.

--- a/mulleinhatch/configuration/tenants.py
+++ b/mulleinhatch/configuration/tenants.py
@@ -12,9 +12,10 @@
 
 from result import Err, Ok, Result
 
+from mulleinhatch.configuration.built_items import BuiltItems
 from mulleinhatch.configuration.validation import ITEMS_PER_STEP, is_number
 from mulleinhatch.errors import ConfigurationError
-from mulleinhatch.steps import Steps
+from mulleinhatch.steps import Steps, complete
 from mulleinhatch.tenants.api_keys import KeyDigester, Secret
 from mulleinhatch.tenants.tenant import QuotaLimit, QuotaUnit, Tenant
 from mulleinhatch.tenants.tenant_table import NO_TENANTS, TenantTable
@@ -30,14 +31,6 @@
     return value.get(TENANTS, ())
 
 
-def tenants_by_name(value: Mapping[str, Any]) -> dict[str, Tenant]:
-    """Return the tenants of an accepted configuration by name, without their keys; an invalid tenant is left out.
-
-    Such a tenant was accepted by a process that runs a version without the checks of this module.
-    """
-    return {item["name"]: build_tenant(item) for item in tenants_of(value) if not _find_error(item)}
-
-
 def check_tenants(items: Any) -> Steps[Result[None, ConfigurationError]]:
     """Check tenants one by one: names, keys and numbers."""
     if not isinstance(items, list):
@@ -126,9 +119,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Record:
-    """A built tenant, with the item that it was built from. `repr` shows neither its keys nor their digests."""
+    """A built tenant. `repr` does not show the digests of its keys."""
 
-    item: Mapping[str, Any] = field(repr=False)
     tenant: Tenant
     digests: tuple[bytes, ...] = field(repr=False)
 
@@ -143,39 +135,70 @@
     def __init__(self, digester: KeyDigester) -> None:
         self._digester = digester
         self._items: Sequence[Mapping[str, Any]] = ()
-        self._records: dict[str, _Record] = {}
-        self._by_digest: dict[bytes, tuple[bytes, Tenant]] = {}
+        self._records: BuiltItems[_Record] = BuiltItems(self._build_record)
         self._table = NO_TENANTS
+        self._by_digest: dict[bytes, tuple[bytes, Tenant]] = {}
+        self._by_name: dict[str, Tenant] = {}
 
     def build(self, value: Mapping[str, Any]) -> TenantTable:
+        """Return the table of a configuration at once; see `build_steps`."""
+        return complete(self.build_steps(value))
+
+    def build_steps(self, value: Mapping[str, Any]) -> Steps[TenantTable]:
         """Return the table of a configuration; the previous table if the list of tenants is the same object.
 
         Args:
             value: A validated configuration.
+
+        Raises:
+            AttributeError, KeyError, TypeError, ValueError: It is not valid; a new builder is needed.
         """
         items = tenants_of(value)
         if items is self._items:
             return self._table
-        changed = [item for item in items if (known := self._records.get(item["name"])) is None or known.item is not item]
-        gone = self._records.keys() - {item["name"] for item in items}
-        records, by_digest = dict(self._records), dict(self._by_digest)
-        for name in (*gone, *(item["name"] for item in changed)):
-            if (record := records.pop(name, None)) is not None:
-                for digest in record.digests:
-                    by_digest.pop(digest, None)
-        for item in changed:  # after all removals: a key may have moved from one tenant to another
-            records[item["name"]] = record = self._record(item)
+        changes = yield from self._records.update_steps(items)
+        by_digest, by_name = dict(self._by_digest), dict(self._by_name)
+        for number, record in enumerate(changes.removed):
+            if number % ITEMS_PER_STEP == 0:
+                yield
+            by_name.pop(record.tenant.name, None)
+            for digest in record.digests:
+                by_digest.pop(digest, None)
+        for number, record in enumerate(changes.added):  # after all removals: a key may have moved between tenants
+            if number % ITEMS_PER_STEP == 0:
+                yield
+            by_name[record.tenant.name] = record.tenant
             by_digest.update((digest, (digest, record.tenant)) for digest in record.digests)
-        self._items, self._records, self._by_digest = items, records, by_digest
-        by_name = {name: record.tenant for name, record in records.items()}
-        self._table = TenantTable(self._digester, by_name, by_digest, requires_keys=True) if records else NO_TENANTS
+        self._items, self._by_digest, self._by_name = items, by_digest, by_name
+        self._table = TenantTable(self._digester, by_name, by_digest, requires_keys=True) if by_name else NO_TENANTS
         return self._table
 
-    def _record(self, item: Mapping[str, Any]) -> _Record:
+    def _build_record(self, item: Mapping[str, Any]) -> _Record:
         if fault := _find_error(item):  # a version without these checks accepted the configuration
             raise ValueError(f"tenants: {fault}")
         digests = tuple(self._digester.digest(Secret(key.encode("utf-8", "surrogatepass"))) for key in item["api_keys"])
-        return _Record(item, build_tenant(item), digests)
+        return _Record(build_tenant(item), digests)
+
+
+class TenantBuilder:
+    """Builds the tenants of successive configurations, without their keys; those that did not change are not built again.
+
+    An invalid tenant is left out: it was accepted by a process that runs a version without the checks of this module.
+    """
+
+    def __init__(self) -> None:
+        self._tenants: BuiltItems[Tenant | None] = BuiltItems(lambda item: None if _find_error(item) else build_tenant(item))
+        self._items: Sequence[Mapping[str, Any]] | None = None
+        self._by_name: dict[str, Tenant] = {}
+
+    def build(self, value: Mapping[str, Any]) -> Mapping[str, Tenant]:
+        """Return the tenants of an accepted configuration by name; the same mapping if they are the same."""
+        items = tenants_of(value)
+        if items is not self._items:
+            changes = complete(self._tenants.update_steps(items))
+            self._items = items
+            self._by_name = {name: tenant for name, tenant in changes.by_name.items() if tenant is not None}
+        return self._by_name
 
 
 def build_tenant(item: Mapping[str, Any]) -> Tenant:
--- a/mulleinhatch/control_plane/quotas.py
+++ b/mulleinhatch/control_plane/quotas.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol, TypedDict
 
 from mulleinhatch.configuration.document import Document
-from mulleinhatch.configuration.tenants import tenants_by_name
+from mulleinhatch.configuration.tenants import TenantBuilder
 from mulleinhatch.control_plane.internal_client import InternalClient
 from mulleinhatch.control_plane.majority_contact import CONFIRM_TIMEOUT_S
 from mulleinhatch.control_plane.quota_handover import HandoverRequester
@@ -103,6 +103,7 @@
         self._view_since = 0.0
         self._document: Document | None = None
         self._addresses: list[str] = []
+        self._tenant_builder = TenantBuilder()
         self._tenants: Mapping[str, Tenant] = {}
         self._is_refusing = False  # the last request was answered without majority contact
 
@@ -112,7 +113,7 @@
         if view is self._view and document is self._document:
             return
         if document is not self._document:
-            self._tenants = tenants_by_name(document.value)
+            self._tenants = self._tenant_builder.build(document.value)
         former_view = self._view
         if view is not self._view:
             self._view_since = self._clock()
