A data plane takes a large configuration in slices, and builds only what changed

The placement built the whole route table for each version although it needs the services only.

ControlPlaneClient runs decompression, JSON, patches and tables in slices of 1 ms of processor time; requests go on by the table in force. RouteTableBuilder keeps the routes of unchanged items and the tables of unchanged hosts; the priority classes read a summary of the table instead of all routes. The placement builds services only, those that changed.

Property tests: tables and tenants after any series of patches are the same as if built from nothing. The test of the slices counts the turns of the loop; before there was one. A change of one route among 2,000 builds one route; before 2,000.

--- a/mulleinhatch/configuration/encoding.py
+++ b/mulleinhatch/configuration/encoding.py
@@ -63,6 +63,23 @@
     return b"".join(parts)
 
 
+def decompressed(data: bytes) -> Steps[bytes]:
+    """Decompress zlib data, a bounded number of bytes a step.
+
+    Raises:
+        zlib.error: The data is damaged or incomplete.
+    """
+    decompressor, parts = zlib.decompressobj(), []
+    while not decompressor.eof:
+        part = decompressor.decompress(data, COMPRESSION_CHUNK_BYTES)
+        data = decompressor.unconsumed_tail
+        if not part and not data and not decompressor.eof:
+            raise zlib.error("the data is incomplete")
+        parts.append(part)
+        yield
+    return b"".join(parts)
+
+
 def patch_list_chunks(patches: Sequence[bytes]) -> Iterator[bytes]:
     """Yield a JSON array of patches, which are JSON texts.
 
--- a/mulleinhatch/configuration/routes.py
+++ b/mulleinhatch/configuration/routes.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
+from mulleinhatch.configuration.built_items import BuiltItems, ItemChanges
 from mulleinhatch.configuration.document import Document
 from mulleinhatch.configuration.tenants import tenants_of
 from mulleinhatch.configuration.validation import weighted_services
+from mulleinhatch.steps import Steps, complete
 from mulleinhatch.tenants.tenant_table import LOCKED, NO_TENANTS, TenantTable
 
 DEFAULT_CONNECTION_LIMIT = 1024
 DEFAULT_HEALTH_CHECK_PATH = "/health"
+ROUTES_PER_STEP = 1024
+HOSTS_PER_STEP = 64
 
 
 @dataclass(frozen=True)
@@ -125,14 +129,20 @@
 
     Attributes:
         version: The configuration's version.
+        routes: The routes by name.
         hosts: The routes of each host, the longest path prefix first.
+        target_s_by_priority: The longest target latency of the routes of each priority, in seconds.
+        has_public_routes: Whether some route needs no API key.
         services: The services by name.
         limits: Limits on what a client may send.
         tenants: The tenants and their keys.
     """
 
     version: int = 0
+    routes: Mapping[str, Route] = field(default_factory=dict)
     hosts: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)
+    target_s_by_priority: Mapping[int, float] = field(default_factory=dict)
+    has_public_routes: bool = False
     services: Mapping[str, Service] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
     tenants: TenantTable = NO_TENANTS
@@ -145,26 +155,92 @@
         return None
 
 
-def build_route_table(document: Document, tenants: TenantTable | None = None) -> RouteTable:
-    """Return the route table of a validated configuration.
+class RouteTableBuilder:
+    """Builds the route tables of successive configurations; what did not change is taken from the table before."""
+
+    def __init__(self) -> None:
+        self._routes: BuiltItems[Route] = BuiltItems(_build_route)
+        self._services: BuiltItems[Service] = BuiltItems(_build_service)
+        self._hosts: dict[str, tuple[Route, ...]] = {}
+
+    def build_steps(self, document: Document, tenants: TenantTable | None = None) -> Steps[RouteTable]:
+        """Return the route table of a validated configuration.
+
+        Args:
+            document: The configuration.
+            tenants: Its tenants, from a `TenantTableBuilder`; if omitted, a configuration with tenants accepts no key.
+
+        Raises:
+            AttributeError, KeyError, OverflowError, TypeError, ValueError: It is not valid; a new builder is needed.
+        """
+        if tenants is None:
+            tenants = LOCKED if tenants_of(document.value) else NO_TENANTS
+        services = yield from self._services.update_steps(document.value["services"])
+        limits = _build_limits(document.value.get("limits", {}))
+        routes = yield from self._routes.update_steps(document.value["routes"])
+        self._hosts = yield from _updated_hosts(self._hosts, routes)
+        target_s_by_priority = yield from _longest_targets(routes.by_name.values())
+        return RouteTable(
+            version=document.version,
+            routes=routes.by_name,
+            hosts=self._hosts,
+            target_s_by_priority=target_s_by_priority,
+            has_public_routes=any(route.is_public for route in routes.by_name.values()),
+            services=services.by_name,
+            limits=limits,
+            tenants=tenants,
+        )
 
-    Args:
-        document: The configuration.
-        tenants: Its tenants, from a `TenantTableBuilder`; if omitted, a configuration with tenants accepts no key.
-    """
-    if tenants is None:
-        tenants = LOCKED if tenants_of(document.value) else NO_TENANTS
-    hosts: dict[str, list[Route]] = {}
-    for item in document.value["routes"]:
-        route = _build_route(item)
-        hosts.setdefault(route.host, []).append(route)
-    return RouteTable(
-        version=document.version,
-        hosts={host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix))) for host, routes in hosts.items()},
-        services={item["name"]: _build_service(item) for item in document.value["services"]},
-        limits=_build_limits(document.value.get("limits", {})),
-        tenants=tenants,
-    )
+
+def build_route_table(document: Document, tenants: TenantTable | None = None) -> RouteTable:
+    """Return the route table of a validated configuration at once; see `RouteTableBuilder.build_steps`."""
+    return complete(RouteTableBuilder().build_steps(document, tenants))
+
+
+class ServiceBuilder:
+    """Builds the services of successive configurations; those that did not change are not built again."""
+
+    def __init__(self) -> None:
+        self._services: BuiltItems[Service] = BuiltItems(_build_service)
+
+    def build(self, document: Document) -> Mapping[str, Service]:
+        """Return the services of a validated configuration by name."""
+        return complete(self._services.update_steps(document.value["services"])).by_name
+
+
+def _updated_hosts(hosts: Mapping[str, tuple[Route, ...]], changes: ItemChanges[Route]) -> Steps[dict[str, tuple[Route, ...]]]:
+    """Return the routes of each host after a change, the longest path prefix first."""
+    updated = dict(hosts)
+    changed: dict[str, dict[str, Route]] = {}  # the routes of each changed host, by name
+    for route in (*changes.removed, *changes.added):
+        if route.host not in changed:
+            changed[route.host] = {other.name: other for other in hosts.get(route.host, ())}
+    for number, route in enumerate(changes.removed):
+        if number % ROUTES_PER_STEP == 0:
+            yield
+        changed[route.host].pop(route.name, None)
+    for number, route in enumerate(changes.added):
+        if number % ROUTES_PER_STEP == 0:
+            yield
+        changed[route.host][route.name] = route
+    for number, (host, routes) in enumerate(changed.items()):
+        if number % HOSTS_PER_STEP == 0:
+            yield
+        if routes:
+            updated[host] = tuple(sorted(routes.values(), key=lambda route: -len(route.path_prefix)))
+        else:
+            del updated[host]
+    return updated
+
+
+def _longest_targets(routes: Iterable[Route]) -> Steps[dict[int, float]]:
+    """Return the longest target latency of each priority, in seconds."""
+    target_s: dict[int, float] = {}
+    for number, route in enumerate(routes):
+        if number % ROUTES_PER_STEP == 0:
+            yield
+        target_s[route.priority] = max(route.target_latency_s, target_s.get(route.priority, 0.0))
+    return target_s
 
 
 def _build_route(item: Mapping[str, Any]) -> Route:
--- a/mulleinhatch/control_plane/placement/controller.py
+++ b/mulleinhatch/control_plane/placement/controller.py
@@ -19,7 +19,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from mulleinhatch.configuration.routes import EngineSpec, RouteTable, build_route_table
+from mulleinhatch.configuration.routes import EngineSpec, ServiceBuilder
 from mulleinhatch.control_plane.placement.backend_state import BackendState
 from mulleinhatch.control_plane.placement.demand import DemandAggregator
 from mulleinhatch.control_plane.placement.interfaces import ClusterMember
@@ -65,7 +65,7 @@
         self._dispatcher = OrderDispatcher(node, clock, self._client, self.leadership, self._publisher, self._store_loads)
         self._backend_states: dict[str, BackendState] = {}
         self._disk_models: dict[str, set[str]] = {}  # models on the disk of the backend at each address
-        self._table = RouteTable()
+        self._service_builder = ServiceBuilder()
         self._started_at = clock()
 
     @property
@@ -134,9 +134,7 @@
     def _reconcile_services(self) -> None:
         now = self._clock()
         document = self._node.state.document
-        if self._table.version != document.version:
-            self._table = build_route_table(document)
-        for service in self._table.services.values():
+        for service in self._service_builder.build(document).values():
             if service.engine is not None:
                 self._reconcile_service(service.name, service.engine, now)
 
--- a/mulleinhatch/data_plane/control_plane_client.py
+++ b/mulleinhatch/data_plane/control_plane_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import math
 import os
@@ -13,7 +12,9 @@
 from result import Err
 
 from mulleinhatch.configuration.document import EMPTY, Document, accept_patch
-from mulleinhatch.configuration.routes import RouteTable, build_route_table
+from mulleinhatch.configuration.encoding import decompressed
+from mulleinhatch.configuration.json_reader import read_json_steps
+from mulleinhatch.configuration.routes import RouteTable, RouteTableBuilder
 from mulleinhatch.configuration.tenants import TenantTableBuilder
 from mulleinhatch.data_plane.control_plane_snapshot import ControlPlaneSnapshot
 from mulleinhatch.errors import ConfigurationError
@@ -21,7 +22,10 @@
 from mulleinhatch.messages.cluster import DemandReport, DemandResponse, ModelDemand, PollRequest, PollResponse
 from mulleinhatch.messages.parsing import UnreadableMessageError, parse_message
 from mulleinhatch.networking.http_client import HttpCallError, HttpClient
+from mulleinhatch.process.loop_watch import LoopWatch
 from mulleinhatch.process.settings import Settings
+from mulleinhatch.process.time_slices import TimeSlicer
+from mulleinhatch.steps import Steps
 from mulleinhatch.tenants.api_keys import KeyDigester
 
 LOG = logging.getLogger(__name__)
@@ -31,6 +35,7 @@
 POLL_RETRY_DELAY_S = 0.1
 DEMAND_REPORT_TIMEOUT_S = 0.6
 DIGEST_KEY_BYTES = 32  # length of the random key for this process's digests of the tenants' API keys
+SLICE_S = 0.001  # of processor time: requests wait for as long as it takes on this machine's share of a core
 COOLDOWN_S = 2.0  # a node that failed, or has no majority, is polled last for this time
 
 
@@ -50,6 +55,7 @@
         clock: Loop time in seconds.
         on_snapshot: Called with each new snapshot.
         on_new_leader: Called when the placement leader changes.
+        slicer: Runs the work that grows with the configuration.
     """
 
     def __init__(
@@ -59,11 +65,14 @@
         clock: Callable[[], float],
         on_snapshot: Callable[[ControlPlaneSnapshot], None],
         on_new_leader: Callable[[], None] = lambda: None,
+        slicer: TimeSlicer | None = None,
     ) -> None:
         self._settings, self._http, self._clock = settings, http, clock
+        self._slicer = slicer or TimeSlicer(LoopWatch(), SLICE_S)
         self._on_snapshot, self._on_new_leader = on_snapshot, on_new_leader
         self._document: Document = EMPTY
         self._table = RouteTable()
+        self._table_builder = RouteTableBuilder()
         self._tenants = TenantTableBuilder(KeyDigester(os.urandom(DIGEST_KEY_BYTES)))
         self._confirmed_at = -math.inf  # when a node with a majority last confirmed the configuration in force
         self._needs_complete_configuration = False  # an update could not be applied to the one in force
@@ -136,15 +145,15 @@
         self._epoch = max(self._epoch, update.epoch)
         self._responsive.add(address)
         # After a pause of this process the response may be old: it counts as no newer than the timeout allows.
-        self._apply(update, min(self._clock(), sent_at + timeout_s))
+        await self._apply(update, min(self._clock(), sent_at + timeout_s))
         if not update.authoritative or self._needs_complete_configuration:
             self._cooldown_until[address] = self._clock() + COOLDOWN_S
             await asyncio.sleep(POLL_RETRY_DELAY_S)
 
     # Applying an update.
 
-    def _apply(self, update: PollResponse, answered_at: float) -> None:
-        self._apply_configuration(update)
+    async def _apply(self, update: PollResponse, answered_at: float) -> None:
+        await self._apply_configuration(update)
         if update.authoritative and self._document.version >= update.configuration_version > 0:
             self._confirmed_at = max(self._confirmed_at, answered_at)
         self._apply_control_addresses(update)
@@ -179,15 +188,16 @@
             self.leader = update.leader_address
             self._on_new_leader()
 
-    def _apply_configuration(self, update: PollResponse) -> None:
+    async def _apply_configuration(self, update: PollResponse) -> None:
         if not update.configuration or not self._is_wanted(update):
             return
         if not self._document.version and not update.authoritative and not self._may_use_unconfirmed():
             return
         try:
-            document = self._decode_configuration(update)
-            table = _build_table(document, self._tenants)
+            document = await self._slicer.run("decoding of a configuration", self._decode_configuration(update))
+            table = await self._slicer.run("building of a route table", self._build_table(document))
         except UnusableConfigurationError as error:
+            self._table_builder = RouteTableBuilder()  # it may have followed a part of the update
             LOG.error(
                 "configuration update can't be applied; requesting the complete configuration",
                 extra={"version": update.configuration_version, "error": str(error)},
@@ -215,20 +225,21 @@
         bounds = self._settings.bounds
         return self._clock() - self._unconfirmed_since >= bounds.contact_s + bounds.configuration_apply_s
 
-    def _decode_configuration(self, update: PollResponse) -> Document:
+    def _decode_configuration(self, update: PollResponse) -> Steps[Document]:
         """Return the configuration of an update, which holds either a complete one or patches.
 
         Raises:
             UnusableConfigurationError: The bytes can't be read, a patch does not apply, or the resulting version differs.
         """
         try:
-            value = json.loads(zlib.decompress(update.configuration))
-        except (zlib.error, ValueError) as error:
+            value = yield from read_json_steps((yield from decompressed(update.configuration)))
+        except (zlib.error, ValueError, RecursionError) as error:
             raise UnusableConfigurationError(f"its bytes can't be read: {error}") from error
         if not update.base_version:
             return Document(update.configuration_version, value)
         document = self._document
         for patch in value:
+            yield
             try:
                 patched = accept_patch(document, patch)
             except (AttributeError, KeyError, TypeError) as error:
@@ -240,6 +251,18 @@
             raise UnusableConfigurationError(f"its patches lead to version {document.version}")
         return document
 
+    def _build_table(self, document: Document) -> Steps[RouteTable]:
+        """Return the route table of a configuration that a control-plane node sent.
+
+        Raises:
+            UnusableConfigurationError: The value is not a valid configuration.
+        """
+        try:
+            tenants = yield from self._tenants.build_steps(document.value)
+            return (yield from self._table_builder.build_steps(document, tenants))
+        except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
+            raise UnusableConfigurationError(f"it is not a valid configuration: {error!r}") from error
+
     # Reporting demand.
 
     async def report_demand(self, demand: list[ModelDemand], is_partial: bool) -> bool:
@@ -261,15 +284,3 @@
         except (HttpCallError, UnreadableMessageError):
             self._http.forget(self.leader)
             return False
-
-
-def _build_table(document: Document, tenants: TenantTableBuilder) -> RouteTable:
-    """Return the route table of a configuration that a control-plane node sent.
-
-    Raises:
-        UnusableConfigurationError: The value is not a valid configuration.
-    """
-    try:
-        return build_route_table(document, tenants.build(document.value))
-    except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
-        raise UnusableConfigurationError(f"it is not a valid configuration: {error!r}") from error
--- a/mulleinhatch/data_plane/priority_classes.py
+++ b/mulleinhatch/data_plane/priority_classes.py
@@ -89,21 +89,17 @@
 
 def build_priority_classes(table: RouteTable) -> PriorityClassTable:
     """Return the priority classes of a configuration."""
-    routes = [route for host in table.hosts.values() for route in host]
-    target_s: dict[int, float] = {}
-    for route in routes:
-        target_s[route.priority] = max(route.target_latency_s, target_s.get(route.priority, 0.0))
-    route_priorities = tuple(sorted(target_s))
+    route_priorities = tuple(sorted(table.target_s_by_priority))
     return PriorityClassTable(
-        _tenant_priorities(table.tenants.by_name.values(), routes),
+        _tenant_priorities(table.tenants.by_name.values(), table.has_public_routes),
         route_priorities,
-        tuple(target_s[priority] for priority in route_priorities),
+        tuple(table.target_s_by_priority[priority] for priority in route_priorities),
     )
 
 
-def _tenant_priorities(tenants: Iterable[Tenant], routes: Iterable[Route]) -> tuple[int, ...]:
+def _tenant_priorities(tenants: Iterable[Tenant], has_public_routes: bool) -> tuple[int, ...]:
     priorities = {_priority(tenant) for tenant in tenants}
-    if priorities and any(route.is_public for route in routes):
+    if priorities and has_public_routes:
         priorities.add(_priority(None))
     return tuple(sorted(priorities))
 
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -8,7 +8,7 @@
 import signal
 from typing import Any
 
-from mulleinhatch.data_plane.control_plane_client import ControlPlaneClient
+from mulleinhatch.data_plane.control_plane_client import SLICE_S, ControlPlaneClient
 from mulleinhatch.data_plane.demand_reporter import DemandReporter
 from mulleinhatch.data_plane.listener import Listener
 from mulleinhatch.data_plane.router import SWEEP_INTERVAL_S, Router
@@ -19,6 +19,7 @@
 from mulleinhatch.process.event_loop import running_watch
 from mulleinhatch.process.settings import Settings
 from mulleinhatch.process.supervision import supervise
+from mulleinhatch.process.time_slices import TimeSlicer
 
 LOG = logging.getLogger(__name__)
 
@@ -45,6 +46,7 @@
             self._loop.time,
             self._router.apply_snapshot,
             lambda: self._demand_reporter.on_new_leader(),
+            TimeSlicer(self._watch, SLICE_S),
         )
         self._demand_reporter = DemandReporter(
             self._loop, self._router.demand, self._router.queue.by_model, self._control_plane.report_demand
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -180,9 +180,8 @@
     def apply_snapshot(self, snapshot: ControlPlaneSnapshot) -> None:
         """Switch to a new snapshot of the configuration and the registry."""
         if snapshot.table is not self.snapshot.table:
-            routes = [route for host in snapshot.table.hosts.values() for route in host]
             self._apply_classes(snapshot.table)
-            self._traffic_splits.keep_only(route.name for route in routes)
+            self._traffic_splits.keep_only(snapshot.table.routes)
             self._readiness.update(snapshot.table.services)
         self.snapshot = snapshot
         limited = (name for name, tenant in snapshot.table.tenants.by_name.items() if tenant.limit is not None)
--- a/mulleinhatch/data_plane/traffic_split.py
+++ b/mulleinhatch/data_plane/traffic_split.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container
 from zlib import crc32
 
 ServiceWeights = tuple[tuple[str, float], ...]
@@ -44,8 +44,7 @@
         mean = sum(draws) / len(draws)
         return [(draw - mean) * total if weight else 0.0 for draw, (_, weight) in zip(draws, weights)]
 
-    def keep_only(self, routes: Iterable[str]) -> None:
+    def keep_only(self, routes: Container[str]) -> None:
         """Drop routes that are no longer configured."""
-        kept = set(routes)
-        for route in [route for route in self._current_weights if route not in kept]:
+        for route in [route for route in self._current_weights if route not in routes]:
             del self._current_weights[route]
--- a/mulleinhatch/simulation/control_plane/clients.py
+++ b/mulleinhatch/simulation/control_plane/clients.py
@@ -8,9 +8,11 @@
 from typing import Any
 
 from mulleinhatch.configuration.document import change_digest
-from mulleinhatch.data_plane.control_plane_client import ControlPlaneClient
+from mulleinhatch.data_plane.control_plane_client import SLICE_S, ControlPlaneClient
 from mulleinhatch.data_plane.control_plane_snapshot import ControlPlaneSnapshot
 from mulleinhatch.networking.http_client import HttpCallError, HttpResponse
+from mulleinhatch.process.loop_watch import LoopWatch
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.simulation.control_plane.machines import Machine, process_settings
 from mulleinhatch.simulation.control_plane.network import Network
 from mulleinhatch.simulation.virtual_time import Process
@@ -246,7 +248,9 @@
         self.snapshot, self.started_at = ControlPlaneSnapshot(), world.loop.time()
         self.process = Process(f"data-{self.number}")
         settings = process_settings(world, f"data-{self.number}", self.ip)
-        link = ControlPlaneClient(settings, Network(world, self, self.process), world.loop.time, self._swap)  # type: ignore[arg-type]
+        slicer = TimeSlicer(LoopWatch(), SLICE_S, self.process.processor_time)
+        network = Network(world, self, self.process)
+        link = ControlPlaneClient(settings, network, world.loop.time, self._swap, slicer=slicer)  # type: ignore[arg-type]
         world.loop.start(link.run(), self.process)
 
     def _swap(self, snapshot: ControlPlaneSnapshot) -> None:
