--- /dev/null
+++ b/benchmarks/large_change_parts/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of `benchmarks.large_changes`."""
--- a/mulleinhatch/simulation/control_plane/__init__.py
+++ b/mulleinhatch/simulation/control_plane/__init__.py
@@ -19,7 +19,8 @@
 from mulleinhatch.simulation.control_plane.world import World
 from mulleinhatch.simulation.virtual_time import VirtualLoop
 
-__all__ = ["Defect", "History", "World", "play", "play_script"]
+__all__ = ["Defect", "History", "World", "play", "play_calm", "play_script"]
+CALM_SHARES = (0.3, 0.6)  # of a core: what the smallest deployments give a control plane
 Script = Callable[[World], Coroutine[Any, Any, None]]
 
 
@@ -54,6 +55,25 @@
     return _run(begin, seed, plan)
 
 
+def play_calm(
+    seed: int, machines: int = 3, tolerated: int = 1, defect: Defect = Defect.NONE, processor_share: float = 0.0
+) -> History:
+    """Play one history without faults in which work takes processor time, and operators send large changes.
+
+    Args:
+        processor_share: Share of a core of each control-plane node; 0 for one that the seed draws.
+    """
+
+    async def begin(world: World) -> None:
+        await world.play_calm()
+
+    share = processor_share or random.Random(seed).uniform(*CALM_SHARES)
+    plan = HistoryPlan(
+        machines, tolerated, defect, message_loss_probability=0.0, large_change_fraction=0.3, processor_share=share
+    )
+    return _run(begin, seed, plan)
+
+
 def _run(begin: Script, seed: int, plan: HistoryPlan) -> History:
     loop, history = VirtualLoop(), History(seed)
     asyncio.set_event_loop(loop)
--- a/mulleinhatch/simulation/control_plane/clients.py
+++ b/mulleinhatch/simulation/control_plane/clients.py
@@ -25,6 +25,8 @@
 BACKEND_SERVES_S = (1.0, 9.0)  # from a backend's start to the announcement of its departure
 DRAIN_S = 2.0
 CONFIGURATION = "/configuration"
+LARGE_CHANGE_ROUTES = (280, 1120, 1600)
+INVALID_FRACTION = 0.2  # of the large changes
 
 
 @dataclass
@@ -36,7 +38,10 @@
     body: bytes
     version: int
     note: str
+    routes: int = 0
+    submitted_at: float = -1.0
     answers: list[int] = field(default_factory=list)
+    answered_at: float = -1.0
     acknowledged_at: float = -1.0
 
     @property
@@ -106,7 +111,7 @@
         world = self._world
         while world.loop.time() < world.plan.fault_period_s:
             await asyncio.sleep(world.rng.uniform(*world.plan.change_interval_s))
-            sent = self.change(world.checker.assumed_version)
+            sent = self.drawn_change(world.checker.assumed_version)
             world.checker.record_submission(sent)
             await self.send_until_answered(sent)
             if sent.acknowledged_at >= 0 and world.rng.random() < 0.1:
@@ -119,7 +124,17 @@
         version, note = base + 1, f"{self._name}-{self._number}"
         upsert = {"routes": routes, "services": [{"name": "noted", "note": note}], "tenants": [tenant_of(note)]}
         body = json.dumps({"version": version, "upsert": upsert}).encode()
-        return SubmittedChange("PATCH", base, body, version, note)
+        return SubmittedChange("PATCH", base, body, version, note, len(routes))
+
+    def drawn_change(self, base: int) -> SubmittedChange:
+        """Create a small change, or a large one, which may be invalid."""
+        rng = self._world.rng
+        if not base or rng.random() >= self._world.plan.large_change_fraction:
+            return self.change(base)
+        routes = routes_of(rng.choice(LARGE_CHANGE_ROUTES))
+        if rng.random() < INVALID_FRACTION:
+            routes[-1]["timeout_ms"] = 0
+        return self.large_change(base, routes)
 
     def change(self, base: int) -> SubmittedChange:
         """Create a change that builds on a version."""
--- a/mulleinhatch/simulation/control_plane/defects.py
+++ b/mulleinhatch/simulation/control_plane/defects.py
@@ -15,6 +15,7 @@
 
 from result import Err
 
+from mulleinhatch.configuration.item_schema import ItemSchema
 from mulleinhatch.consensus import view_planner
 from mulleinhatch.consensus.fault_tolerance import FaultTolerance
 from mulleinhatch.consensus.paxos import Voter
@@ -25,6 +26,7 @@
 from mulleinhatch.control_plane.view_change import ViewChanger
 from mulleinhatch.control_plane.write_gate import WriteGate
 from mulleinhatch.messages.cluster import LeaveResponse
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.chain import Replica
 from mulleinhatch.replication.state import ChangeOutcome, ControlState
 from mulleinhatch.steps import complete
@@ -50,6 +52,7 @@
     SHUT_DOWN_AT_ONCE = "a leaving machine ends even if it has the only complete replica"
     CURRENT_BEFORE_COMMIT = "a joined replica counts as current before it knows the entries it received as committed"
     FORMER_HEAD_ACKNOWLEDGES = "a head that left the chain acknowledges a change that it finds in a snapshot"
+    WORK_IN_ONE_PIECE = "long work runs in one turn of the event loop"
     LEAD_WITH_INCOMPLETE_LOG = "a joined replica leads with an incomplete log"
 
 
@@ -153,6 +156,14 @@
     return True
 
 
+async def _run_in_one_piece(self: TimeSlicer, name: str, steps: Any) -> Any:
+    return complete(steps)
+
+
+def _validate_whole(self: ItemSchema, item: Any) -> None:
+    self._schema.validate(item)
+
+
 async def _shut_down_at_once(node: Any, grace_s: float) -> None:
     node.leaving = True
 
@@ -197,6 +208,11 @@
         return [mock.patch.object(Replica, "on_append_persisted", _current_at_once(Replica.on_append_persisted))]
     if defect is Defect.FORMER_HEAD_ACKNOWLEDGES:
         return [mock.patch.object(ConfigurationChanges, "_change", _acknowledge_as_former_head(ConfigurationChanges._change))]
+    if defect is Defect.WORK_IN_ONE_PIECE:
+        return [
+            mock.patch.object(TimeSlicer, "run", _run_in_one_piece),
+            mock.patch.object(ItemSchema, "validate", _validate_whole),
+        ]
     if defect is Defect.LEAD_WITH_INCOMPLETE_LOG:
         return [mock.patch.object(Replica, "adopt_view", _adopt_as_log_complete(Replica.adopt_view))]
     return []
--- a/mulleinhatch/simulation/control_plane/history_plan.py
+++ b/mulleinhatch/simulation/control_plane/history_plan.py
@@ -21,6 +21,8 @@
         zones: Zones, to which the machines are assigned round-robin.
         zones_tolerated: Zones that may be lost at once, with all machines in them.
         zone_loss_fraction: Fraction of the other faults that take a whole zone, where one may be lost.
+        message_loss_probability: Of each message between control-plane nodes.
+        large_change_fraction: Fraction of the changes that add many routes; some of these are invalid.
         processor_share: Share of a core that each control-plane node has; 0 where work takes no time.
         closing_fraction: Fraction of the histories with faults that end with lost disks while all others lose power.
     """
@@ -36,4 +38,6 @@
     zones_tolerated: int = 0
     zone_loss_fraction: float = 0.4
     closing_fraction: float = 0.5
+    message_loss_probability: float = 0.02
+    large_change_fraction: float = 0.0
     processor_share: float = 0.0
--- a/mulleinhatch/simulation/control_plane/invariant_checks.py
+++ b/mulleinhatch/simulation/control_plane/invariant_checks.py
@@ -14,6 +14,7 @@
 
 CONTACT_S, CONFIGURATION_APPLY_S, DRAIN_S = 3.0, 2.0, 2.0
 CHECK_SLACK_S = 0.1
+ACKNOWLEDGE_S, ACKNOWLEDGE_PER_ROUTE_S = 5.0, 0.003  # the stated bound of an acknowledgement
 
 
 @dataclass
@@ -57,6 +58,7 @@
 
     def record_submission(self, sent: SubmittedChange) -> None:
         """Add a change to the history when its operator first sends it."""
+        sent.submitted_at = self._world.loop.time()
         self.history.sent.append(sent)
 
     def record_answer(self, sent: SubmittedChange, status: int) -> None:
@@ -64,6 +66,8 @@
         if status >= 400 and 200 in sent.answers:
             self.record_violation(f"version {sent.version} ({sent.note}) was acknowledged and then rejected with {status}")
         sent.answers.append(status)
+        if sent.answered_at < 0:
+            sent.answered_at = self._world.loop.time()
         if status != 200 or sent.answers.count(200) > 1:
             return
         sent.acknowledged_at = self._world.loop.time()
@@ -217,6 +221,19 @@
 
     # The end.
 
+    def check_calm(self, epoch: int) -> None:
+        """Check a history without faults: no view changed since `epoch`, and each change was answered in time."""
+        running = [machine.node for machine in self._world.machines if machine.node is not None]
+        newest_epoch = max(node.view.epoch for node in running)
+        if newest_epoch != epoch:
+            self.record_violation(f"{newest_epoch - epoch} view changes without a fault")
+        now = self._world.loop.time()
+        for sent in self.history.sent:
+            bound_s = ACKNOWLEDGE_S + sent.routes * ACKNOWLEDGE_PER_ROUTE_S
+            took_s = (sent.answered_at if sent.answers else now) - sent.submitted_at
+            if took_s > bound_s:
+                self.record_violation(f"version {sent.version} ({sent.routes} routes) had no answer for {took_s:.2f} s of calm")
+
     def check_end(self) -> None:
         """Check that the control plane has all acknowledged changes and no rejected one at the end."""
         running = [machine.node for machine in self._world.machines if machine.node is not None]
--- a/mulleinhatch/simulation/control_plane/network.py
+++ b/mulleinhatch/simulation/control_plane/network.py
@@ -11,7 +11,6 @@
 from mulleinhatch.simulation.virtual_time import Process
 
 DELAY_S = (0.001, 0.006)
-MESSAGE_LOSS_PROBABILITY = 0.02  # of each message between control-plane nodes
 RESET_S = 0.001  # a machine without a process refuses connections at once
 
 
@@ -75,7 +74,7 @@
 
     def _passes(self, one: Any, other: Any) -> bool:
         world = self._world
-        loss_probability = MESSAGE_LOSS_PROBABILITY if isinstance(self._endpoint, Machine) else 0.0
+        loss_probability = world.plan.message_loss_probability if isinstance(self._endpoint, Machine) else 0.0
         return world.links.open(one, other) and world.rng.random() >= loss_probability
 
     async def _carry(
--- a/mulleinhatch/simulation/control_plane/world.py
+++ b/mulleinhatch/simulation/control_plane/world.py
@@ -126,6 +126,20 @@
         await asyncio.gather(*clients, *([self.faults.run(), self.closing.run()] if with_faults else []))
         await self._verify_recovery()
 
+    async def play_calm(self) -> None:
+        """Play a history with clients and without faults, from when all machines are in the chain."""
+        await self.start()
+        await asyncio.sleep(CATCH_UP_S)
+        epoch = self.newest_epoch()
+        clients = [Operator(self, "one").run(), Operator(self, "two").run(), Reader(self).run(), Backend(self, 0).run()]
+        await asyncio.gather(*clients)
+        self.checker.check_calm(epoch)
+        self.checker.check_end()
+
+    def newest_epoch(self) -> int:
+        """Return the epoch of the newest view of a running node."""
+        return max(machine.node.view.epoch for machine in self.machines if machine.node is not None)
+
     async def _check_forever(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
