--- a/benchmarks/soak_parts/changes.py
+++ b/benchmarks/soak_parts/changes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import copy
 import json
 import random
 import secrets
@@ -18,6 +17,8 @@
 RETRY_S = 0.1
 MAX_REDIRECTS = 2
 MAX_ROUTES = 12
+MANY_ROUTES = (400, 1600)
+EXTRA_PREFIX, MANY_PREFIX = "extra-", "many-"
 MIN_KEYS, MAX_KEYS = 1, 4
 KEY_BYTES = 12
 PLAIN_TOKENS = 150
@@ -86,8 +87,11 @@
         number: Number of the change; new names contain it.
         random_source: Source of the draws.
     """
-    tenants, extra = document["tenants"], [item for item in document["routes"] if item["name"] not in KINDS]
-    kind = random_source.choice(["take", "take", "add", "add", "limit", "limit", "tenant", "route", "drop", "time-out"])
+    tenants = document["tenants"]
+    many = [item for item in document["routes"] if item["name"].startswith(MANY_PREFIX)]
+    extra = [item for item in document["routes"] if item["name"].startswith(EXTRA_PREFIX)]
+    kinds = ["take", "take", "add", "add", "limit", "limit", "tenant", "route", "drop", "time-out", "many", "many"]
+    kind = random_source.choice(kinds)
     if kind == "take" and (item := _remove_key(tenants, random_source)):
         return {"upsert": {"tenants": [item]}}
     if kind == "limit":
@@ -95,15 +99,25 @@
     if kind == "tenant":
         return _replace_tenant(tenants, number)
     if kind == "route" and len(extra) < MAX_ROUTES:
-        return {"upsert": {"routes": [route(f"extra-{number}", "safe")]}}
+        return {"upsert": {"routes": [route(f"{EXTRA_PREFIX}{number}", "safe")]}}
     if kind == "drop" and extra:
         return {"remove": {"routes": [random_source.choice(extra)["name"]]}}
+    if kind == "many":
+        return _replace_many(many, number, random_source)
     if kind == "add" and (item := _add_key(tenants, random_source)):
         return {"upsert": {"tenants": [item]}}
     read_route = next(item for item in document["routes"] if item["name"] == "read")
     return {"upsert": {"routes": [{**read_route, "timeout_ms": random_source.choice([3000, 4000, 5000, 6000])}]}}
 
 
+def _replace_many(many: list[dict[str, Any]], number: int, random_source: random.Random) -> dict[str, Any]:
+    """Return a patch that adds many routes, or removes those that an earlier one added."""
+    if many:
+        return {"remove": {"routes": [item["name"] for item in many]}}
+    count = random_source.randint(*MANY_ROUTES)
+    return {"upsert": {"routes": [route(f"{MANY_PREFIX}{number}-{index}", "safe") for index in range(count)]}}
+
+
 def _replace_tenant(tenants: list[dict[str, Any]], number: int) -> dict[str, Any]:
     """Return a patch that adds a tenant with a new name and removes the tenant that was added before."""
     old = [item["name"] for item in tenants if item["name"] not in LIMITS]
@@ -113,7 +127,7 @@
 
 def apply_patch(document: dict[str, Any], patch: dict[str, Any], version: int) -> dict[str, Any]:
     """Return the configuration that results from a patch."""
-    changed = {**copy.deepcopy(document), "version": version}
+    changed = {**document, "version": version}  # items are replaced, never modified
     for kind in ("routes", "tenants"):
         named = {item["name"]: item for item in changed[kind]}
         for name in patch.get("remove", {}).get(kind, ()):
--- a/benchmarks/soak_parts/clients.py
+++ b/benchmarks/soak_parts/clients.py
@@ -22,6 +22,7 @@
 TOKENS = (260, 140)  # prompt tokens, maximum completion tokens
 UNKNOWN_KEY_SHARE, OLD_KEY_SHARE, NO_KEY_SHARE, HOT_SHARE = 0.05, 0.15, 0.03, 0.6
 CLAIMED_TENANT = "somebody-else"
+MAX_ADDED_ROUTES = 12
 
 
 @dataclass(frozen=True)
@@ -47,7 +48,9 @@
         random_source: Source of the draws.
     """
     newest = versions[-1]
-    names = [*KINDS, *sorted(newest.routes - set(KINDS))]
+    # Of many routes that one change added, few are drawn: the other kinds of requests stay as frequent.
+    added = sorted(newest.routes - set(KINDS))
+    names = [*KINDS, *(random_source.sample(added, MAX_ADDED_ROUTES) if len(added) > MAX_ADDED_ROUTES else added)]
     claimed = CLAIMED_TENANT if random_source.random() < 0.2 else ""
     return PlannedRequest(
         random_source.choice(names), _draw_key(versions, random_source), claimed, random_source.random() < 0.8
