A replica forwards no entry before its own append has taken effect

Cause: since entries are read in slices, a replica woke its log replicator right after the write, before it had adopted the predecessor's committed index and the completeness of the log. The replicator sent an append that said neither, and its response, a quarter second later, was awaited before the next one: a quarter second a hop.

The replicator is woken where it was before. Entries are read after that, while the successor writes them; before the write at the tail, and where the predecessor already knows them as committed.

Also: the test of the stale base watches the reader that the check now uses.

--- a/mulleinhatch/control_plane/replicated_log.py
+++ b/mulleinhatch/control_plane/replicated_log.py
@@ -111,13 +111,9 @@
             write = replica.on_append(request)
             if write is None:
                 return replica.build_response(False)
-            is_tail = replica.is_tail
-            if is_tail:  # it commits and applies them as soon as they are on its disk
+            if replica.is_tail or request.committed > replica.last_index:  # they are applied as soon as they are on its disk
                 await self._read_bodies(write)
             await self.write(write)
-            if not is_tail:
-                self.progress.notify_progress()  # the successor gets them while they are read here
-                await self._read_bodies(write)
             if request.epoch != replica.view.epoch:
                 return replica.build_response(False)
             await self._persist_log_complete(request)
@@ -126,6 +122,7 @@
             replica.on_append_persisted(request)
             self.apply()
         self.progress.notify_progress()
+        await self._read_bodies(write)  # while the successor writes them
         last = replica.last_index
         await self.progress.wait_for(lambda: replica.committed >= last or request.epoch != replica.view.epoch, COMMIT_WAIT_S)
         return replica.build_response(request.epoch == replica.view.epoch)
--- a/tests/system/test_ongoing_changes.py
+++ b/tests/system/test_ongoing_changes.py
@@ -77,7 +77,7 @@
 class StaleBase(unittest.TestCase):
     # Guards against a change that is bound to be rejected and costs as much as one that is accepted.
     def test_a_change_on_another_version_is_rejected_without_being_read(self):
-        with mock.patch.object(control_state, "read_json") as read:
+        with mock.patch.object(control_state, "read_object_steps") as read:
             rejection = ControlState().check("PATCH", 7, b'{"version": 8}' + b" " * 1000).err_value
         self.assertIs(rejection.outcome, ChangeOutcome.CONFLICT)
         read.assert_not_called()
