--- a/mulleinhatch/simulation/control_plane/clients.py
+++ b/mulleinhatch/simulation/control_plane/clients.py
@@ -128,8 +128,8 @@
 
     def drawn_change(self, base: int) -> SubmittedChange:
         """Create a small change, or a large one, which may be invalid."""
-        rng = self._world.rng
-        if not base or rng.random() >= self._world.plan.large_change_fraction:
+        rng, fraction = self._world.rng, self._world.plan.large_change_fraction
+        if not base or not fraction or rng.random() >= fraction:
             return self.change(base)
         routes = routes_of(rng.choice(LARGE_CHANGE_ROUTES))
         if rng.random() < INVALID_FRACTION:
--- a/tests/system/test_overlapping_losses.py
+++ b/tests/system/test_overlapping_losses.py
@@ -17,6 +17,7 @@
 from mulleinhatch.simulation.control_plane.clients import Operator, SubmittedChange
 from mulleinhatch.simulation.control_plane.fault_actions import CATCH_UP_S
 from mulleinhatch.simulation.control_plane.machines import Machine
+from mulleinhatch.simulation.control_plane.world import RECOVERY_S
 
 Script = Callable[[World], Coroutine[Any, Any, None]]
 VIEW_CHANGE_S = 2.0  # enough for the connected machines to form a view without the others
@@ -160,6 +161,26 @@
 
         self.play_checked(script)
 
+    # Guards against a core that never answers again after a zone lost its disks while another zone was cut off.
+    def test_serves_again_after_a_zone_is_lost_while_another_is_cut_off(self):
+        async def script(world: World) -> None:
+            await change(world)
+            disconnect_from_others(world, [machine for machine in world.machines if machine.zone == "z1"])
+            await asyncio.sleep(VIEW_CHANGE_S)
+            lost = [machine for machine in world.machines if machine.zone == "z0"]
+            for machine in lost:
+                machine.stop(wipe=True)
+            world.record_fault_event()
+            await asyncio.sleep(0.5)
+            world.links.clear()
+            for machine in lost:
+                machine.start()
+            world.record_fault_event()
+            await asyncio.sleep(RECOVERY_S)
+            await change(world)
+
+        play_script(script, machines=5, tolerated=1, zones=3, zones_tolerated=1)
+
 
 class LostAppend(unittest.TestCase):
     def test_a_change_whose_append_is_lost_is_acknowledged_within_a_second(self):
