--- a/mulleinhatch/control_plane/configuration_changes.py
+++ b/mulleinhatch/control_plane/configuration_changes.py
@@ -99,7 +99,7 @@
             return self._redirect(chain[0] if chain else None)
         digest = change_digest(method, body)
         if digest in self._log.state.digests:
-            return ConfigurationResult(ResultKind.OK)
+            return self._acknowledge_again()
         key = ChangeKey(base, digest)
         result = await self._ongoing.join(key, lambda: self._change_in_turn(method, base, body), ANSWER_TIMEOUT_S)
         return result or ConfigurationResult(ResultKind.RETRY, "the change is under way; send it again unchanged")
@@ -156,13 +156,17 @@
     async def _reject(self, rejection: Rejection) -> ConfigurationResult:
         """Return the result of a rejection, after confirming that this node's state is the newest."""
         if rejection.outcome is ChangeOutcome.ALREADY_APPLIED:
-            return ConfigurationResult(ResultKind.OK)
+            return self._acknowledge_again()
         if rejection.outcome is ChangeOutcome.HISTORY_COMPACTED:
             return ConfigurationResult(ResultKind.RETRY, rejection.message)
         if not await self._view_changer.confirm_view():
             return VIEW_CHANGING
         return ConfigurationResult(REJECTION_KINDS[rejection.outcome], rejection.message)
 
+    def _acknowledge_again(self) -> ConfigurationResult:
+        """Return the result of a change that was applied before; only the head acknowledges, and this may be a former one."""
+        return ConfigurationResult(ResultKind.OK) if self._gate.can_accept_writes() else VIEW_CHANGING
+
     async def read(self) -> ConfigurationResult:
         """Read the newest configuration from the tail of the chain (a linearizable read)."""
         replica = self._log.replica
--- a/tests/system/test_ongoing_changes.py
+++ b/tests/system/test_ongoing_changes.py
@@ -83,6 +83,24 @@
         read.assert_not_called()
 
 
+class FormerHead(unittest.TestCase):
+    # Guards against a machine that acknowledges a repeated change after it has left the head of the chain.
+    def test_a_machine_that_lost_its_place_meanwhile_does_not_acknowledge_again(self):
+        async def script(world: World) -> None:
+            operator, node = Operator(world, "one"), world.machines[0].node
+            sent = operator.change(0)
+            await operator.send_until_answered(sent)
+            repeated = sent.method, sent.base, sent.body
+            self.assertIs((await node.change_configuration(*repeated)).kind, ResultKind.OK)
+            with mock.patch.object(node.configuration_changes._gate, "can_accept_writes", side_effect=[True, False]):
+                self.assertIs((await node.change_configuration(*repeated)).kind, ResultKind.RETRY)
+            already = await node.slicer.run("check", node.state.check_steps(*repeated))
+            with mock.patch.object(node.configuration_changes._gate, "can_accept_writes", return_value=False):
+                self.assertIs((await node.configuration_changes._reject(already.err_value)).kind, ResultKind.RETRY)
+
+        play_script(script)
+
+
 class Claims(unittest.TestCase):
     # Guards against a check that keeps the placement without a leader until it ends.
     def test_the_leadership_is_claimed_while_a_change_is_checked(self):
