--- a/mulleinhatch/process/loop_watch.py
+++ b/mulleinhatch/process/loop_watch.py
@@ -104,8 +104,7 @@
         self._long_turns.append(turn)
         if now - self._reported_at >= REPORT_INTERVAL_S:
             self._reported_at = now
-            fields = {"turn_ms": _ms(turn.duration_s), "processor_ms": _ms(turn.processor_s), "activity": turn.activity}
-            LOG.warning("one turn of the event loop took long; nobody was answered meanwhile", extra=fields)
+            LOG.warning("one turn of the event loop took long; nobody was answered meanwhile", extra=_fields(turn))
 
     def _expire(self, now: float) -> None:
         while self._long_turns and self._long_turns[0].ended_at < now - KEPT_S:
@@ -115,8 +114,11 @@
 def turn_status(watch: LoopWatch) -> dict[str, str | float]:
     """Return the longest turn of the last minute for a status page; empty where none was long."""
     turn = watch.longest_turn()
-    if turn is None:
-        return {}
+    return {} if turn is None else _fields(turn)
+
+
+def _fields(turn: Turn) -> dict[str, str | float]:
+    """Return a turn as fields of a log line or a status page."""
     return {"turn_ms": _ms(turn.duration_s), "processor_ms": _ms(turn.processor_s), "activity": turn.activity}
 
 
