A cut-off voter keeps its vote where its replacement would put two voters into one zone

What operators saw: with one of three zones cut off for two seconds, the planner gave the vote of the silent zone to a second machine of another zone.

Cause: a replacement was judged by the worst loss of the candidates only, not against keeping the voter. A voter that is cut off returns with its disk; two voters in one zone do not survive the loss of that zone.

Now an unreachable voter keeps its vote for 30 s where every replacement would let a tolerated loss take the majority, and where the voters as they are would not. A voter that leaves says so and is replaced at once, as its process waits for that.

Two tests of the planner are new. Views of deployments that tolerate no zone or region do not change: there a replacement never concentrates the voters.

--- a/mulleinhatch/consensus/view_planner.py
+++ b/mulleinhatch/consensus/view_planner.py
@@ -14,6 +14,8 @@
   majority.
 * Voters are spread over zones and regions where there are enough nodes: they are replaced one by one until any tolerated
   loss leaves a majority.
+* An unreachable voter that only a node of an occupied zone or region could replace keeps its vote for `VOTER_RETURN_S`. Until
+  it returns, one more loss stops the control plane for a while; with two voters in one zone, the loss of their disks ends it.
 
 The voters of a view alone choose the next view, so any number of them may change at once (reconfiguration by the former
 members). Source: L. Lamport, D. Malkhi, L. Zhou, "Vertical Paxos and Primary-Backup Replication" (2009); J. Lorch et al., "The
@@ -29,6 +31,8 @@
 from mulleinhatch.consensus.paxos import identities
 from mulleinhatch.messages.cluster import Member, View
 
+VOTER_RETURN_S = 30.0  # most cuts of a network and restarts of a zone are over by then
+
 
 @dataclass(frozen=True)
 class MemberHealth:
@@ -41,6 +45,7 @@
         unreachable_for_s: Seconds since its last response.
         log_complete: For a member of the chain: it holds every entry that was committed before the view.
         unresponsive_peers: Identities of the nodes that it reports as unresponsive.
+        is_leaving: It responds, and is shutting down.
     """
 
     member: Member
@@ -49,6 +54,7 @@
     unreachable_for_s: float = 0.0
     log_complete: bool = True
     unresponsive_peers: frozenset[str] = frozenset()
+    is_leaving: bool = False
 
 
 def bootstrap_view(seeds: Iterable[str], internal_address_of: Callable[[str], str]) -> View:
@@ -115,9 +121,7 @@
     candidates = _voter_candidates(view, health)
     _replace_wiped_voters(voters, candidates)
     _add_voters(voters, candidates, tolerance)
-    for position in _unreachable_voter_positions(voters, health):
-        if candidates:
-            _replace_voter(voters, position, candidates, tolerance)
+    _replace_unreachable_voters(voters, candidates, health, tolerance)
     while len(voters) > tolerance.voters and len(voters) % 2 == 0:
         unreachable = _unreachable_voter_positions(voters, health)
         if not unreachable:
@@ -127,15 +131,25 @@
     return voters
 
 
-def _replace_voter(voters: list[Member], position: int, candidates: list[Member], tolerance: FaultTolerance) -> None:
-    """Replace a voter by the candidate that minimizes the voters lost in the worst tolerated failure; ties go by identity."""
-
-    def loss_with(candidate: Member) -> int:
-        return tolerance.worst_loss([*voters[:position], candidate, *voters[position + 1 :]])
-
-    best = min(candidates, key=loss_with)
-    voters[position] = best
-    candidates.remove(best)
+def _replace_unreachable_voters(
+    voters: list[Member], candidates: list[Member], health: Mapping[str, MemberHealth], tolerance: FaultTolerance
+) -> None:
+    """Replace each unreachable voter by the candidate that minimizes the worst tolerated loss; ties go by identity."""
+    for position in _unreachable_voter_positions(voters, health):
+        if not candidates:
+            return
+        replaced = [[*voters[:position], candidate, *voters[position + 1 :]] for candidate in candidates]
+        best = min(replaced, key=tolerance.worst_loss)
+        concentrates = tolerance.keeps_majority(voters) and not tolerance.keeps_majority(best)
+        if concentrates and _may_return(health[voters[position].identity]):
+            continue
+        voters[position] = best[position]
+        candidates.remove(best[position])
+
+
+def _may_return(voter: MemberHealth) -> bool:
+    """Return whether an unreachable voter may only be cut off; one that leaves says so."""
+    return not voter.is_leaving and voter.unreachable_for_s < VOTER_RETURN_S
 
 
 def _spread_voters(voters: list[Member], candidates: list[Member], tolerance: FaultTolerance) -> None:
--- a/mulleinhatch/control_plane/peers.py
+++ b/mulleinhatch/control_plane/peers.py
@@ -203,6 +203,7 @@
                 0.0 if alive else now - since,
                 peer.log_complete_epoch == view.epoch,
                 peer.unresponsive_peers if alive else frozenset(),
+                peer.leaving and self.is_alive(identity, now),
             )
         for member in list(view.voters) + list(view.chain):
             states.setdefault(member.identity, MemberHealth(member, False, False, log_complete=False))
--- a/tests/system/test_views.py
+++ b/tests/system/test_views.py
@@ -8,7 +8,7 @@
 
 from mulleinhatch.consensus.fault_tolerance import FaultTolerance
 from mulleinhatch.consensus.paxos import Proposal, ProposalOutcome, Voter, identities
-from mulleinhatch.consensus.view_planner import MemberHealth, plan_next_view
+from mulleinhatch.consensus.view_planner import VOTER_RETURN_S, MemberHealth, plan_next_view
 from mulleinhatch.messages.cluster import AcceptRequest, Member, PrepareRequest, ProposalNumber, View, VoterState
 
 
@@ -249,6 +249,22 @@
         planned = plan(view, self.healthy(members, lost="c"), 1, zones=1)
         self.assertEqual([node.zone for node in planned.voters], ["x", "y", "z"])
 
+    def voter_zones(self, lost: MemberHealth) -> list[str]:
+        """Return the zones of the planned voters after a, b (lost) and c of the zones x, y and z; a spare machine is in x."""
+        members = self.zoned("xyzx")
+        view = View(epoch=2, voters=members[:3], chain=members)
+        planned = plan(view, {**self.healthy(members), "b": lost}, 1, zones=1)
+        return [node.zone for node in planned.voters]
+
+    def test_an_unreachable_voter_whose_replacement_would_concentrate_the_voters_may_return(self):
+        lost = self.zoned("xy")[1]
+        self.assertEqual(self.voter_zones(MemberHealth(lost, False, False, VOTER_RETURN_S - 1.0)), ["x", "y", "z"])
+        self.assertEqual(self.voter_zones(MemberHealth(lost, False, False, VOTER_RETURN_S)), ["x", "x", "z"])
+
+    def test_a_voter_that_leaves_is_replaced_at_once(self):
+        leaving = MemberHealth(self.zoned("xy")[1], False, True, 0.1, is_leaving=True)
+        self.assertEqual(self.voter_zones(leaving), ["x", "x", "z"])
+
     def test_chain_within_one_zone_is_not_planned(self):
         members = self.zoned("xxyz")
         view = View(epoch=2, voters=members[:3], chain=members)
