--- a/mulleinhatch/configuration/built_items.py
+++ b/mulleinhatch/configuration/built_items.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Any, Generic, TypeVar
+from typing import Generic, TypeVar
 
+from immutables import Map
+
+from mulleinhatch.configuration.item_list import EMPTY_ITEMS, Item, item_list_steps
 from mulleinhatch.steps import Steps
 
-Item = Mapping[str, Any]
 Built = TypeVar("Built")
-COMPARED_PER_STEP = 1024
 BUILT_PER_STEP = 32
 
 
@@ -24,7 +25,7 @@
         removed: The former objects of items that were replaced or are gone.
     """
 
-    by_name: Mapping[str, Built]
+    by_name: Map[str, Built]
     added: list[Built]
     removed: list[Built]
 
@@ -33,14 +34,13 @@
     """The objects of one list of items, by name. Items are compared by identity: a patch keeps those that it does not change.
 
     Args:
-        build: Makes the object of an item.
+        build: Makes the object of an item; None leaves the item out.
     """
 
-    def __init__(self, build: Callable[[Item], Built]) -> None:
+    def __init__(self, build: Callable[[Item], Built | None]) -> None:
         self._build = build
-        self._list: Sequence[Item] = ()
-        self._items: dict[str, Item] = {}
-        self._by_name: dict[str, Built] = {}
+        self._items = EMPTY_ITEMS
+        self._by_name: Map[str, Built] = Map()
 
     def update_steps(self, items: Sequence[Item]) -> Steps[ItemChanges[Built]]:
         """Follow a new list of items.
@@ -48,39 +48,21 @@
         Raises:
             Exception: Whatever `build` raises; the former list stays.
         """
-        if items is self._list:
-            return ItemChanges(self._by_name, [], [])
-        changed = yield from self._changed_items(items)
-        gone = yield from self._gone_names(items, changed)
-        known, by_name = dict(self._items), dict(self._by_name)
-        removed = [by_name[name] for name in (*gone, *(item["name"] for item in changed)) if name in by_name]
-        for name in gone:
-            del known[name], by_name[name]
-        added = []
-        for number, item in enumerate(changed):
+        items = yield from item_list_steps(items)
+        by_name = self._by_name.mutate()
+        added, removed = [], []
+        for number, name in enumerate((yield from items.changed_names_steps(self._items))):
             if number % BUILT_PER_STEP == 0:
                 yield
-            name = item["name"]
-            known[name] = item
-            by_name[name] = built = self._build(item)
-            added.append(built)
-        self._list, self._items, self._by_name = items, known, by_name
-        return ItemChanges(by_name, added, removed)
-
-    def _changed_items(self, items: Sequence[Item]) -> Steps[list[Item]]:
-        changed: list[Item] = []
-        known = self._items
-        for start in range(0, len(items), COMPARED_PER_STEP):
-            yield
-            changed += [item for item in items[start : start + COMPARED_PER_STEP] if known.get(item["name"]) is not item]
-        return changed
-
-    def _gone_names(self, items: Sequence[Item], changed: Sequence[Item]) -> Steps[set[str]]:
-        new_count = sum(item["name"] not in self._items for item in changed)
-        if len(items) == len(self._items) + new_count:
-            return set()
-        names: set[str] = set()
-        for start in range(0, len(items), COMPARED_PER_STEP):
-            yield
-            names.update(item["name"] for item in items[start : start + COMPARED_PER_STEP])
-        return self._items.keys() - names
+            former = by_name.pop(name, None)
+            if former is not None:
+                removed.append(former)
+            item = items.get(name)
+            built = None if item is None else self._build(item)
+            if built is not None:
+                by_name[name] = built
+                added.append(built)
+        if added or removed:
+            self._by_name = by_name.finish()
+        self._items = items
+        return ItemChanges(self._by_name, added, removed)
--- a/mulleinhatch/configuration/document.py
+++ b/mulleinhatch/configuration/document.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 from result import Err, Ok, Result
 
 from mulleinhatch.configuration.encoding import json_chunks
+from mulleinhatch.configuration.item_list import EMPTY_ITEMS, ItemList, item_list_steps
 from mulleinhatch.configuration.json_reader import read_json_steps
 from mulleinhatch.configuration.tenants import TENANTS, check_shared_keys, check_tenants
 from mulleinhatch.configuration.validation import (
@@ -34,18 +35,41 @@
 
     Attributes:
         version: The version; 0 before the first configuration.
-        value: The JSON object. It must not be modified. It holds the tenants' keys, so `repr` leaves it out.
+        value: The JSON object, its lists of items as `ItemList`. It must not be modified. It holds the tenants' keys, so `repr`
+            leaves it out.
     """
 
     version: int
     value: Mapping[str, Any] = field(repr=False)
 
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "value", complete(with_item_lists_steps(self.value)))
+
     def to_json(self) -> bytes:
         """Return the configuration as compact JSON."""
         return b"".join(json_chunks(self.value))
 
 
 PATCH_KINDS = (*ITEM_KINDS, TENANTS)
+
+
+def with_item_lists_steps(value: Mapping[str, Any]) -> Steps[Mapping[str, Any]]:
+    """Return a configuration with its lists of items as `ItemList`, the same object if they are.
+
+    A list whose items can't be told apart by a name stays as it is: an earlier version accepted any tenants.
+    """
+    lists: dict[str, ItemList] = {}
+    for kind in PATCH_KINDS:
+        items = value.get(kind)
+        if not isinstance(items, list):
+            continue
+        try:
+            lists[kind] = yield from item_list_steps(items)
+        except (KeyError, TypeError):
+            continue
+    return {**value, **lists} if lists else value
+
+
 EMPTY = Document(0, {"version": 0, "routes": [], "services": []})
 
 
@@ -94,7 +118,9 @@
             return items
     if isinstance(tenants := (yield from _check_all_tenants(value)), Err):
         return tenants
-    return (yield from _check_document(Document(version.ok_value, with_lists)))
+    if isinstance(references := (yield from check_references(with_lists)), Err):
+        return references
+    return Ok(Document(version.ok_value, (yield from with_item_lists_steps(with_lists))))
 
 
 def accept_complete(value: dict[str, Any], current: int) -> Result[Document, ConfigurationError]:
@@ -123,7 +149,7 @@
             return checked
     if isinstance(limits := check_limits(value), Err):
         return limits
-    return Ok(_build_patched(document, value, version.ok_value))
+    return Ok((yield from _patched_steps(document, value, version.ok_value)))
 
 
 def patch_lists(value: Mapping[str, Any], kind: str) -> tuple[Sequence[dict[str, Any]], Sequence[str]]:
@@ -132,6 +158,11 @@
 
 
 def accept_patch(document: Document, value: dict[str, Any]) -> Result[Document, ConfigurationError]:
+    """Return the configuration after a patch at once; see `accept_patch_steps`."""
+    return complete(accept_patch_steps(document, value))
+
+
+def accept_patch_steps(document: Document, value: dict[str, Any]) -> Steps[Result[Document, ConfigurationError]]:
     """Return the configuration after a patch that was validated when it was proposed.
 
     Validating by the schema again would cost every replica and every data plane a third of a millisecond per item.
@@ -142,19 +173,20 @@
     """
     if isinstance(version := check_version(value, document.version), Err):
         return version
-    return Ok(_build_patched(document, value, version.ok_value))
+    return Ok((yield from _patched_steps(document, value, version.ok_value)))
 
 
 def _with_all_lists(value: Mapping[str, Any]) -> dict[str, Any]:
     return {**value, **{kind: value.get(kind, []) for kind in ITEM_KINDS}}
 
 
-def _build_patched(document: Document, value: Mapping[str, Any], version: int) -> Document:
+def _patched_steps(document: Document, value: Mapping[str, Any], version: int) -> Steps[Document]:
     lists = {}
     for kind in PATCH_KINDS:
         upsert, remove = patch_lists(value, kind)
         if upsert or remove:  # otherwise the list stays the same object, or absent
-            lists[kind] = _merge(document.value.get(kind, ()), upsert, remove)
+            items = yield from item_list_steps(document.value.get(kind, EMPTY_ITEMS))
+            lists[kind] = yield from items.patched_steps(upsert, remove)
     patched = {**document.value, **lists, "version": version}
     if "limits" in value:
         patched["limits"] = value["limits"]
@@ -169,12 +201,6 @@
     return (yield from check_shared_keys(value[TENANTS]))
 
 
-def _check_document(document: Document) -> Steps[Result[Document, ConfigurationError]]:
-    if isinstance(references := (yield from check_references(document.value)), Err):
-        return references
-    return Ok(document)
-
-
 def _reject_duplicate_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     value = dict(pairs)
     if len(value) != len(pairs):
@@ -189,12 +215,3 @@
     if key == "remove" and not all(isinstance(name, str) for names in lists.values() for name in names):
         return Err(ConfigurationError("remove must hold lists of names"))
     return Ok(lists)
-
-
-def _merge(items: Iterable[dict[str, Any]], upsert: Iterable[dict[str, Any]], remove: Iterable[str]) -> list[dict[str, Any]]:
-    merged = {item["name"]: item for item in items}
-    for name in remove:
-        merged.pop(name, None)
-    for item in upsert:
-        merged[item["name"]] = item
-    return list(merged.values())
--- a/mulleinhatch/configuration/encoding.py
+++ b/mulleinhatch/configuration/encoding.py
@@ -7,38 +7,44 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any
 
+from mulleinhatch.configuration.item_list import ITEMS_PER_CHUNK, ItemList
 from mulleinhatch.steps import Steps
 
-ITEMS_PER_CHUNK = 64
 COMPRESSION_CHUNK_BYTES = 1 << 16
 COMPRESSION_LEVEL = 6
 
 
 def json_chunks(value: Mapping[str, Any]) -> Iterator[bytes]:
-    """Yield a configuration as compact JSON in chunks of at most `ITEMS_PER_CHUNK` items.
+    """Yield a configuration as compact JSON, at most `ITEMS_PER_CHUNK` items of a list at once.
 
-    >>> b"".join(json_chunks({"version": 1, "routes": [], "services": [{"name": "a"}]}))
+    >>> b"".join(json_chunks({"version": 1, "routes": ItemList(), "services": ItemList().patched([{"name": "a"}])}))
     b'{"version":1,"routes":[],"services":[{"name":"a"}]}'
     """
     separator = b"{"
     for key, member in value.items():
         yield separator + _compact_json(key) + b":"
         separator = b","
-        if isinstance(member, list) and len(member) > ITEMS_PER_CHUNK:
+        if isinstance(member, (ItemList, list)) and member:
             yield from _array_chunks(member)
         else:
-            yield _compact_json(member)
+            yield _compact_json(list(member) if isinstance(member, ItemList) else member)
     yield b"}" if value else b"{}"
 
 
-def _array_chunks(items: Sequence[Any]) -> Iterator[bytes]:
+def _array_chunks(items: ItemList | list[Any]) -> Iterator[bytes]:
     separator = b"["
-    for start in range(0, len(items), ITEMS_PER_CHUNK):
-        yield separator + _compact_json(items[start : start + ITEMS_PER_CHUNK])[1:-1]
+    for chunk in _chunks_of(items):
+        yield separator + _compact_json(chunk)[1:-1]
         separator = b","
     yield b"]"
 
 
+def _chunks_of(items: ItemList | list[Any]) -> Iterator[Sequence[Any]]:
+    if isinstance(items, ItemList):
+        return items.chunks()
+    return (items[start : start + ITEMS_PER_CHUNK] for start in range(0, len(items), ITEMS_PER_CHUNK))
+
+
 def _compact_json(value: Any) -> bytes:
     return json.dumps(value, separators=(",", ":")).encode()
 
--- a/mulleinhatch/configuration/reference_index.py
+++ b/mulleinhatch/configuration/reference_index.py
@@ -13,9 +13,9 @@
 
 from result import Err, Ok, Result
 
-from mulleinhatch.configuration.built_items import BuiltItems, Item
-from mulleinhatch.configuration.document import Document, patch_lists
-from mulleinhatch.configuration.tenants import TENANTS, api_keys_of, check_shared_keys, shared_key_error, tenants_of
+from mulleinhatch.configuration.document import PATCH_KINDS, Document, patch_lists
+from mulleinhatch.configuration.item_list import EMPTY_ITEMS, Item, ItemList, item_list_steps
+from mulleinhatch.configuration.tenants import TENANTS, api_keys_of, check_shared_keys, shared_key_error
 from mulleinhatch.configuration.validation import (
     ITEMS_PER_STEP,
     check_route_services,
@@ -49,11 +49,11 @@
 class _NamesAfter(Container[str]):
     """The names of a list after a patch."""
 
-    def __init__(self, names: Container[str], patch: _ListPatch) -> None:
-        self._names, self._patch = names, patch
+    def __init__(self, items: ItemList, patch: _ListPatch) -> None:
+        self._items, self._patch = items, patch
 
     def __contains__(self, name: object) -> bool:
-        return name in self._patch.upserted or (name in self._names and name not in self._patch.changed)
+        return name in self._patch.upserted or (self._items.has_name(name) and name not in self._patch.changed)
 
 
 class ReferenceIndex:
@@ -64,8 +64,7 @@
 
     def _clear(self) -> None:
         self._document: Document | None = None
-        self._items = {kind: BuiltItems[Item](lambda item: item) for kind in ("routes", "services", TENANTS)}
-        self._by_name: dict[str, Mapping[str, Item]] = {kind: {} for kind in self._items}
+        self._lists: dict[str, ItemList] = dict.fromkeys(PATCH_KINDS, EMPTY_ITEMS)
         self._addresses: dict[Address, str] = {}  # the name of the route at each address
         self._service_uses: Counter[str] = Counter()  # how often routes name a service
         self._key_owners: dict[str, str] = {}  # the name of the tenant of each key
@@ -77,20 +76,21 @@
         if self._document is None:  # not used before, or interrupted
             self._clear()
         self._document = None  # until all parts are up to date
-        value = document.value
-        for kind, items in (("routes", value["routes"]), ("services", value["services"]), (TENANTS, tenants_of(value))):
-            changes = yield from self._items[kind].update_steps(items)
-            self._by_name[kind] = changes.by_name
-            for number, item in enumerate(changes.removed):
+        for kind, former in self._lists.items():
+            items = yield from item_list_steps(document.value.get(kind, EMPTY_ITEMS))
+            for number, name in enumerate((yield from items.changed_names_steps(former))):
                 if number % ITEMS_PER_STEP == 0:
                     yield
-                self._forget(kind, item)
-            for number, item in enumerate(changes.added):
-                if number % ITEMS_PER_STEP == 0:
-                    yield
-                self._record(kind, item)
+                self._replace(kind, former.get(name), items.get(name))
+            self._lists[kind] = items
         self._document = document
 
+    def _replace(self, kind: str, former: Item | None, item: Item | None) -> None:
+        if former is not None:
+            self._forget(kind, former)
+        if item is not None:
+            self._record(kind, item)
+
     def _forget(self, kind: str, item: Item) -> None:
         if kind == "routes":
             if self._addresses.get(route_address(item)) == item["name"]:
@@ -113,7 +113,7 @@
         """Check the references of a patch of the configuration in force, whose items are valid each by itself."""
         routes, services = self._list_patch(patch, "routes"), self._list_patch(patch, "services")
         checks = (
-            self._check_routes(routes, _NamesAfter(self._by_name["services"], services)),
+            self._check_routes(routes, _NamesAfter(self._lists["services"], services)),
             self._check_removed_services(routes, services),
             self._check_keys(self._list_patch(patch, TENANTS)),
         )
@@ -125,8 +125,8 @@
     def _list_patch(self, patch: Mapping[str, Any], kind: str) -> _ListPatch:
         upsert, remove = patch_lists(patch, kind)
         upserted = {item["name"]: item for item in upsert}
-        in_force = self._by_name[kind]
-        return _ListPatch(upserted, frozenset(name for name in (*upserted, *remove) if name in in_force))
+        in_force = self._lists[kind]
+        return _ListPatch(upserted, frozenset(name for name in (*upserted, *remove) if in_force.has_name(name)))
 
     def _check_routes(self, routes: _ListPatch, services: Container[str]) -> Steps[Result[None, ConfigurationError]]:
         taken: set[Address] = set()
@@ -150,19 +150,18 @@
         for number, name in enumerate(routes.changed):
             if number % ITEMS_PER_STEP == 0:
                 yield
-            for service, _ in weighted_services(self._by_name["routes"][name]):
+            for service, _ in weighted_services(self._lists["routes"].get(name) or {}):
                 if service in uses:
                     uses[service] -= 1
         if not any(count > 0 for count in uses.values()):
             return Ok(None)
-        return (yield from self._find_unknown_service(routes, removed))
+        return (yield from self._find_unknown_service(routes, _NamesAfter(self._lists["services"], services)))
 
-    def _find_unknown_service(self, routes: _ListPatch, removed: set[str]) -> Steps[Result[None, ConfigurationError]]:
-        remaining = self._by_name["services"].keys() - removed
-        for number, (name, route) in enumerate(self._by_name["routes"].items()):
+    def _find_unknown_service(self, routes: _ListPatch, remaining: Container[str]) -> Steps[Result[None, ConfigurationError]]:
+        for number, route in enumerate(self._lists["routes"]):
             if number % ITEMS_PER_STEP == 0:
                 yield
-            if name not in routes.changed and isinstance(checked := check_route_services(route, remaining), Err):
+            if route["name"] not in routes.changed and isinstance(checked := check_route_services(route, remaining), Err):
                 return checked
         return Ok(None)
 
--- a/mulleinhatch/configuration/routes.py
+++ b/mulleinhatch/configuration/routes.py
@@ -3,64 +3,23 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
-from mulleinhatch.configuration.built_items import BuiltItems, ItemChanges
+from immutables import Map
+
+from mulleinhatch.configuration.built_items import BuiltItems
 from mulleinhatch.configuration.document import Document
+from mulleinhatch.configuration.host_routes import NO_HOST_ROUTES, HostRoutes, changed_hosts_steps
+from mulleinhatch.configuration.route import Route, build_route
 from mulleinhatch.configuration.tenants import tenants_of
-from mulleinhatch.configuration.validation import weighted_services
+from mulleinhatch.configuration.value_counts import ValueCounts
 from mulleinhatch.steps import Steps, complete
 from mulleinhatch.tenants.tenant_table import LOCKED, NO_TENANTS, TenantTable
 
 DEFAULT_CONNECTION_LIMIT = 1024
 DEFAULT_HEALTH_CHECK_PATH = "/health"
-ROUTES_PER_STEP = 1024
-HOSTS_PER_STEP = 64
-
-
-@dataclass(frozen=True)
-class Route:
-    """One route.
-
-    Attributes:
-        name: The name in the configuration.
-        host: The host that it matches, in lower case.
-        path_prefix: Begins and ends with a slash.
-        kind: "safe", "unsafe" or "streaming".
-        timeout_s: Seconds after which a request fails.
-        target_latency_s: The target latency; the timeout where the configuration sets none.
-        priority: A lower number is more important.
-        max_attempts: How often a request may be sent to a backend, at least 1.
-        is_resumable: Whether another backend can resume an event stream.
-        target_gap_s: The target for the longest gap between two events of a stream, 0 for none.
-        weighted_services: The services that receive the requests, with their weights.
-        is_public: Whether requests need no API key.
-    """
-
-    name: str
-    host: str
-    path_prefix: str
-    kind: str
-    timeout_s: float
-    target_latency_s: float
-    priority: int
-    max_attempts: int
-    is_resumable: bool
-    target_gap_s: float
-    weighted_services: tuple[tuple[str, float], ...]
-    is_public: bool = False
-
-    @property
-    def is_streaming(self) -> bool:
-        """Whether the response is an event stream."""
-        return self.kind == "streaming"
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Whether a request may run more than once."""
-        return self.kind == "safe" or (self.is_streaming and self.is_resumable)
 
 
 @dataclass(frozen=True)
@@ -130,7 +89,7 @@
     Attributes:
         version: The configuration's version.
         routes: The routes by name.
-        hosts: The routes of each host, the longest path prefix first.
+        hosts: The routes of each host.
         target_s_by_priority: The longest target latency of the routes of each priority, in seconds.
         has_public_routes: Whether some route needs no API key.
         services: The services by name.
@@ -140,7 +99,7 @@
 
     version: int = 0
     routes: Mapping[str, Route] = field(default_factory=dict)
-    hosts: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)
+    hosts: Mapping[str, HostRoutes] = field(default_factory=dict)
     target_s_by_priority: Mapping[int, float] = field(default_factory=dict)
     has_public_routes: bool = False
     services: Mapping[str, Service] = field(default_factory=dict)
@@ -149,19 +108,18 @@
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of the path, or None."""
-        for route in self.hosts.get(host, ()):
-            if path.startswith(route.path_prefix):
-                return route
-        return None
+        return self.hosts.get(host, NO_HOST_ROUTES).find(path)
 
 
 class RouteTableBuilder:
     """Builds the route tables of successive configurations; what did not change is taken from the table before."""
 
     def __init__(self) -> None:
-        self._routes: BuiltItems[Route] = BuiltItems(_build_route)
-        self._services: BuiltItems[Service] = BuiltItems(_build_service)
-        self._hosts: dict[str, tuple[Route, ...]] = {}
+        self._routes: BuiltItems[Route] = BuiltItems(build_route)
+        self._services = ServiceBuilder()
+        self._hosts: Map[str, HostRoutes] = Map()
+        self._targets: ValueCounts[tuple[int, float]] = ValueCounts()  # priority and target latency of the routes
+        self._public_routes = 0
 
     def build_steps(self, document: Document, tenants: TenantTable | None = None) -> Steps[RouteTable]:
         """Return the route table of a validated configuration.
@@ -175,18 +133,21 @@
         """
         if tenants is None:
             tenants = LOCKED if tenants_of(document.value) else NO_TENANTS
-        services = yield from self._services.update_steps(document.value["services"])
+        services = yield from self._services.build_steps(document)
         limits = _build_limits(document.value.get("limits", {}))
         routes = yield from self._routes.update_steps(document.value["routes"])
-        self._hosts = yield from _updated_hosts(self._hosts, routes)
-        target_s_by_priority = yield from _longest_targets(routes.by_name.values())
+        self._hosts = yield from changed_hosts_steps(self._hosts, routes.added, routes.removed)
+        yield
+        self._targets = self._targets.adjusted(map(_target_of, routes.added), map(_target_of, routes.removed))
+        self._public_routes += sum(route.is_public for route in routes.added)
+        self._public_routes -= sum(route.is_public for route in routes.removed)
         return RouteTable(
             version=document.version,
             routes=routes.by_name,
             hosts=self._hosts,
-            target_s_by_priority=target_s_by_priority,
-            has_public_routes=any(route.is_public for route in routes.by_name.values()),
-            services=services.by_name,
+            target_s_by_priority=dict(sorted(self._targets)),  # of the same priority, the longest target is the last
+            has_public_routes=self._public_routes > 0,
+            services=services,
             limits=limits,
             tenants=tenants,
         )
@@ -201,64 +162,26 @@
     """Builds the services of successive configurations; those that did not change are not built again."""
 
     def __init__(self) -> None:
-        self._services: BuiltItems[Service] = BuiltItems(_build_service)
+        self._built: BuiltItems[Service] = BuiltItems(_build_service)
+        self._items: Sequence[Mapping[str, Any]] = ()
+        self._services: dict[str, Service] = {}
 
     def build(self, document: Document) -> Mapping[str, Service]:
-        """Return the services of a validated configuration by name."""
-        return complete(self._services.update_steps(document.value["services"])).by_name
-
-
-def _updated_hosts(hosts: Mapping[str, tuple[Route, ...]], changes: ItemChanges[Route]) -> Steps[dict[str, tuple[Route, ...]]]:
-    """Return the routes of each host after a change, the longest path prefix first."""
-    updated = dict(hosts)
-    changed: dict[str, dict[str, Route]] = {}  # the routes of each changed host, by name
-    for route in (*changes.removed, *changes.added):
-        if route.host not in changed:
-            changed[route.host] = {other.name: other for other in hosts.get(route.host, ())}
-    for number, route in enumerate(changes.removed):
-        if number % ROUTES_PER_STEP == 0:
-            yield
-        changed[route.host].pop(route.name, None)
-    for number, route in enumerate(changes.added):
-        if number % ROUTES_PER_STEP == 0:
-            yield
-        changed[route.host][route.name] = route
-    for number, (host, routes) in enumerate(changed.items()):
-        if number % HOSTS_PER_STEP == 0:
-            yield
-        if routes:
-            updated[host] = tuple(sorted(routes.values(), key=lambda route: -len(route.path_prefix)))
-        else:
-            del updated[host]
-    return updated
-
-
-def _longest_targets(routes: Iterable[Route]) -> Steps[dict[int, float]]:
-    """Return the longest target latency of each priority, in seconds."""
-    target_s: dict[int, float] = {}
-    for number, route in enumerate(routes):
-        if number % ROUTES_PER_STEP == 0:
-            yield
-        target_s[route.priority] = max(route.target_latency_s, target_s.get(route.priority, 0.0))
-    return target_s
-
-
-def _build_route(item: Mapping[str, Any]) -> Route:
-    timeout_s = item["timeout_ms"] / 1000.0
-    return Route(
-        name=item["name"],
-        host=item["host"].lower(),
-        path_prefix=item["path_prefix"],
-        kind=item.get("kind", "unsafe"),
-        timeout_s=timeout_s,
-        target_latency_s=item.get("target_latency_ms", 0) / 1000.0 or timeout_s,
-        priority=int(item.get("priority", 0)),
-        max_attempts=max(1, int(item.get("max_attempts", 1))),
-        is_resumable=bool(item.get("resumable", False)),
-        target_gap_s=item.get("gap_aim_ms", 0) / 1000.0,
-        weighted_services=tuple(weighted_services(item)),
-        is_public=item.get("public") is True,
-    )
+        """Return the services of a validated configuration by name at once; see `build_steps`."""
+        return complete(self.build_steps(document))
+
+    def build_steps(self, document: Document) -> Steps[Mapping[str, Service]]:
+        """Return the services of a validated configuration by name, in its order; the same mapping if they are the same."""
+        items = document.value["services"]
+        if items is not self._items:
+            by_name = (yield from self._built.update_steps(items)).by_name
+            self._services = {item["name"]: by_name[item["name"]] for item in items}
+            self._items = items
+        return self._services
+
+
+def _target_of(route: Route) -> tuple[int, float]:
+    return route.priority, route.target_latency_s
 
 
 def _build_service(item: Mapping[str, Any]) -> Service:
--- a/mulleinhatch/configuration/tenants.py
+++ b/mulleinhatch/configuration/tenants.py
@@ -10,10 +10,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from immutables import Map
 from result import Err, Ok, Result
 
-from mulleinhatch.configuration.built_items import BuiltItems
+from mulleinhatch.configuration.built_items import BuiltItems, ItemChanges
 from mulleinhatch.configuration.validation import ITEMS_PER_STEP, is_number
+from mulleinhatch.configuration.value_counts import ValueCounts
 from mulleinhatch.errors import ConfigurationError
 from mulleinhatch.steps import Steps, complete
 from mulleinhatch.tenants.api_keys import KeyDigester, Secret
@@ -117,8 +119,9 @@
         self._items: Sequence[Mapping[str, Any]] = ()
         self._records: BuiltItems[_Record] = BuiltItems(self._build_record)
         self._table = NO_TENANTS
-        self._by_digest: dict[bytes, tuple[bytes, Tenant]] = {}
-        self._by_name: dict[str, Tenant] = {}
+        self._by_digest: Map[bytes, tuple[bytes, Tenant]] = Map()
+        self._by_name: Map[str, Tenant] = Map()
+        self._priorities: ValueCounts[int | None] = ValueCounts()
 
     def build(self, value: Mapping[str, Any]) -> TenantTable:
         """Return the table of a configuration at once; see `build_steps`."""
@@ -137,7 +140,7 @@
         if items is self._items:
             return self._table
         changes = yield from self._records.update_steps(items)
-        by_digest, by_name = dict(self._by_digest), dict(self._by_name)
+        by_digest, by_name = self._by_digest.mutate(), self._by_name.mutate()
         for number, record in enumerate(changes.removed):
             if number % ITEMS_PER_STEP == 0:
                 yield
@@ -148,9 +151,15 @@
             if number % ITEMS_PER_STEP == 0:
                 yield
             by_name[record.tenant.name] = record.tenant
-            by_digest.update((digest, (digest, record.tenant)) for digest in record.digests)
-        self._items, self._by_digest, self._by_name = items, by_digest, by_name
-        self._table = TenantTable(self._digester, by_name, by_digest, requires_keys=True) if by_name else NO_TENANTS
+            for digest in record.digests:
+                by_digest[digest] = (digest, record.tenant)
+        yield
+        self._priorities = self._priorities.adjusted(map(_priority_of, changes.added), map(_priority_of, changes.removed))
+        self._items, self._by_digest, self._by_name = items, by_digest.finish(), by_name.finish()
+        if self._by_name:
+            self._table = TenantTable(self._digester, self._by_name, self._by_digest, True, self._priorities)
+        else:
+            self._table = NO_TENANTS
         return self._table
 
     def _build_record(self, item: Mapping[str, Any]) -> _Record:
@@ -160,6 +169,10 @@
         return _Record(build_tenant(item), digests)
 
 
+def _priority_of(record: _Record) -> int | None:
+    return record.tenant.priority
+
+
 class TenantBuilder:
     """Builds the tenants of successive configurations, without their keys; those that did not change are not built again.
 
@@ -167,18 +180,11 @@
     """
 
     def __init__(self) -> None:
-        self._tenants: BuiltItems[Tenant | None] = BuiltItems(lambda item: None if _find_error(item) else build_tenant(item))
-        self._items: Sequence[Mapping[str, Any]] | None = None
-        self._by_name: dict[str, Tenant] = {}
+        self._tenants: BuiltItems[Tenant] = BuiltItems(lambda item: None if _find_error(item) else build_tenant(item))
 
-    def build(self, value: Mapping[str, Any]) -> Mapping[str, Tenant]:
-        """Return the tenants of an accepted configuration by name; the same mapping if they are the same."""
-        items = tenants_of(value)
-        if items is not self._items:
-            changes = complete(self._tenants.update_steps(items))
-            self._items = items
-            self._by_name = {name: tenant for name, tenant in changes.by_name.items() if tenant is not None}
-        return self._by_name
+    def build(self, value: Mapping[str, Any]) -> ItemChanges[Tenant]:
+        """Return the tenants of an accepted configuration by name, and how they differ from those before."""
+        return complete(self._tenants.update_steps(tenants_of(value)))
 
 
 def build_tenant(item: Mapping[str, Any]) -> Tenant:
--- a/mulleinhatch/control_plane/quotas.py
+++ b/mulleinhatch/control_plane/quotas.py
@@ -113,7 +113,7 @@
         if view is self._view and document is self._document:
             return
         if document is not self._document:
-            self._tenants = self._tenant_builder.build(document.value)
+            self._tenants = self._tenant_builder.build(document.value).by_name
         former_view = self._view
         if view is not self._view:
             self._view_since = self._clock()
--- a/mulleinhatch/data_plane/access.py
+++ b/mulleinhatch/data_plane/access.py
@@ -18,7 +18,8 @@
 
 from result import Err, Ok, Result
 
-from mulleinhatch.configuration.routes import Route, RouteTable
+from mulleinhatch.configuration.route import Route
+from mulleinhatch.configuration.routes import RouteTable
 from mulleinhatch.networking.http_streaming import Head
 from mulleinhatch.tenants.tenant import Tenant
 
--- a/mulleinhatch/data_plane/client_timeouts.py
+++ b/mulleinhatch/data_plane/client_timeouts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mulleinhatch.configuration.routes import Route
+from mulleinhatch.configuration.route import Route
 from mulleinhatch.networking.http_streaming import Head
 
 FIRST_ATTEMPT_TIMEOUT_FRACTION = 0.85  # A request with a smaller fraction of its route's usual timeout left is a retry.
--- a/mulleinhatch/data_plane/priority_classes.py
+++ b/mulleinhatch/data_plane/priority_classes.py
@@ -19,7 +19,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from mulleinhatch.configuration.routes import Route, RouteTable
+from mulleinhatch.configuration.route import Route
+from mulleinhatch.configuration.routes import RouteTable
 from mulleinhatch.data_plane.request_headers import MAX_PRIORITY
 from mulleinhatch.tenants.tenant import Tenant
 
@@ -91,21 +92,25 @@
     """Return the priority classes of a configuration."""
     route_priorities = tuple(sorted(table.target_s_by_priority))
     return PriorityClassTable(
-        _tenant_priorities(table.tenants.by_name.values(), table.has_public_routes),
+        _tenant_priorities(table.tenants.priorities, table.has_public_routes),
         route_priorities,
         tuple(table.target_s_by_priority[priority] for priority in route_priorities),
     )
 
 
-def _tenant_priorities(tenants: Iterable[Tenant], has_public_routes: bool) -> tuple[int, ...]:
-    priorities = {_priority(tenant) for tenant in tenants}
+def _tenant_priorities(configured: Iterable[int | None], has_public_routes: bool) -> tuple[int, ...]:
+    priorities = {_with_default(priority) for priority in configured}
     if priorities and has_public_routes:
-        priorities.add(_priority(None))
+        priorities.add(DEFAULT_TENANT_PRIORITY)
     return tuple(sorted(priorities))
 
 
 def _priority(tenant: Tenant | None) -> int:
-    return DEFAULT_TENANT_PRIORITY if tenant is None or tenant.priority is None else tenant.priority
+    return _with_default(None if tenant is None else tenant.priority)
+
+
+def _with_default(priority: int | None) -> int:
+    return DEFAULT_TENANT_PRIORITY if priority is None else priority
 
 
 def _position(priorities: tuple[int, ...], priority: int) -> int:
--- a/mulleinhatch/data_plane/quota_client.py
+++ b/mulleinhatch/data_plane/quota_client.py
@@ -12,7 +12,7 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -83,7 +83,7 @@
         self._contended_until: dict[str, float] = {}  # by tenant: requests at other data planes get its tokens first
         self.counters: Counter[str] = Counter()
 
-    def update(self, epoch: int, addresses: Iterable[str], configuration_version: int, tenants: Iterable[str]) -> None:
+    def update(self, epoch: int, addresses: Iterable[str], configuration_version: int, tenants: Container[str]) -> None:
         """Apply what the control plane published.
 
         Args:
@@ -95,9 +95,8 @@
         self._learn_view(epoch, addresses)
         if configuration_version != self._configuration_version:
             self._configuration_version = configuration_version
-            kept = set(tenants)
-            self._balance.keep_only(kept)
-            self._demand.keep_only(kept)
+            self._balance.keep_only(tenants)
+            self._demand.keep_only(tenants)
             self._refusals, self._contended_until = {}, {}
             self._parked.release_all()
 
--- a/mulleinhatch/data_plane/request_context.py
+++ b/mulleinhatch/data_plane/request_context.py
@@ -4,7 +4,8 @@
 
 from typing import Protocol
 
-from mulleinhatch.configuration.routes import Route, RouteTable
+from mulleinhatch.configuration.route import Route
+from mulleinhatch.configuration.routes import RouteTable
 from mulleinhatch.data_plane.event_stream import EventStreamFilter
 from mulleinhatch.data_plane.priority_classes import PriorityClass, PriorityClassTable
 from mulleinhatch.data_plane.registry_snapshot import ModelKey
--- a/mulleinhatch/data_plane/request_permit.py
+++ b/mulleinhatch/data_plane/request_permit.py
@@ -13,7 +13,7 @@
 
 from result import Err
 
-from mulleinhatch.configuration.routes import Route
+from mulleinhatch.configuration.route import Route
 from mulleinhatch.data_plane.permit_patience import RATE_OVERCOMMIT, Patience
 from mulleinhatch.data_plane.permit_waits import Outcome, PermitWait
 from mulleinhatch.data_plane.request_context import RequestContext
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -12,7 +12,8 @@
 
 from result import Err, Result
 
-from mulleinhatch.configuration.routes import Route, RouteTable
+from mulleinhatch.configuration.route import Route
+from mulleinhatch.configuration.routes import RouteTable
 from mulleinhatch.data_plane.access import Access, AccessDenied, decide_access
 from mulleinhatch.data_plane.admission_queue import AdmissionQueue, PendingRequest
 from mulleinhatch.data_plane.attempt import AttemptResources
@@ -37,6 +38,7 @@
 from mulleinhatch.networking.http_client import HttpClient
 from mulleinhatch.networking.http_streaming import Head
 from mulleinhatch.process.settings import Settings
+from mulleinhatch.tenants.tenant_table import LimitedTenants
 
 SWEEP_INTERVAL_S = 0.1
 POOL_SWEEP_INTERVAL_S = 1.0
@@ -184,8 +186,8 @@
             self._traffic_splits.keep_only(snapshot.table.routes)
             self._readiness.update(snapshot.table.services)
         self.snapshot = snapshot
-        limited = (name for name, tenant in snapshot.table.tenants.by_name.items() if tenant.limit is not None)
-        self.quotas.update(snapshot.control_epoch, snapshot.control_addresses, snapshot.table.version, limited)
+        table = snapshot.table
+        self.quotas.update(snapshot.control_epoch, snapshot.control_addresses, table.version, LimitedTenants(table.tenants))
         self._selector.update(snapshot.backends, snapshot.data_planes)
         self._scheduler.start_ready()
 
--- a/mulleinhatch/quotas/balance.py
+++ b/mulleinhatch/quotas/balance.py
@@ -14,7 +14,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container
 from dataclasses import dataclass
 from enum import Enum
 
@@ -165,9 +165,8 @@
             if not grants:
                 del self._grants[tenant]
 
-    def keep_only(self, tenants: Iterable[str]) -> None:
+    def keep_only(self, tenants: Container[str]) -> None:
         """Drop the grants and returns of all other tenants, which the configuration no longer contains."""
-        kept = set(tenants)
         for tokens_by_tenant in (self._grants, self._returns):
-            for tenant in [tenant for tenant in tokens_by_tenant if tenant not in kept]:
+            for tenant in [tenant for tenant in tokens_by_tenant if tenant not in tenants]:
                 del tokens_by_tenant[tenant]
--- a/mulleinhatch/quotas/demand.py
+++ b/mulleinhatch/quotas/demand.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Container
 from dataclasses import dataclass
 
 AVERAGING_S = 1.0  # time constant of the moving averages
@@ -56,7 +57,7 @@
         tokens = lifetime_s * (demand.admitted_per_s + refused_per_s)
         return int(tokens) if tokens >= MIN_REQUESTS_AHEAD * demand.mean_tokens else 0
 
-    def keep_only(self, tenants: set[str]) -> None:
+    def keep_only(self, tenants: Container[str]) -> None:
         """Forget all other tenants."""
         self._demand = {tenant: demand for tenant, demand in self._demand.items() if tenant in tenants}
 
--- a/mulleinhatch/tenants/tenant_table.py
+++ b/mulleinhatch/tenants/tenant_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hmac
-from collections.abc import Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 
 from result import Err, Ok, Result
 
@@ -19,9 +19,10 @@
         by_name: The tenants by name.
         by_digest: Digest and tenant of each key, by digest.
         requires_keys: Whether requests on routes that are not public need a key.
+        priorities: The priorities that tenants have; None for a tenant without one.
     """
 
-    __slots__ = ("_by_digest", "_digester", "requires_keys", "by_name")
+    __slots__ = ("_by_digest", "_digester", "by_name", "priorities", "requires_keys")
 
     def __init__(
         self,
@@ -29,9 +30,10 @@
         by_name: Mapping[str, Tenant],
         by_digest: Mapping[bytes, tuple[bytes, Tenant]],
         requires_keys: bool,
+        priorities: Iterable[int | None] = (),
     ) -> None:
         self._digester, self._by_digest = digester, by_digest
-        self.by_name, self.requires_keys = by_name, requires_keys
+        self.by_name, self.requires_keys, self.priorities = by_name, requires_keys, priorities
 
     def authenticate(self, authorization: Sequence[bytes]) -> Result[Tenant | None, AuthenticationError]:
         """Return the tenant that a request's key belongs to; None if no keys are needed.
@@ -54,6 +56,17 @@
         return f"TenantTable({len(self.by_name)} tenants)"
 
 
+class LimitedTenants(Container[str]):
+    """The names of the tenants of a table whose rate is limited."""
+
+    def __init__(self, table: TenantTable) -> None:
+        self._by_name = table.by_name
+
+    def __contains__(self, name: object) -> bool:
+        tenant = self._by_name.get(name)  # type: ignore[call-overload]
+        return tenant is not None and tenant.limit is not None
+
+
 NO_TENANTS = TenantTable(KeyDigester(b""), {}, {}, requires_keys=False)
 # Used where the tenants of a configuration were not built: every key is unknown, so no request is allowed by mistake.
 LOCKED = TenantTable(KeyDigester(b""), {}, {}, requires_keys=True)
--- a/tests/system/test_priority_classes.py
+++ b/tests/system/test_priority_classes.py
@@ -34,8 +34,9 @@
 def ranks(table: RouteTable, field_values: bool = False) -> list[list[int]]:
     """Return the rank, or the field value, of each route for each tenant."""
     classes = build_priority_classes(table)
-    routes = sorted((route for host in table.hosts.values() for route in host), key=lambda route: int(route.name[1:]))
-    found = [[classes.class_of(route, tenant) for route in routes] for tenant in table.tenants.by_name.values()]
+    routes = sorted(table.routes.values(), key=lambda route: int(route.name[1:]))
+    tenants = sorted(table.tenants.by_name.values(), key=lambda tenant: int(tenant.name[1:]))
+    found = [[classes.class_of(route, tenant) for route in routes] for tenant in tenants]
     return [[one.field_value if field_values else one.rank for one in row] for row in found]
 
 
@@ -44,7 +45,7 @@
         """Guards against a change of behaviour without configured tenants."""
         table = table_of([0, 3, 12], [], [1000, 2000, 500])
         classes = build_priority_classes(table)
-        routes = sorted(table.hosts["h"], key=lambda route: route.name)
+        routes = sorted(table.routes.values(), key=lambda route: route.name)
         found = [classes.class_of(route, None) for route in routes]
         self.assertEqual(found, [PriorityClass(0, 0), PriorityClass(3, 3), PriorityClass(12, MAX_PRIORITY)])
         self.assertEqual(classes.classes(), [(0, 1.0), (3, 2.0), (12, 0.5)])
--- a/tests/system/test_request_log.py
+++ b/tests/system/test_request_log.py
@@ -8,7 +8,7 @@
 from types import SimpleNamespace
 
 from benchmarks.lost_value import lost_requests, read_lines
-from mulleinhatch.configuration.routes import Route
+from mulleinhatch.configuration.route import Route
 from mulleinhatch.data_plane.access import AccessDenied
 from mulleinhatch.data_plane.client_timeouts import ClientTimeouts
 from mulleinhatch.data_plane.request_context import RequestContext
--- a/tests/system/test_route_table_builder.py
+++ b/tests/system/test_route_table_builder.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mulleinhatch.configuration import routes
+from mulleinhatch.configuration import route
 from mulleinhatch.configuration.document import Document, accept_patch
 from mulleinhatch.configuration.encoding import decompressed
 from mulleinhatch.configuration.routes import RouteTable, RouteTableBuilder, build_route_table
@@ -61,10 +61,11 @@
 
 
 def comparable(table: RouteTable) -> tuple[Any, ...]:
-    """Return what a table says; routes of one host whose prefixes have the same length may come in any order."""
-    hosts = {host: sorted(found, key=lambda route: route.name) for host, found in table.hosts.items()}
-    lengths = {host: [len(route.path_prefix) for route in found] for host, found in table.hosts.items()}
-    return table.version, table.routes, hosts, lengths, table.target_s_by_priority, table.has_public_routes, table.services
+    """Return what a table says."""
+    hosts = {host: dict(found.by_prefix) for host, found in table.hosts.items()}
+    lengths = {host: found.lengths for host, found in table.hosts.items()}
+    targets = list(table.target_s_by_priority.items())
+    return table.version, dict(table.routes), hosts, lengths, targets, table.has_public_routes, list(table.services.items())
 
 
 class Successive(unittest.TestCase):
@@ -81,11 +82,12 @@
         builder, tables, document = TenantBuilder(), TenantTableBuilder(DIGESTER), FIRST
         for number, patch in enumerate(patches):
             document = accept_patch(document, {**patch, "version": number + 2}).ok_value
-            self.assertEqual(builder.build(document.value), TenantBuilder().build(document.value))
+            self.assertEqual(builder.build(document.value).by_name, TenantBuilder().build(document.value).by_name)
             if any(item["rate_per_s"] < 0 for item in document.value.get("tenants", ())):
                 return  # a table is not built of tenants that an older process accepted
             table, anew = tables.build(document.value), TenantTableBuilder(DIGESTER).build(document.value)
             self.assertEqual((table.by_name, table._by_digest), (anew.by_name, anew._by_digest))
+            self.assertEqual(set(table.priorities), set(anew.priorities))
 
     # Guards against a table that is built anew for each changed route, while requests wait.
     def test_a_change_of_one_route_builds_one_route(self):
@@ -93,7 +95,7 @@
         document = Document(1, {"version": 1, "routes": routes_of(2000), "services": [{"name": "noted"}]})
         complete(builder.build_steps(document))
         changed = accept_patch(document, {"version": 2, "upsert": {"routes": [{**routes_of(1)[0], "timeout_ms": 1}]}}).ok_value
-        with mock.patch.object(routes, "Route", side_effect=routes.Route) as build:
+        with mock.patch.object(route, "Route", side_effect=route.Route) as build:
             table = complete(builder.build_steps(changed))
         self.assertEqual(build.call_count, 1)
         self.assertEqual(table.routes["route-0"].timeout_s, 0.001)
