A committed change is applied in the time of a lookup, however large it is

Now the configuration that a large change leads to is built in steps before it is committed: at the head by the check itself, at a replica while its successor writes the entry, at a data plane while it reads the update. Applying takes what was built if it was built on the same configuration, and builds it otherwise.

Tests: PreparedChangeTest; before, apply called the merge once in each (prepare_steps is new).

--- a/mulleinhatch/configuration/document.py
+++ b/mulleinhatch/configuration/document.py
@@ -53,12 +53,14 @@
 PATCH_KINDS = (*ITEM_KINDS, TENANTS)
 
 
-def with_item_lists_steps(value: Mapping[str, Any]) -> Steps[Mapping[str, Any]]:
-    """Return a configuration with its lists of items as `ItemList`, the same object if they are.
+def with_item_lists_steps(value: Any) -> Steps[Any]:
+    """Return a configuration with its lists of items as `ItemList`, the same object if they are or if it is no object.
 
     A list whose items can't be told apart by a name stays as it is: an earlier version accepted any tenants.
     """
     lists: dict[str, ItemList] = {}
+    if not isinstance(value, Mapping):
+        return value
     for kind in PATCH_KINDS:
         items = value.get(kind)
         if not isinstance(items, list):
--- a/mulleinhatch/control_plane/replicated_log.py
+++ b/mulleinhatch/control_plane/replicated_log.py
@@ -11,6 +11,7 @@
 from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.chain import LogWrite, Replica
 from mulleinhatch.replication.state import CONFIGURATION_KINDS, ControlState
+from mulleinhatch.steps import Steps
 from mulleinhatch.storage.records import Record, RecordKind
 
 COMMIT_WAIT_S = 0.25  # how long the response to an append waits for the commit by the rest of the chain
@@ -57,7 +58,7 @@
         """
         records = []
         if write.snapshot is not None:
-            await self._read_body(write.snapshot.configuration)
+            await self._prepare(self.state.parsed_bodies.read_steps(write.snapshot.configuration))
             records.append(Record(RecordKind.SNAPSHOT, bytes(write.snapshot)))
         records += entry_records(write.entries)
         if records:
@@ -130,11 +131,11 @@
     async def _read_bodies(self, write: LogWrite) -> None:
         for entry in write.entries:
             if entry.kind in CONFIGURATION_KINDS:
-                await self._read_body(entry.body)
+                await self._prepare(self.state.prepare_steps(entry))
 
-    async def _read_body(self, body: bytes) -> None:
-        """Read the body of an entry or of a snapshot in slices, so that it is applied quickly once it is committed."""
-        await self._slicer.run("reading of a replicated configuration", self.state.parsed_bodies.read_steps(body))
+    async def _prepare(self, steps: Steps[None]) -> None:
+        """Prepare an entry or a snapshot in slices, so that it takes effect quickly."""
+        await self._slicer.run("reading of a replicated configuration", steps)
 
     async def _persist_log_complete(self, request: AppendRequest) -> None:
         """Persist that the log is complete before it takes effect, if the append brings the last entry of the predecessor."""
--- a/mulleinhatch/data_plane/control_plane_client.py
+++ b/mulleinhatch/data_plane/control_plane_client.py
@@ -11,7 +11,7 @@
 
 from result import Err
 
-from mulleinhatch.configuration.document import EMPTY, Document, accept_patch
+from mulleinhatch.configuration.document import EMPTY, Document, accept_patch_steps, with_item_lists_steps
 from mulleinhatch.configuration.encoding import decompressed
 from mulleinhatch.configuration.json_reader import read_json_steps
 from mulleinhatch.configuration.routes import RouteTable, RouteTableBuilder
@@ -236,12 +236,12 @@
         except (zlib.error, ValueError, RecursionError) as error:
             raise UnusableConfigurationError(f"its bytes can't be read: {error}") from error
         if not update.base_version:
-            return Document(update.configuration_version, value)
+            return Document(update.configuration_version, (yield from with_item_lists_steps(value)))
         document = self._document
         for patch in value:
             yield
             try:
-                patched = accept_patch(document, patch)
+                patched = yield from accept_patch_steps(document, patch)
             except (AttributeError, KeyError, TypeError) as error:
                 raise UnusableConfigurationError(f"a patch is malformed: {error!r}") from error
             if isinstance(patched, Err):
--- a/mulleinhatch/replication/parsed_bodies.py
+++ b/mulleinhatch/replication/parsed_bodies.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+from mulleinhatch.configuration.document import with_item_lists_steps
 from mulleinhatch.configuration.json_reader import MIN_WALKED_BYTES, read_json_steps
 from mulleinhatch.steps import Steps
 
@@ -26,9 +27,18 @@
             del self._values[next(iter(self._values))]
 
     def read_steps(self, body: bytes) -> Steps[None]:
-        """Read a body that is valid JSON, and keep its value."""
+        """Read a body that is a valid JSON object, and keep its value; its lists of items are `ItemList`."""
         if len(body) >= MIN_WALKED_BYTES and body not in self._values:
-            self.keep(body, (yield from read_json_steps(body)))
+            value = yield from read_json_steps(body)
+            self.keep(body, (yield from with_item_lists_steps(value)))
+
+    def get(self, body: bytes) -> Any:
+        """Return the value of a body, None for one that was not kept; it stays kept."""
+        return self._values.get(body)
+
+    def discard(self, body: bytes) -> None:
+        """Forget the value of a body."""
+        self._values.pop(body, None)
 
     def take(self, body: bytes) -> Any:
         """Return the value of a body; one that was not kept is read at once."""
--- a/mulleinhatch/replication/state.py
+++ b/mulleinhatch/replication/state.py
@@ -9,6 +9,7 @@
 import json
 from dataclasses import dataclass
 from enum import Enum, IntEnum
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -16,7 +17,7 @@
     EMPTY,
     Document,
     accept_complete,
-    accept_patch,
+    accept_patch_steps,
     change_digest,
     read_complete_steps,
     read_object_steps,
@@ -24,7 +25,7 @@
 from mulleinhatch.configuration.encoding import joined, json_chunks
 from mulleinhatch.configuration.patching import apply_patch_steps
 from mulleinhatch.configuration.reference_index import ReferenceIndex
-from mulleinhatch.errors import ReplicationError
+from mulleinhatch.errors import ConfigurationError, ReplicationError
 from mulleinhatch.messages.cluster import Entry, Snapshot
 from mulleinhatch.replication.parsed_bodies import ParsedBodies
 from mulleinhatch.steps import Steps, complete
@@ -106,6 +107,27 @@
         return Change(EntryKind.CONFIGURATION, self.document.to_json(), self.digest, self.document)
 
 
+@dataclass(frozen=True)
+class _Prepared:
+    """The configuration that a large change leads to, from before it is committed.
+
+    Attributes:
+        kind: The kind of its entry.
+        body: The body of its entry.
+        base: The configuration that it changes.
+        document: The configuration that results from it.
+    """
+
+    kind: int
+    body: bytes
+    base: Document
+    document: Document
+
+    def is_of(self, entry: Entry, base: Document) -> bool:
+        """Return whether it is what an entry makes of a configuration."""
+        return base is self.base and entry.kind == self.kind and entry.body == self.body
+
+
 class ControlState:
     """The state after the entry with `index`.
 
@@ -133,6 +155,7 @@
         self.forgotten_version = 0
         self.recent: list[tuple[int, Entry]] = []
         self.parsed_bodies = ParsedBodies()
+        self._prepared: _Prepared | None = None
         self._references = ReferenceIndex()  # used at the head, where changes are checked
 
     # Checking.
@@ -171,11 +194,21 @@
         if isinstance(document, Err):
             return _reject(ChangeOutcome.INVALID, str(document.err_value))
         kind = EntryKind.CONFIGURATION if method == "PUT" else EntryKind.PATCH
-        self.parsed_bodies.keep(body, read.ok_value)
+        self._prepared = _Prepared(kind, body, current, document.ok_value)
         return Ok(Change(kind, body, digest, document.ok_value))
 
     # Applying.
 
+    def prepare_steps(self, entry: Entry) -> Steps[None]:
+        """Do most of the work of applying a large change before it is committed."""
+        yield from self.parsed_bodies.read_steps(entry.body)
+        value, base = self.parsed_bodies.get(entry.body), self.document
+        if value is None:
+            return
+        document = yield from _accept_steps(base, entry.kind, value)
+        if isinstance(document, Ok):
+            self._prepared = _Prepared(entry.kind, entry.body, base, document.ok_value)
+
     def apply(self, entry: Entry) -> None:
         """Apply the committed entry that follows the last applied one.
 
@@ -199,21 +232,24 @@
             del self.departed_backends[next(iter(self.departed_backends))]
 
     def _apply_change(self, entry: Entry) -> None:
-        value = self.parsed_bodies.take(entry.body)
-        if entry.kind == EntryKind.CONFIGURATION:
-            document = accept_complete(value, self.document.version)
-        else:
-            document = accept_patch(self.document, value)
-        if isinstance(document, Err):
+        if (document := self._document_after(entry)) is None:
             return  # the head checked the change against this same state; a change that does not follow it never takes effect
         if entry.kind == EntryKind.PATCH:
             self.recent.append((self.document.version, entry))
         else:
             self.recent.clear()
         del self.recent[:-MAX_RECENT_PATCHES]
-        self.document = document.ok_value
+        self.document = document
         self._record_digest(entry.digest)
 
+    def _document_after(self, entry: Entry) -> Document | None:
+        prepared, self._prepared = self._prepared, None
+        if prepared is not None and prepared.is_of(entry, self.document):
+            self.parsed_bodies.discard(entry.body)
+            return prepared.document
+        value = self.parsed_bodies.take(entry.body)
+        return complete(_accept_steps(self.document, entry.kind, value)).unwrap_or(None)
+
     def _record_digest(self, digest: str) -> None:
         self.digests[digest] = self.document.version
         while len(self.digests) > MAX_DIGESTS:
@@ -278,6 +314,13 @@
         self.recent = []
 
 
+def _accept_steps(base: Document, kind: int, value: Any) -> Steps[Result[Document, ConfigurationError]]:
+    """Return the configuration after a change that was validated when it was proposed."""
+    if kind == EntryKind.CONFIGURATION:
+        return accept_complete(value, base.version)
+    return (yield from accept_patch_steps(base, value))
+
+
 def _reject_base(current: Document) -> Err[Rejection]:
     return _reject(ChangeOutcome.CONFLICT, f"version {current.version} is current; read it and build on it")
 
--- a/tests/system/test_control_state.py
+++ b/tests/system/test_control_state.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok
 
+from mulleinhatch.configuration import document
 from mulleinhatch.configuration.document import change_digest
 from mulleinhatch.control_plane.peers import AUTHORITY_S, UNRESPONSIVE_AFTER_S, Peers
 from mulleinhatch.control_plane.registry import BackendRegistry
@@ -28,6 +29,7 @@
 )
 from mulleinhatch.networking.http_client import HttpCallError, HttpResponse
 from mulleinhatch.process.settings import Bounds, Settings
+from mulleinhatch.replication import state as state_module
 from mulleinhatch.replication.state import (
     MAX_DEPARTED_BACKENDS,
     MAX_DIGESTS,
@@ -36,6 +38,8 @@
     ControlState,
     EntryKind,
 )
+from mulleinhatch.simulation.control_plane.clients import routes_of
+from mulleinhatch.steps import complete
 
 
 def change(version: int, comment: str = "") -> bytes:
@@ -46,6 +50,10 @@
     state.apply(Entry(index=state.index + 1, epoch=1, kind=kind, body=body, digest=change_digest(method, body)))
 
 
+def change_entry(index: int, kind: EntryKind, value: dict) -> Entry:
+    return Entry(index=index, epoch=1, kind=kind, body=json.dumps(value).encode(), digest=f"digest-{index}")
+
+
 def restored(state: ControlState) -> ControlState:
     again = ControlState()
     again.restore(Snapshot().parse(bytes(state.snapshot())))
@@ -101,6 +109,49 @@
         self.assertEqual(state.departed_backends, {"a": 1, "b": 2})
 
 
+class PreparedChangeTest(unittest.TestCase):
+    """Guards against a large committed change that is read and merged in one turn of the event loop."""
+
+    def setUp(self):
+        self.state = ControlState()
+        self.state.apply(
+            change_entry(1, EntryKind.CONFIGURATION, {"version": 1, "routes": [], "services": [{"name": "noted"}]})
+        )
+        self.entry = change_entry(2, EntryKind.PATCH, {"version": 2, "upsert": {"routes": routes_of(1600)}})
+
+    def apply_counting_builds(self, entry: Entry) -> int:
+        with mock.patch.object(state_module, "accept_patch_steps", wraps=state_module.accept_patch_steps) as builds:
+            self.state.apply(entry)
+        return builds.call_count
+
+    def test_a_change_that_was_checked_here_is_applied_without_building_it_again(self):
+        self.assertIsInstance(self.state.check("PATCH", 1, self.entry.body), Ok)
+        self.assertEqual(self.apply_counting_builds(self.entry), 0)
+        self.assertEqual((self.state.document.version, len(self.state.document.value["routes"])), (2, 1600))
+
+    def test_a_replica_prepares_a_change_in_steps_before_it_is_committed(self):
+        self.assertGreater(sum(1 for _ in self.state.prepare_steps(self.entry)), 50)
+        self.assertEqual(self.apply_counting_builds(self.entry), 0)
+        self.assertEqual((self.state.document.version, len(self.state.document.value["routes"])), (2, 1600))
+
+    def test_a_change_that_was_prepared_on_another_configuration_is_built_anew(self):
+        complete(self.state.prepare_steps(self.entry))
+        self.state.apply(change_entry(2, EntryKind.PATCH, {"version": 2, "upsert": {"services": [{"name": "other"}]}}))
+        body = json.loads(self.entry.body) | {"version": 3}
+        self.assertEqual(self.apply_counting_builds(change_entry(3, EntryKind.PATCH, body)), 1)
+        self.assertEqual(len(self.state.document.value["services"]), 2)
+        self.assertEqual(len(self.state.document.value["routes"]), 1600)
+
+    def test_the_lists_of_a_snapshot_are_prepared_in_steps(self):
+        self.state.apply(self.entry)
+        snapshot, replica = self.state.snapshot(), ControlState()
+        complete(replica.parsed_bodies.read_steps(snapshot.configuration))
+        with mock.patch.object(document, "item_list_steps", wraps=document.item_list_steps) as builds:
+            replica.restore(snapshot)
+        self.assertEqual(builds.call_count, 0)
+        self.assertEqual(replica.document, self.state.document)
+
+
 class MajorityConfirmationTest(unittest.TestCase):
     """A voter counts if it confirmed this node's view as the newest, in response to a recent request."""
 
