The parts of a large change that still ran in one piece are cut into steps

The patch's names, the properties of all routes and the names of several changes were each one piece: 34 ms at a check of 44,000 routes, 25 and 51 ms at a data plane that takes them. They yield now; counts of values are adjusted in steps.

--- a/mulleinhatch/configuration/host_routes.py
+++ b/mulleinhatch/configuration/host_routes.py
@@ -51,7 +51,7 @@
             if route.path_prefix not in by_prefix:
                 new[route.path_prefix] = len(route.path_prefix)
             by_prefix[route.path_prefix] = route
-        length_counts = self.length_counts.adjusted(new.values(), former.values())
+        length_counts = yield from self.length_counts.adjusted_steps(new.values(), former.values())
         lengths = tuple(sorted(length_counts, reverse=True))
         return HostRoutes(by_prefix.finish(), lengths, length_counts)
 
--- a/mulleinhatch/configuration/item_list.py
+++ b/mulleinhatch/configuration/item_list.py
@@ -121,7 +121,7 @@
             return ()
         for position, (identity, _) in enumerate(self._recent_changes):
             if identity is former._identity:
-                return dict.fromkeys(name for _, names in self._recent_changes[position:] for name in names)
+                return (yield from _union_steps([names for _, names in self._recent_changes[position:]]))
         return (yield from self._compared_steps(former))
 
     def _compared_steps(self, former: ItemList) -> Steps[Collection[str]]:
@@ -196,6 +196,16 @@
         yield
 
 
+def _union_steps(changes: Sequence[Collection[str]]) -> Steps[Collection[str]]:
+    if len(changes) == 1:
+        return changes[0]
+    names: dict[str, None] = {}
+    for changed in changes:
+        yield
+        names.update(dict.fromkeys(changed))
+    return names
+
+
 def _bounded(recent_changes: Sequence[tuple[object, tuple[str, ...]]]) -> tuple[tuple[object, tuple[str, ...]], ...]:
     """Return the newest changes that fit within the bounds."""
     kept, names = 0, 0
--- a/mulleinhatch/configuration/reference_index.py
+++ b/mulleinhatch/configuration/reference_index.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Container, Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass
 from typing import Any
 
@@ -39,7 +39,7 @@
     """
 
     upserted: Mapping[str, Item]
-    changed: frozenset[str]
+    changed: Set[str]
 
     def removed(self) -> Iterable[str]:
         """Return the names of the items that are gone afterwards."""
@@ -111,22 +111,32 @@
 
     def check_patch_steps(self, patch: Mapping[str, Any]) -> Steps[Result[None, ConfigurationError]]:
         """Check the references of a patch of the configuration in force, whose items are valid each by itself."""
-        routes, services = self._list_patch(patch, "routes"), self._list_patch(patch, "services")
+        routes = yield from self._list_patch_steps(patch, "routes")
+        services = yield from self._list_patch_steps(patch, "services")
+        tenants = yield from self._list_patch_steps(patch, TENANTS)
         checks = (
             self._check_routes(routes, _NamesAfter(self._lists["services"], services)),
             self._check_removed_services(routes, services),
-            self._check_keys(self._list_patch(patch, TENANTS)),
+            self._check_keys(tenants),
         )
         for check in checks:
             if isinstance(checked := (yield from check), Err):
                 return checked
         return Ok(None)
 
-    def _list_patch(self, patch: Mapping[str, Any], kind: str) -> _ListPatch:
+    def _list_patch_steps(self, patch: Mapping[str, Any], kind: str) -> Steps[_ListPatch]:
         upsert, remove = patch_lists(patch, kind)
-        upserted = {item["name"]: item for item in upsert}
         in_force = self._lists[kind]
-        return _ListPatch(upserted, frozenset(name for name in (*upserted, *remove) if in_force.has_name(name)))
+        upserted, changed = {}, set()
+        for number, item in enumerate(upsert):
+            if number % ITEMS_PER_STEP == ITEMS_PER_STEP - 1:
+                yield
+            upserted[item["name"]] = item
+            if in_force.has_name(item["name"]):
+                changed.add(item["name"])
+        yield
+        changed.update(filter(in_force.has_name, remove))
+        return _ListPatch(upserted, changed)
 
     def _check_routes(self, routes: _ListPatch, services: Container[str]) -> Steps[Result[None, ConfigurationError]]:
         taken: set[Address] = set()
--- a/mulleinhatch/configuration/routes.py
+++ b/mulleinhatch/configuration/routes.py
@@ -118,8 +118,7 @@
         self._routes: BuiltItems[Route] = BuiltItems(build_route)
         self._services = ServiceBuilder()
         self._hosts: Map[str, HostRoutes] = Map()
-        self._targets: ValueCounts[tuple[int, float]] = ValueCounts()  # priority and target latency of the routes
-        self._public_routes = 0
+        self._properties: ValueCounts[tuple[int, float, bool]] = ValueCounts()  # priority, target latency, whether it is public
 
     def build_steps(self, document: Document, tenants: TenantTable | None = None) -> Steps[RouteTable]:
         """Return the route table of a validated configuration.
@@ -137,16 +136,15 @@
         limits = _build_limits(document.value.get("limits", {}))
         routes = yield from self._routes.update_steps(document.value["routes"])
         self._hosts = yield from changed_hosts_steps(self._hosts, routes.added, routes.removed)
-        yield
-        self._targets = self._targets.adjusted(map(_target_of, routes.added), map(_target_of, routes.removed))
-        self._public_routes += sum(route.is_public for route in routes.added)
-        self._public_routes -= sum(route.is_public for route in routes.removed)
+        added, removed = map(_properties_of, routes.added), map(_properties_of, routes.removed)
+        self._properties = yield from self._properties.adjusted_steps(added, removed)
         return RouteTable(
             version=document.version,
             routes=routes.by_name,
             hosts=self._hosts,
-            target_s_by_priority=dict(sorted(self._targets)),  # of the same priority, the longest target is the last
-            has_public_routes=self._public_routes > 0,
+            # Of the same priority, the longest target is the last.
+            target_s_by_priority=dict(sorted((priority, target_s) for priority, target_s, _ in self._properties)),
+            has_public_routes=any(is_public for _, _, is_public in self._properties),
             services=services,
             limits=limits,
             tenants=tenants,
@@ -180,8 +178,8 @@
         return self._services
 
 
-def _target_of(route: Route) -> tuple[int, float]:
-    return route.priority, route.target_latency_s
+def _properties_of(route: Route) -> tuple[int, float, bool]:
+    return route.priority, route.target_latency_s, route.is_public
 
 
 def _build_service(item: Mapping[str, Any]) -> Service:
--- a/mulleinhatch/configuration/tenants.py
+++ b/mulleinhatch/configuration/tenants.py
@@ -153,8 +153,8 @@
             by_name[record.tenant.name] = record.tenant
             for digest in record.digests:
                 by_digest[digest] = (digest, record.tenant)
-        yield
-        self._priorities = self._priorities.adjusted(map(_priority_of, changes.added), map(_priority_of, changes.removed))
+        added, removed = map(_priority_of, changes.added), map(_priority_of, changes.removed)
+        self._priorities = yield from self._priorities.adjusted_steps(added, removed)
         self._items, self._by_digest, self._by_name = items, by_digest.finish(), by_name.finish()
         if self._by_name:
             self._table = TenantTable(self._digester, self._by_name, self._by_digest, True, self._priorities)
--- a/mulleinhatch/configuration/value_counts.py
+++ b/mulleinhatch/configuration/value_counts.py
@@ -7,14 +7,18 @@
 
 from immutables import Map
 
+from mulleinhatch.steps import Steps
+
 Value = TypeVar("Value", bound=Hashable)
+VALUES_PER_STEP = 1024
 
 
 class ValueCounts(Generic[Value]):
     """How often each value occurs.
 
-    >>> counts = ValueCounts().adjusted(added=[3, 5, 5], removed=[])
-    >>> sorted(counts.adjusted(added=[], removed=[3, 5]))
+    >>> from mulleinhatch.steps import complete
+    >>> counts = complete(ValueCounts().adjusted_steps(added=[3, 5, 5], removed=[]))
+    >>> sorted(complete(counts.adjusted_steps(added=[], removed=[3, 5])))
     [5]
     """
 
@@ -32,14 +36,18 @@
     def __contains__(self, value: object) -> bool:
         return value in self._counts
 
-    def adjusted(self, added: Iterable[Value], removed: Iterable[Value]) -> ValueCounts[Value]:
+    def adjusted_steps(self, added: Iterable[Value], removed: Iterable[Value]) -> Steps[ValueCounts[Value]]:
         """Return the counts after values were added and others, which occurred, removed."""
-        with self._counts.mutate() as counts:
-            for value in added:
-                counts[value] = counts.get(value, 0) + 1
-            for value in removed:
-                if counts[value] == 1:
-                    del counts[value]
-                else:
-                    counts[value] -= 1
-            return ValueCounts(counts.finish())
+        counts = self._counts.mutate()
+        for number, value in enumerate(added):
+            if number % VALUES_PER_STEP == VALUES_PER_STEP - 1:
+                yield
+            counts[value] = counts.get(value, 0) + 1
+        for number, value in enumerate(removed):
+            if number % VALUES_PER_STEP == VALUES_PER_STEP - 1:
+                yield
+            if counts[value] == 1:
+                del counts[value]
+            else:
+                counts[value] -= 1
+        return ValueCounts(counts.finish())
--- a/tests/system/test_item_list.py
+++ b/tests/system/test_item_list.py
@@ -130,7 +130,7 @@
     def test_the_values_are_those_that_are_left(self, lists):
         counts, former = ValueCounts(), []
         for values in lists:
-            counts, former = counts.adjusted(values, former), values
+            counts, former = complete(counts.adjusted_steps(values, former)), values
             self.assertEqual(set(counts), set(values))
 
 
