A body above 64 MiB gets 413, and a cut body leaves nothing behind

What operators could do: send a body without end; a control plane collected all of it before anybody looked. And each request whose connection was cut in its body left what had arrived in the HTTP parser for good: an operator that gives up after a second leaves up to 12 MB of a change of 44,000 routes each time.

At the end of a connection the parser forgets what it held. Calls between control planes may carry 64 changes.

Tests: LargeBodies, with the bodies of RequestBodies; test_what_arrived_of_a_cut_request_is_forgotten fails if the parser's buffer is left (it was).

--- a/mulleinhatch/control_plane/process.py
+++ b/mulleinhatch/control_plane/process.py
@@ -18,7 +18,7 @@
 from mulleinhatch.control_plane.status import ControlPlaneStatus, build_status
 from mulleinhatch.messages import cluster
 from mulleinhatch.networking.http_client import HttpClient
-from mulleinhatch.networking.http_server import HttpServer
+from mulleinhatch.networking.http_server import MAX_BODY_BYTES, HttpServer
 from mulleinhatch.process.event_loop import running_watch
 from mulleinhatch.process.garbage_collection import GarbageCollection
 from mulleinhatch.process.settings import Settings
@@ -26,6 +26,7 @@
 from mulleinhatch.quotas.limits import QuotaBounds
 
 LOG = logging.getLogger(__name__)
+MAX_INTERNAL_BODY_BYTES = 64 * MAX_BODY_BYTES  # an append carries up to 64 changes
 DISK_RETRY_S = 0.5
 
 
@@ -104,7 +105,7 @@
     def _listen(self) -> None:
         server = HttpServer(self.loop)
         control = ControlApi(self.node, self.clock, self.status)
-        server.listen(self.settings.internal_address, self._build_internal_api().handle_request)
+        server.listen(self.settings.internal_address, self._build_internal_api().handle_request, MAX_INTERNAL_BODY_BYTES)
         server.listen(self.settings.listen["control"], control.handle_request)
 
     def _build_internal_api(self) -> InternalApi:
--- a/mulleinhatch/networking/circuits_import.py
+++ b/mulleinhatch/networking/circuits_import.py
@@ -33,6 +33,8 @@
 
 from circuits import BaseComponent, Component, handler  # noqa: E402
 from circuits.core.pollers import BasePoller, _read, _write  # noqa: E402
+from circuits.net.events import close as close_event  # noqa: E402
+from circuits.net.events import write as send_event  # noqa: E402
 from circuits.net.sockets import TCPServer  # noqa: E402
 from circuits.web import events as web_events  # noqa: E402
 from circuits.web.http import HTTP  # noqa: E402
@@ -48,8 +50,10 @@
     "Request",
     "Response",
     "TCPServer",
+    "close_event",
     "handler",
     "read_event",
+    "send_event",
     "web_events",
     "write_event",
 ]
--- a/mulleinhatch/networking/http_server.py
+++ b/mulleinhatch/networking/http_server.py
@@ -27,8 +27,10 @@
     web_events,
     write_event,
 )
+from mulleinhatch.networking.request_body_limit import RequestBodyLimit
 
 LOG = logging.getLogger(__name__)
+MAX_BODY_BYTES = 64 << 20  # 44,000 routes and 250,000 tenants are half of it
 JSON_TYPE = "application/json"
 BINARY_TYPE = "application/octet-stream"
 MAX_DISPATCHES = 1000  # per call of `dispatch`: an endless chain of circuits events would block the asyncio loop
@@ -157,10 +159,13 @@
 class _WebListener(BaseComponent):
     """One listening address: a TCP server, an HTTP parser and a request dispatcher on their own channel."""
 
-    def __init__(self, channel: str, host: str, port: int, handle: RequestHandler, server: HttpServer) -> None:
+    def __init__(
+        self, channel: str, host: str, port: int, handle: RequestHandler, server: HttpServer, max_body_bytes: int
+    ) -> None:
         super().__init__(channel=channel)
         self.server = TCPServer((host, port), channel=channel).register(self)
         self.http = HTTP(self, channel=channel).register(self)
+        RequestBodyLimit(channel, self.http, max_body_bytes, server.call_later).register(self)
         _RequestDispatcher(channel, handle, server).register(self)
 
     secure = False  # read by circuits.web's HTTP component, like `host` and `port`
@@ -243,22 +248,27 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._root = BaseComponent()
+        self._loop, self._root = loop, BaseComponent()
         self._dispatching = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners = 0
         AsyncioPoller(loop, self.dispatch).register(self._root)
         self.dispatch()
 
-    def listen(self, address: str, handle: RequestHandler) -> None:
+    def listen(self, address: str, handle: RequestHandler, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         """Serve requests to "HOST:PORT" with a handler.
 
+        Args:
+            address: The address.
+            handle: Answers the requests.
+            max_body_bytes: A request with a larger body gets 413, and does not reach the handler.
+
         Raises:
             OSError: The address cannot be bound.
         """
         host, _, port = address.rpartition(":")
         self._listeners += 1
-        _WebListener(f"web{self._listeners}", host, int(port), handle, self).register(self._root)
+        _WebListener(f"web{self._listeners}", host, int(port), handle, self, max_body_bytes).register(self._root)
         self.dispatch()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -267,6 +277,14 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def call_later(self, delay_s: float, function: Callable[..., None], *arguments: Any) -> None:
+        """Call a function after a delay, and dispatch the events that it fires."""
+        self._loop.call_later(delay_s, self._call, function, *arguments)
+
+    def _call(self, function: Callable[..., None], *arguments: Any) -> None:
+        function(*arguments)
+        self.dispatch()
+
     def dispatch(self) -> None:
         """Dispatch queued circuits events and step its tasks, such as accepting a connection, until none is left."""
         if self._dispatching:
--- a/tests/system/test_http_server.py
+++ b/tests/system/test_http_server.py
@@ -75,5 +75,48 @@
         self.assertEqual(self.bodies, [BODY])
 
 
+class LargeBodies(RequestBodies):
+    LIMIT = 100_000
+
+    async def asyncSetUp(self):
+        self.bodies = []
+        self.address = f"127.0.0.1:{free_port()}"
+        self.server = HttpServer(asyncio.get_running_loop())
+        self.server.listen(self.address, self.handle, self.LIMIT)
+
+    async def test_a_body_of_the_limit_arrives_and_a_larger_one_is_refused_before_it_is_sent(self):
+        response = await self.send(b"Content-Length: %d\r\n\r\n" % self.LIMIT, bytes(self.LIMIT))
+        self.assertEqual((response.status, len(self.bodies[0])), (200, self.LIMIT))
+        response = await self.send(b"Content-Length: %d\r\n\r\n" % (self.LIMIT + 1))
+        self.assertEqual((response.status, len(self.bodies)), (413, 1))
+
+    # Guards against chunks that are collected without end.
+    async def test_chunks_beyond_the_limit_are_refused_and_dropped(self):
+        chunk = b"8000\r\n" + bytes(0x8000) + b"\r\n"
+        response = await self.send(b"Transfer-Encoding: chunked\r\n\r\n", *[chunk] * 8)
+        self.assertEqual((response.status, self.bodies), (413, []))
+
+    async def test_small_requests_on_one_connection_do_not_add_up(self):
+        reader, writer = await asyncio.open_connection(*self.address.split(":"))
+        for _ in range(6):
+            writer.write(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n\r\n" + bytes(40000))
+            async with asyncio.timeout(TIMEOUT_S):
+                self.assertEqual((await read_response(reader)).status, 200)
+        writer.close()
+
+    # Guards against large bodies whose connections are cut: each left what had arrived in memory for good.
+    async def test_what_arrived_of_a_cut_request_is_forgotten(self):
+        parsers = [component.http for component in self.server._root.components if hasattr(component, "http")]
+        for _ in range(3):
+            _, writer = await asyncio.open_connection(*self.address.split(":"))
+            writer.write(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" + bytes(50000))
+            await writer.drain()
+            await asyncio.sleep(PIECE_PAUSE_S)
+            writer.close()
+        await asyncio.sleep(5 * PIECE_PAUSE_S)
+        for parser in parsers:
+            self.assertEqual((parser._buffers, parser._clients), ({}, {}))
+
+
 if __name__ == "__main__":
     unittest.main()
