--- a/benchmarks/large_change_parts/measurements.py
+++ b/benchmarks/large_change_parts/measurements.py
@@ -8,6 +8,7 @@
 import asyncio
 import gc
 import json
+import resource
 import sys
 import time
 import zlib
@@ -53,6 +54,31 @@
     turn_ms: float
 
 
+@dataclass(frozen=True)
+class Bytes:
+    """What a configuration and a change of one route in it take.
+
+    Attributes:
+        configuration: The configuration as JSON.
+        one_route_in_a_poll: A poll response that brings one changed route.
+        one_route_in_the_log: The log entry of that change.
+        peak_memory: The most memory that this process held, with a control plane's state and a data plane's client.
+    """
+
+    configuration: int
+    one_route_in_a_poll: int
+    one_route_in_the_log: int
+    peak_memory: int
+
+
+@dataclass(frozen=True)
+class Report:
+    """All that was measured at one size."""
+
+    work: list[Measurement]
+    bytes: Bytes
+
+
 def route(number: int) -> dict[str, Any]:
     """Return one route with the fields that operators set."""
     services = [{"service": f"s{number % SERVICES}", "weight": 90}, {"service": "s0", "weight": 10}]
@@ -183,22 +209,22 @@
         if not asyncio.iscoroutinefunction(client._apply):
             self._meter.at_once("data plane", name, lambda: client._apply(update, 0.0))
             return
-        client._slicer = _MeasuringSlicer(self._meter, name)
+        client._slicer = slicer = _MeasuringSlicer(self._meter)
         asyncio.run(client._apply(update, 0.0))
+        total_ms, turn_ms = sum(part.total_ms for part in slicer.parts), max(part.turn_ms for part in slicer.parts)
+        self._meter.measurements.append(Measurement("data plane", name, total_ms, turn_ms))
 
 
 class _MeasuringSlicer:
     """Measures what a `TimeSlicer` would run."""
 
-    def __init__(self, meter: Meter, name: str) -> None:
-        self._meter, self._name, self._parts = meter, name, []
+    def __init__(self, meter: Meter) -> None:
+        self._meter = meter
+        self.parts: list[Measurement] = []
 
     async def run(self, activity: str, steps: Any) -> Any:
-        result = self._meter.in_steps("data plane", self._name, steps, DATA_PLANE_SLICE_S)
-        self._parts.append(self._meter.measurements.pop())
-        total_ms, turn_ms = sum(part.total_ms for part in self._parts), max(part.turn_ms for part in self._parts)
-        if len(self._parts) > 1:
-            self._meter.measurements.append(Measurement("data plane", self._name, total_ms, turn_ms))
+        result = self._meter.in_steps("data plane", activity, steps, DATA_PLANE_SLICE_S)
+        self.parts.append(self._meter.measurements.pop())
         return result
 
 
@@ -210,7 +236,7 @@
     )
 
 
-def measure(size: Size) -> list[Measurement]:
+def measure(size: Size) -> Report:
     """Return the measurements of this checkout at one size."""
     meter = Meter()
     head, data_plane = ControlPlane(meter, size.tenants), DataPlane(Meter())
@@ -225,9 +251,17 @@
     two = json.dumps({"version": 3, "upsert": {"routes": [route(size.routes)]}}).encode()
     data_plane.take("one route, the first after it", update_of(2, 3, two))
     data_plane.take("one route", update_of(3, 4, one))
-    DataPlane.take(data_plane, "the whole configuration", update_of(0, 5, head.state.document.to_json()))
-    return meter.measurements
+    text = head.state.document.to_json()
+    data_plane.take("the whole configuration", update_of(0, 5, text))
+    entry = Entry(index=9, epoch=1, kind=int(EntryKind.PATCH), body=one, digest="0" * 32)
+    sizes = Bytes(len(text), len(bytes(update_of(3, 4, one))), len(bytes(entry)), peak_memory())
+    return Report(meter.measurements, sizes)
+
+
+def peak_memory() -> int:
+    """Return the most memory that this process held, in bytes."""
+    return 1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
 
 if __name__ == "__main__":
-    print(json.dumps([asdict(row) for row in measure(Size(int(sys.argv[1]), int(sys.argv[2])))]))
+    print(json.dumps(asdict(measure(Size(int(sys.argv[1]), int(sys.argv[2]))))))
