--- a/mulleinhatch/control_plane/quotas.py
+++ b/mulleinhatch/control_plane/quotas.py
@@ -184,13 +184,10 @@
 
     @staticmethod
     def _log_change(view: View, change: OwnershipChange) -> None:
-        for message, tenants in (
-            ("took over the quotas of tenants", change.taken_over),
-            ("gave up the quotas of tenants", change.released),
-        ):
-            if tenants:
-                fields = {"view_epoch": view.epoch, "count": len(tenants), "tenants": list(tenants[:MAX_LOGGED_TENANTS])}
-                LOG.info(message, extra=fields)
+        if change.taken_over:
+            LOG.info("took over the quotas of tenants", extra=_logged_tenants(view, change.taken_over))
+        if change.released:
+            LOG.info("gave up the quotas of tenants", extra=_logged_tenants(view, change.released))
 
     async def _report_confirmation_age(self, request: ConfirmationAgeRequest) -> ConfirmationAgeResponse:
         return await self._node.heartbeat_responder.on_confirmation_age(request)
@@ -241,6 +238,10 @@
         return {name: _account_status(account, now) for name, account in self._owner.accounts.items()}
 
 
+def _logged_tenants(view: View, names: tuple[str, ...]) -> dict[str, Any]:
+    return {"view_epoch": view.epoch, "count": len(names), "tenants": list(names[:MAX_LOGGED_TENANTS])}
+
+
 def _addresses_of(view: View) -> tuple[str, ...]:
     return tuple(member.internal_address for member in view.chain)
 
