Histories on small quotas of processor time, spent at once in each tenth of a second

Virtual time knew a core that is slower all the time only; deployments give a quota a tenth of a second, and a process then stands still until the next. Processor.end_of_work models it; play_throttled plays histories without faults on 0.1 to 0.15 of a core with changes of 280 and 12,000 routes: no view may change, and each change is answered in the stated bound, which holds for half of a core, times the slowdown.

Two defects that calm histories did not find have a history now: a detector that takes slow for lost (1.5 heartbeat intervals) is found in the first, and a repetition that starts anew never acknowledges 12,000 routes in 30 s, whose check outlasts every request (2.5 s); without the defect it is acknowledged.

--- a/mulleinhatch/simulation/control_plane/__init__.py
+++ b/mulleinhatch/simulation/control_plane/__init__.py
@@ -19,8 +19,11 @@
 from mulleinhatch.simulation.control_plane.world import World
 from mulleinhatch.simulation.virtual_time import VirtualLoop
 
-__all__ = ["Defect", "History", "World", "play", "play_calm", "play_script"]
+__all__ = ["Defect", "History", "World", "play", "play_calm", "play_script", "play_throttled"]
 CALM_SHARES = (0.3, 0.6)  # of a core: what the smallest deployments give a control plane
+THROTTLED_SHARES = (0.1, 0.15)
+THROTTLED_CHANGE_ROUTES = (280, 12_000)
+QUOTA_PERIOD_S = 0.1  # of control groups
 Script = Callable[[World], Coroutine[Any, Any, None]]
 
 
@@ -74,6 +77,25 @@
     return _run(begin, seed, plan)
 
 
+def play_throttled(seed: int, machines: int = 3, tolerated: int = 1, defect: Defect = Defect.NONE) -> History:
+    """Play one history without faults on small quotas of processor time, each spent at once in every tenth of a second."""
+
+    async def begin(world: World) -> None:
+        await world.play_calm()
+
+    plan = HistoryPlan(
+        machines,
+        tolerated,
+        defect,
+        message_loss_probability=0.0,
+        large_change_fraction=0.2,
+        large_change_routes=THROTTLED_CHANGE_ROUTES,
+        processor_share=random.Random(seed).uniform(*THROTTLED_SHARES),
+        quota_period_s=QUOTA_PERIOD_S,
+    )
+    return _run(begin, seed, plan)
+
+
 def _run(begin: Script, seed: int, plan: HistoryPlan) -> History:
     loop, history = VirtualLoop(), History(seed)
     asyncio.set_event_loop(loop)
--- a/mulleinhatch/simulation/control_plane/clients.py
+++ b/mulleinhatch/simulation/control_plane/clients.py
@@ -25,7 +25,6 @@
 BACKEND_SERVES_S = (1.0, 9.0)  # from a backend's start to the announcement of its departure
 DRAIN_S = 2.0
 CONFIGURATION = "/configuration"
-LARGE_CHANGE_ROUTES = (280, 1120, 1600)
 INVALID_FRACTION = 0.2  # of the large changes
 
 
@@ -131,7 +130,7 @@
         rng, fraction = self._world.rng, self._world.plan.large_change_fraction
         if not base or not fraction or rng.random() >= fraction:
             return self.change(base)
-        routes = routes_of(rng.choice(LARGE_CHANGE_ROUTES))
+        routes = routes_of(rng.choice(self._world.plan.large_change_routes))
         if rng.random() < INVALID_FRACTION:
             routes[-1]["timeout_ms"] = 0
         return self.large_change(base, routes)
--- a/mulleinhatch/simulation/control_plane/defects.py
+++ b/mulleinhatch/simulation/control_plane/defects.py
@@ -19,12 +19,14 @@
 from mulleinhatch.consensus import view_planner
 from mulleinhatch.consensus.fault_tolerance import FaultTolerance
 from mulleinhatch.consensus.paxos import Voter
-from mulleinhatch.control_plane import shutdown
+from mulleinhatch.control_plane import peers, shutdown
 from mulleinhatch.control_plane.backend_departures import BackendDepartures
 from mulleinhatch.control_plane.configuration_changes import ConfigurationChanges, ConfigurationResult, ResultKind
+from mulleinhatch.control_plane.ongoing_changes import OngoingChanges
 from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.control_plane.view_change import ViewChanger
 from mulleinhatch.control_plane.write_gate import WriteGate
+from mulleinhatch.membership.view_timing import HEARTBEAT_S
 from mulleinhatch.messages.cluster import LeaveResponse
 from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.chain import Replica
@@ -53,6 +55,8 @@
     CURRENT_BEFORE_COMMIT = "a joined replica counts as current before it knows the entries it received as committed"
     FORMER_HEAD_ACKNOWLEDGES = "a head that left the chain acknowledges a change that it finds in a snapshot"
     WORK_IN_ONE_PIECE = "long work runs in one turn of the event loop"
+    REPETITION_STARTS_ANEW = "a change that is sent again is checked from the start"
+    SLOW_IS_LOST = "a peer that answers late counts as lost"
     LEAD_WITH_INCOMPLETE_LOG = "a joined replica leads with an incomplete log"
 
 
@@ -160,6 +164,14 @@
     return complete(steps)
 
 
+async def _start_anew(self: OngoingChanges, key: Any, work: Any, timeout_s: float) -> Any:
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await work()
+    except TimeoutError:
+        return None
+
+
 def _validate_whole(self: ItemSchema, item: Any) -> None:
     self._schema.validate(item)
 
@@ -213,6 +225,10 @@
             mock.patch.object(TimeSlicer, "run", _run_in_one_piece),
             mock.patch.object(ItemSchema, "validate", _validate_whole),
         ]
+    if defect is Defect.REPETITION_STARTS_ANEW:
+        return [mock.patch.object(OngoingChanges, "join", _start_anew)]
+    if defect is Defect.SLOW_IS_LOST:
+        return [mock.patch.object(peers, "ALIVE_S", 1.5 * HEARTBEAT_S)]
     if defect is Defect.LEAD_WITH_INCOMPLETE_LOG:
         return [mock.patch.object(Replica, "adopt_view", _adopt_as_log_complete(Replica.adopt_view))]
     return []
--- a/mulleinhatch/simulation/control_plane/history_plan.py
+++ b/mulleinhatch/simulation/control_plane/history_plan.py
@@ -23,7 +23,9 @@
         zone_loss_fraction: Fraction of the other faults that take a whole zone, where one may be lost.
         message_loss_probability: Of each message between control-plane nodes.
         large_change_fraction: Fraction of the changes that add many routes; some of these are invalid.
+        large_change_routes: Numbers of routes of the large changes, one of which is drawn for each.
         processor_share: Share of a core that each control-plane node has; 0 where work takes no time.
+        quota_period_s: The share is a quota that is spent at once in each such period; 0 for a core that is always slower.
         closing_fraction: Fraction of the histories with faults that end with lost disks while all others lose power.
     """
 
@@ -40,4 +42,6 @@
     closing_fraction: float = 0.5
     message_loss_probability: float = 0.02
     large_change_fraction: float = 0.0
+    large_change_routes: tuple[int, ...] = (280, 1120, 1600)
     processor_share: float = 0.0
+    quota_period_s: float = 0.0
--- a/mulleinhatch/simulation/control_plane/invariant_checks.py
+++ b/mulleinhatch/simulation/control_plane/invariant_checks.py
@@ -15,6 +15,7 @@
 CONTACT_S, CONFIGURATION_APPLY_S, DRAIN_S = 3.0, 2.0, 2.0
 CHECK_SLACK_S = 0.1
 ACKNOWLEDGE_S, ACKNOWLEDGE_PER_ROUTE_S = 5.0, 0.003  # the stated bound of an acknowledgement
+STATED_SHARE = 0.5  # of a core: the bound of an acknowledgement is stated for it
 
 
 @dataclass
@@ -227,9 +228,10 @@
         newest_epoch = max(node.view.epoch for node in running)
         if newest_epoch != epoch:
             self.record_violation(f"{newest_epoch - epoch} view changes without a fault")
-        now = self._world.loop.time()
+        now, plan = self._world.loop.time(), self._world.plan
+        slowdown = max(1.0, STATED_SHARE / plan.processor_share) if plan.quota_period_s else 1.0
         for sent in self.history.sent:
-            bound_s = ACKNOWLEDGE_S + sent.routes * ACKNOWLEDGE_PER_ROUTE_S
+            bound_s = slowdown * (ACKNOWLEDGE_S + sent.routes * ACKNOWLEDGE_PER_ROUTE_S)
             took_s = (sent.answered_at if sent.answers else now) - sent.submitted_at
             if took_s > bound_s:
                 self.record_violation(f"version {sent.version} ({sent.routes} routes) had no answer for {took_s:.2f} s of calm")
--- a/mulleinhatch/simulation/control_plane/machines.py
+++ b/mulleinhatch/simulation/control_plane/machines.py
@@ -170,7 +170,9 @@
         loop: VirtualLoop = self._world.loop
         self.starts += 1
         self.started_at = loop.time()
-        self.process = Process(f"core-{self.number}.{self.starts}", self._world.plan.processor_share)
+        self.process = Process(
+            f"core-{self.number}.{self.starts}", self._world.plan.processor_share, self._world.plan.quota_period_s
+        )
         observer = _DistributionObserver()
         node = ControlPlaneNode(
             self.settings(),
--- a/mulleinhatch/simulation/virtual_time.py
+++ b/mulleinhatch/simulation/virtual_time.py
@@ -56,13 +56,14 @@
     Args:
         name: The name of the process.
         share: Its share of a core; 0 where its work takes no time.
+        period_s: The period of its quota, as for `Processor`.
     """
 
-    def __init__(self, name: str, share: float = 0.0) -> None:
+    def __init__(self, name: str, share: float = 0.0, period_s: float = 0.0) -> None:
         self.name = name
         self.frozen = self.dead = False
         self.parked: list[_DueCallback] = []  # while it is frozen
-        self.processor = Processor(share) if share else None
+        self.processor = Processor(share, period_s) if share else None
         self.queued: deque[_DueCallback] = deque()  # while it is busy
 
     def processor_time(self) -> float:
--- a/tests/system/test_large_changes.py
+++ b/tests/system/test_large_changes.py
@@ -13,13 +13,15 @@
 import pytest
 
 from mulleinhatch.process.time_slices import TimeSlicer
-from mulleinhatch.simulation.control_plane import Defect, World, play_calm, play_script
+from mulleinhatch.simulation.control_plane import Defect, World, play_calm, play_script, play_throttled
 from mulleinhatch.simulation.control_plane.clients import Operator, SubmittedChange, routes_of
 from mulleinhatch.simulation.control_plane.machines import Machine
 
 SHARE = 0.5  # of a core, for each control plane
 ACKNOWLEDGE_S, ACKNOWLEDGE_PER_ROUTE_S = 5.0, 0.003  # the stated bound of an acknowledgement
 ROUTES = 1600
+MAX_HISTORIES = 5  # number of histories within which an injected defect must be found
+SMALL_SHARE, LONG_CHECK_ROUTES, LONG_CHECK_S = 0.1, 12_000, 30.0  # a request is answered after 2.5 s at the latest
 VIEW_CHANGE_S = 2.0  # from the loss of the head to the next one
 
 
@@ -133,5 +135,30 @@
     assert play_calm(1, defect=Defect.WORK_IN_ONE_PIECE).violations
 
 
+@pytest.mark.parametrize(("seed", "machines"), [(1, 3), (2, 5)])
+def test_small_quotas_of_processor_time_change_no_view(seed: int, machines: int) -> None:
+    history = play_throttled(seed, machines, machines // 2)
+    assert history.violations == []
+
+
+def test_a_detector_that_takes_slow_for_lost_is_found_by_a_history_on_small_quotas() -> None:
+    assert any(play_throttled(seed, defect=Defect.SLOW_IS_LOST).violations for seed in range(1, MAX_HISTORIES + 1))
+
+
+@pytest.mark.parametrize(("defect", "acknowledged"), [(Defect.NONE, True), (Defect.REPETITION_STARTS_ANEW, False)])
+def test_a_change_whose_check_outlasts_every_request_is_acknowledged(defect: Defect, acknowledged: bool) -> None:
+    """Guards against a change that is checked anew at each repetition, and never to its end."""
+    sent: list[SubmittedChange] = []
+
+    async def script(world: World) -> None:
+        await first_change(world)
+        operator = Operator(world, "large")
+        sent.append(operator.large_change(world.checker.assumed_version, routes_of(LONG_CHECK_ROUTES)))
+        await send_for(world, operator, sent[0], LONG_CHECK_S)
+
+    play_script(script, processor_share=SMALL_SHARE, defect=defect)
+    assert (sent[0].acknowledged_at >= 0) is acknowledged
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/system/test_virtual_core.py
+++ b/tests/system/test_virtual_core.py
@@ -15,8 +15,9 @@
 # Random histories expose these too rarely: test_worst_days and test_overlapping_losses have scripts for them.
 SCRIPTED = (Defect.SHORT_CHAIN, Defect.CURRENT_BEFORE_COMMIT, Defect.FORMER_HEAD_ACKNOWLEDGES)
 ZONED = Defect.IGNORE_ZONES  # has an effect only with several zones
-COSTLY = Defect.WORK_IN_ONE_PIECE  # has an effect only where work takes time: test_large_changes has a history for it
-DEFECTS = [defect for defect in Defect if defect not in (Defect.NONE, *SCRIPTED, ZONED, COSTLY)]
+# These have an effect only where work takes time: test_large_changes has histories for them.
+COSTLY = (Defect.WORK_IN_ONE_PIECE, Defect.REPETITION_STARTS_ANEW, Defect.SLOW_IS_LOST)
+DEFECTS = [defect for defect in Defect if defect not in (Defect.NONE, *SCRIPTED, ZONED, *COSTLY)]
 HISTORIES_PER_CASE = 6
 
 
