The status of both planes shows the long work that is under way

TimeSlicer keeps its calculations with their processor time so far; `calculations` in /status lists them. Test: test_the_status_shows_what_is_under_way_and_its_processor_time.

--- a/mulleinhatch/control_plane/status.py
+++ b/mulleinhatch/control_plane/status.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, Protocol, TypedDict
 
 from mulleinhatch.control_plane.peers import Peer, Peers
@@ -10,6 +10,7 @@
 from mulleinhatch.control_plane.registry import BackendRegistry
 from mulleinhatch.messages.cluster import Backend, Member, View
 from mulleinhatch.process.loop_watch import LoopWatch, turn_status
+from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.chain import Replica
 from mulleinhatch.replication.state import ControlState
 
@@ -23,6 +24,7 @@
     replica: Replica
     state: ControlState
     watch: LoopWatch
+    slicer: TimeSlicer
 
     @property
     def view(self) -> View:
@@ -72,6 +74,7 @@
         "stubs": dict[str, BackendStatus],
         "quotas": dict[str, QuotaAccountStatus],
         "longest_turn": Mapping[str, str | float],
+        "calculations": Sequence[Mapping[str, str | float]],
     },
 )
 
@@ -110,6 +113,7 @@
         "stubs": {backend_id: _backend_status(entry.backend) for backend_id, entry in node.registry.entries.items()},
         "quotas": quotas,
         "longest_turn": turn_status(node.watch),
+        "calculations": node.slicer.status(),
     }
 
 
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -36,6 +36,8 @@
         self._loop = asyncio.get_running_loop()
         self._watch = running_watch()
         self._garbage_collection = GarbageCollection(self._watch)
+        exempt = self._garbage_collection.exempt_old_objects
+        self._slicer = TimeSlicer(self._watch, SLICE_S, on_long_calculation=exempt)
         # Circular: the client notifies the reporter of a new leader, and the reporter sends through the client; the lambdas
         # resolve `_demand_reporter` at call time.
         http = HttpClient()
@@ -47,7 +49,7 @@
             self._loop.time,
             self._router.apply_snapshot,
             lambda: self._demand_reporter.on_new_leader(),
-            TimeSlicer(self._watch, SLICE_S, on_long_calculation=self._garbage_collection.exempt_old_objects),
+            self._slicer,
         )
         self._demand_reporter = DemandReporter(
             self._loop, self._router.demand, self._router.queue.by_model, self._control_plane.report_demand
@@ -99,7 +101,9 @@
 
     def status(self) -> dict[str, Any]:
         """Return the content of the status page."""
-        return status_of(self._settings.name, self.is_ready, self._control_plane.leader, self._router, self._watch)
+        return status_of(
+            self._settings.name, self.is_ready, self._control_plane.leader, self._router, self._watch, self._slicer
+        )
 
     # Shutdown.
 
--- a/mulleinhatch/data_plane/status.py
+++ b/mulleinhatch/data_plane/status.py
@@ -9,9 +9,12 @@
 from mulleinhatch.data_plane.registry_snapshot import RegisteredBackend
 from mulleinhatch.data_plane.router import Router
 from mulleinhatch.process.loop_watch import LoopWatch, turn_status
+from mulleinhatch.process.time_slices import TimeSlicer
 
 
-def status_of(data_plane_name: str, is_ready: bool, leader: str, router: Router, watch: LoopWatch) -> dict[str, Any]:
+def status_of(
+    data_plane_name: str, is_ready: bool, leader: str, router: Router, watch: LoopWatch, slicer: TimeSlicer
+) -> dict[str, Any]:
     """Return the content of the status page.
 
     Args:
@@ -20,6 +23,7 @@
         leader: Address of the placement leader, empty if unknown.
         router: Provides the current snapshot, counters, queues and backends.
         watch: Provides the longest turn of the event loop.
+        slicer: Provides the calculations that are under way.
     """
     snapshot = router.snapshot
     return {
@@ -34,6 +38,7 @@
         "refused": list(router.request_log.recent_rejections),
         "quotas": router.quotas.status(),
         "longest_turn": turn_status(watch),
+        "calculations": slicer.status(),
         "groups": [_queue_status(queue) for queue in router.queue.by_model.values()],
     }
 
--- a/tests/system/test_time_slices.py
+++ b/tests/system/test_time_slices.py
@@ -80,5 +80,27 @@
         self.assertEqual(watch.activity.call_args_list, [mock.call("a check")] * 2)
 
 
+class Progress(unittest.IsolatedAsyncioTestCase):
+    async def test_the_status_shows_what_is_under_way_and_its_processor_time(self):
+        processor_s = 0.0
+
+        def work() -> Steps[None]:
+            nonlocal processor_s
+            for _ in range(4):
+                processor_s += SLICE_S
+                yield
+
+        slicer = TimeSlicer(LoopWatch(), SLICE_S, lambda: processor_s)
+        running = [asyncio.ensure_future(slicer.run(name, work())) for name in ("a check", "an encoding")]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        first, second = slicer.status()
+        self.assertEqual((first["work"], second["work"]), ("a check", "an encoding"))
+        self.assertGreaterEqual(first["processor_ms"], 1000 * SLICE_S)
+        running[1].cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        self.assertEqual(slicer.status(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
