Reread: a peer's answer is judged once for its health, and ValueCounts loses methods that nobody calls

Peers.health asked twice whether a peer responds, for each peer ten times a second, since MemberHealth tells whether it is leaving. ValueCounts had __len__ and __contains__ without a caller; its iterator was annotated as an iterable. No behaviour changes.

--- a/mulleinhatch/configuration/value_counts.py
+++ b/mulleinhatch/configuration/value_counts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable, Iterable
+from collections.abc import Hashable, Iterable, Iterator
 from typing import Generic, TypeVar
 
 from immutables import Map
@@ -27,15 +27,9 @@
     def __init__(self, counts: Map[Value, int] = Map()) -> None:  # noqa: B008 (immutable)
         self._counts = counts
 
-    def __iter__(self) -> Iterable[Value]:
+    def __iter__(self) -> Iterator[Value]:
         return iter(self._counts)
 
-    def __len__(self) -> int:
-        return len(self._counts)
-
-    def __contains__(self, value: object) -> bool:
-        return value in self._counts
-
     def adjusted_steps(self, added: Iterable[Value], removed: Iterable[Value]) -> Steps[ValueCounts[Value]]:
         """Return the counts after values were added and others, which occurred, removed."""
         counts = self._counts.mutate()
--- a/mulleinhatch/control_plane/peers.py
+++ b/mulleinhatch/control_plane/peers.py
@@ -194,7 +194,8 @@
         """Return the health of every known node, this node included, by identity."""
         states = {self.own.identity: own}
         for identity, peer in self.by_identity.items():
-            alive = self.is_alive(identity, now) and not peer.leaving
+            responds = self.is_alive(identity, now)
+            alive = responds and not peer.leaving
             since = max(peer.answered_at, peer.known_since)
             states[identity] = MemberHealth(
                 peer.member,
@@ -203,7 +204,7 @@
                 0.0 if alive else now - since,
                 peer.log_complete_epoch == view.epoch,
                 peer.unresponsive_peers if alive else frozenset(),
-                peer.leaving and self.is_alive(identity, now),
+                responds and peer.leaving,
             )
         for member in list(view.voters) + list(view.chain):
             states.setdefault(member.identity, MemberHealth(member, False, False, log_complete=False))
