--- /dev/null
+++ b/benchmarks/in_force_parts/fleet.py
@@ -0,0 +1,177 @@
+"""The processes of a run: control-plane nodes that are lost, come back, or are replaced at another address with an empty disk.
+
+A node that loses its power falls silent (SIGSTOP): its connections neither answer nor end. It is killed when its machine
+returns.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shutil
+import signal
+from pathlib import Path
+
+from benchmarks.in_force_parts.records import Outage, RunRecords
+from benchmarks.soak_parts.bounds import SoakBounds
+from benchmarks.soak_parts.fleet import CONTROL_PORT, ROOT, Fleet
+
+MAX_CONTROL_PLANES = 40  # addresses that may be used in one run
+SEED_COUNT = 3
+SLOW_DISK = Path(__file__).resolve().parent / "slow_disk"
+SEED_LAG_S = 3.0  # the settings name new control-plane nodes this much later
+
+
+class ReplaceableFleet(Fleet):
+    """A fleet whose control-plane nodes may be replaced.
+
+    Args:
+        folder: Directory of settings, logs and persisted state.
+        control_planes: Number of control-plane nodes at a time.
+        data_planes: Number of data planes.
+        bounds: Bounds to write to the settings.
+        records: Receives the outages.
+        tree: Source tree whose programs are run.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        control_planes: int,
+        data_planes: int,
+        bounds: SoakBounds,
+        records: RunRecords,
+        tree: Path = ROOT,
+    ) -> None:
+        super().__init__(folder, control_planes, data_planes, bounds, tree)
+        self._records = records
+        self._core = [f"control-{number}" for number in range(control_planes)]
+        self._started_count = control_planes
+        self._seeds = self.control_addresses[:SEED_COUNT]
+        self._silent: set[str] = set()
+        self.longest_sync_s = 0.0  # by which a sync of a control-plane node's disk may take longer
+        self.processors: set[int] = set()  # that the processes may use
+        records.cores += self._core
+
+    @property
+    def control_plane_names(self) -> list[str]:
+        """Return the names of the control-plane nodes that belong to the system now."""
+        return list(self._core)
+
+    def all_control_addresses(self) -> list[str]:
+        """Return the control addresses of all nodes that may run at some time."""
+        return [f"{self.ip(f'control-{number}')}:{CONTROL_PORT}" for number in range(MAX_CONTROL_PLANES)]
+
+    def start(self, name: str, is_first: bool = False) -> None:
+        """Start one process on the processors of the fleet."""
+        super().start(name, is_first)
+        if self.processors:
+            os.sched_setaffinity(self._processes[name].pid, self.processors)
+
+    def zone_of(self, name: str) -> str:
+        """Return the zone of a process."""
+        return f"zone-{int(name.partition('-')[2]) % self._control_planes}"
+
+    async def lose(self, names: list[str], seconds: float, is_silent: bool, wiped: frozenset[str] = frozenset()) -> None:
+        """Let processes lose their power, or be killed, together; start them again, some with an empty disk.
+
+        Args:
+            names: The processes.
+            seconds: How long they are down.
+            is_silent: Whether their connections stay open without an answer until then.
+            wiped: Those whose disk is lost.
+        """
+        began_at = self._now()
+        for name in names:
+            self._stop(name, is_silent)
+        await asyncio.sleep(seconds)
+        for name in names:
+            self._end(name)
+        for name in names:
+            if name in wiped:
+                shutil.rmtree(self._folder / name, ignore_errors=True)
+            self.start(name)
+            self._add_outage(name, "power" if is_silent else "kill", began_at)
+        if set(names) >= set(self._core):
+            self._records.closings.append(self._now())
+
+    async def pause(self, name: str, seconds: float) -> None:
+        """Stop a process with SIGSTOP and resume it with SIGCONT."""
+        began_at = self._now()
+        self._processes[name].send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self._processes[name].send_signal(signal.SIGCONT)
+        self._add_outage(name, "freeze", began_at)
+
+    async def replace(self, name: str, seconds: float, is_silent: bool) -> None:
+        """Lose a node for good; start another one elsewhere, with an empty disk, after some seconds."""
+        began_at = self._now()
+        self._stop(name, is_silent)
+        await asyncio.sleep(seconds)
+        self._start_successor(name)
+        self._add_outage(name, "replace", began_at)
+
+    async def replace_planned(self, name: str, seconds: float) -> None:
+        """Start the successor of a node elsewhere; some seconds later, let the node leave (SIGTERM)."""
+        self._start_successor(name)
+        self._add_outage(self._core[-1], "start", self._now())
+        await asyncio.sleep(seconds)
+        began_at = self._now()
+        process = self._processes[name]
+        process.terminate()
+        try:
+            async with asyncio.timeout(self._bounds.grace_s):
+                await self._wait_for_exit(name)
+        except TimeoutError:
+            process.kill()
+        self._add_outage(name, "leave", began_at)
+
+    def end(self) -> None:
+        """Kill all processes."""
+        for name in list(self._silent):
+            self._end(name)
+        super().end()
+
+    def ended_by_themselves(self) -> list[str]:
+        """Return the processes that belong to the system and are not running."""
+        return [name for name in (*self._core, *self.data_plane_names) if self._processes[name].poll() is not None]
+
+    def _stop(self, name: str, is_silent: bool) -> None:
+        if is_silent:
+            self._processes[name].send_signal(signal.SIGSTOP)
+            self._silent.add(name)
+        else:
+            self._processes[name].kill()
+
+    def _end(self, name: str) -> None:
+        self._silent.discard(name)
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def _start_successor(self, name: str) -> None:
+        zone_number = int(name.partition("-")[2]) % self._control_planes
+        number = self._started_count
+        while number % self._control_planes != zone_number:
+            number += 1
+        self._started_count = max(self._started_count, number) + 1
+        successor = f"control-{number}"
+        self._core = [*(other for other in self._core if other != name), successor]
+        self._records.cores.append(successor)
+        self.start(successor)
+        asyncio.get_running_loop().call_later(SEED_LAG_S, self._publish_seeds)
+
+    def _publish_seeds(self) -> None:
+        self._seeds = self.control_addresses[:SEED_COUNT]
+
+    def _environment(self, name: str, settings_path: Path) -> dict[str, str]:
+        environment = super()._environment(name, settings_path)
+        if not self.longest_sync_s or not name.startswith("control"):
+            return environment
+        return {**environment, "PYTHONPATH": str(SLOW_DISK), "LONGEST_SYNC_S": str(self.longest_sync_s)}
+
+    def _settings_lines(self, name: str, is_first: bool) -> list[str]:
+        lines = [line for line in super()._settings_lines(name, is_first) if not line.startswith(("seeds=", "zone="))]
+        return [*lines, "seeds=" + ",".join(self._seeds), f"zone={self.zone_of(name)}"]
+
+    def _add_outage(self, name: str, kind: str, began_at: float) -> None:
+        self._records.outages.append(Outage(name, kind, began_at, self._now()))
--- a/benchmarks/soak_parts/fleet.py
+++ b/benchmarks/soak_parts/fleet.py
@@ -103,11 +103,15 @@
             self._processes[name] = subprocess.Popen(
                 [sys.executable, SCRIPTS[name.partition("-")[0]]],
                 cwd=self._tree,
-                env={**os.environ, FILE_VARIABLE: str(path)},
+                env=self._environment(name, path),
                 stdout=log,
                 stderr=log,
             )
 
+    def _environment(self, name: str, settings_path: Path) -> dict[str, str]:
+        """Return the environment variables of a process."""
+        return {**os.environ, FILE_VARIABLE: str(settings_path)}
+
     def _settings_lines(self, name: str, is_first: bool) -> list[str]:
         kind, _, number = name.partition("-")
         ip = self.ip(name)
