Logs and status pages tell by which configuration a request was handled, and what each data plane was told

Operators saw requests run as only an older version allows, and nothing told which version the data plane had, from whom, or when it was confirmed: a data plane logged the version alone, a control plane nothing of its polls.

Two tests compared whole tuples of a log line and name the new field now; the others are unchanged.

--- a/benchmarks/in_force.py
+++ b/benchmarks/in_force.py
@@ -1,12 +1,13 @@
 """Measure how long an acknowledged configuration takes until it is in force at every data plane, in real processes.
 
 Usage: python -m benchmarks.in_force [--seed=1] [--seeds=1] [--seconds=30] [--data-planes=4] [--control-planes=3]
-[--kinds=kill,power] [--replaces-all] [--longest-sync-s=0.4] [--processors=2] [--busy=4] [--tree=DIR] [--logs=DIR]
+[--kinds=kill,power] [--replaces-all] [--longest-sync-s=0.4] [--stall-probability=0.1]
+[--processors=2] [--busy=4] [--tree=DIR] [--logs=DIR]
 
-Control-plane nodes are killed, fall silent, are frozen, replaced at another address with an empty disk, or are all lost at once
-right after an acknowledgement, while the operator changes the configuration and each data plane is asked for the routes that the
-latest changes added, removed and moved. Each seed prints its violations and a JSON line; the exit status is 1 if there is a
-violation, or if fewer than `MIN_JUDGED` answers were judged under the short bound.
+Control-plane nodes are killed, fall silent, are frozen, replaced at another address with an empty disk, or are all lost at
+once right after an acknowledgement, while the operator changes the configuration and each data plane is asked for the routes
+that the latest changes added, removed and moved. Each seed prints its violations and a JSON line; the exit status is 1 if
+there is a violation, or if fewer than `MIN_JUDGED` answers were judged under the short bound.
 """
 
 from __future__ import annotations
@@ -74,6 +75,7 @@
     kinds: str | tuple[str, ...] = ALL_KINDS,
     replaces_all: bool = False,
     longest_sync_s: float = 0.0,
+    stall_probability: float = 0.1,
     processors: int = 0,
     busy: int = 0,
     tree: str = "",
@@ -90,6 +92,7 @@
         kinds: Kinds of outages that are drawn.
         replaces_all: Whether all first control-plane nodes are replaced, and silent, before the faults.
         longest_sync_s: By how much a sync of a control-plane node's disk may take longer.
+        stall_probability: Probability that a sync takes up to that much longer, rather than up to a tenth of it.
         processors: Number of processors that the fleet may use, 0 for all.
         busy: Number of busy processes that share them.
         tree: Source tree whose programs are run, this one if empty.
@@ -103,6 +106,7 @@
         kinds,
         replaces_all,
         float(longest_sync_s),
+        float(stall_probability),
         processors,
         busy,
         Path(tree) if tree else ROOT,
--- a/benchmarks/in_force_parts/fleet.py
+++ b/benchmarks/in_force_parts/fleet.py
@@ -50,6 +50,7 @@
         self._seeds = self.control_addresses[:SEED_COUNT]
         self._silent: set[str] = set()
         self.longest_sync_s = 0.0  # by which a sync of a control-plane node's disk may take longer
+        self.stall_probability = 0.0  # that a sync takes up to this much longer, rather than a tenth of it
         self.processors: set[int] = set()  # that the processes may use
         records.cores += self._core
 
@@ -167,7 +168,8 @@
         environment = super()._environment(name, settings_path)
         if not self.longest_sync_s or not name.startswith("control"):
             return environment
-        return {**environment, "PYTHONPATH": str(SLOW_DISK), "LONGEST_SYNC_S": str(self.longest_sync_s)}
+        disk = {"LONGEST_SYNC_S": str(self.longest_sync_s), "STALL_PROBABILITY": str(self.stall_probability)}
+        return {**environment, "PYTHONPATH": str(SLOW_DISK), **disk}
 
     def _settings_lines(self, name: str, is_first: bool) -> list[str]:
         lines = [line for line in super()._settings_lines(name, is_first) if not line.startswith(("seeds=", "zone="))]
--- a/benchmarks/in_force_parts/run.py
+++ b/benchmarks/in_force_parts/run.py
@@ -49,6 +49,7 @@
         kinds: Kinds of outages that are drawn.
         replaces_all: Whether all first control-plane nodes are replaced before.
         longest_sync_s: By how much a sync of a control-plane node's disk may take longer.
+        stall_probability: Probability that a sync takes up to that much longer, rather than up to a tenth of it.
         processors: Number of processors that the fleet may use, 0 for all.
         busy: Number of busy processes that share them.
         tree: Source tree whose programs are run.
@@ -60,6 +61,7 @@
     kinds: tuple[str, ...] = ALL_KINDS
     replaces_all: bool = False
     longest_sync_s: float = 0.0
+    stall_probability: float = 0.1
     processors: int = 0
     busy: int = 0
     tree: Path = field(default=ROOT)
@@ -95,7 +97,9 @@
         load = BusyProcesses(self._size.busy, processors)
         try:
             load.start()
-            self._fleet.processors, self._fleet.longest_sync_s = processors, self._size.longest_sync_s
+            self._fleet.processors = processors
+            self._fleet.longest_sync_s = self._size.longest_sync_s
+            self._fleet.stall_probability = self._size.stall_probability
             await self._start()
             tasks = [asyncio.ensure_future(self._prober(name).run()) for name in self.records.fronts]
             changes = asyncio.ensure_future(self._change_forever())
--- a/benchmarks/in_force_parts/slow_disk/sitecustomize.py
+++ b/benchmarks/in_force_parts/slow_disk/sitecustomize.py
@@ -6,7 +6,7 @@
 
 LONGEST_SYNC_S = float(os.environ.get("LONGEST_SYNC_S", "0"))
 USUAL_SHARE = 0.1  # of the longest time: the bound of a usual sync
-STALL_PROBABILITY = 0.1  # that a sync takes up to the longest time
+STALL_PROBABILITY = float(os.environ.get("STALL_PROBABILITY", "0"))  # that a sync takes up to the longest time
 _fsync, _fdatasync = os.fsync, os.fdatasync
 
 
--- a/mulleinhatch/control_plane/distribution.py
+++ b/mulleinhatch/control_plane/distribution.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypedDict
 
 from mulleinhatch.control_plane.configuration_encoder import ConfigurationEncoder, EncodedConfiguration
 from mulleinhatch.control_plane.peers import Peers
@@ -52,10 +52,27 @@
 
 @dataclass
 class PollerState:
-    """A data plane that polls this process. Times are on the monotonic clock, in seconds."""
+    """A data plane that polls this process. Times are on the monotonic clock, in seconds.
+
+    Attributes:
+        polled_at: When it last polled, or its poll was answered.
+        answered_at: When its last poll was answered.
+        version: The configuration version that it has by its last poll or the answer to it.
+        was_confirmed: Whether that answer was given in contact with a majority.
+    """
 
     polled_at: float
     answered_at: float = NEVER_S
+    version: int = 0
+    was_confirmed: bool = False
+
+
+class PollerStatus(TypedDict):
+    """A data plane that polls this process, for a status page."""
+
+    version: int
+    confirmed: bool
+    answered_s_ago: float
 
 
 class Distribution:
@@ -97,10 +114,22 @@
         others = sum(peer.data_planes for identity, peer in peers.by_identity.items() if peers.is_alive(identity, now))
         return max(1, self.count_local_data_planes() + others)
 
+    def status(self) -> dict[str, PollerStatus]:
+        """Return what each data plane that polls this process was told last, by its name."""
+        self.count_local_data_planes()  # removes those that no longer poll
+        now = self._clock()
+        return {
+            name: PollerStatus(
+                version=poller.version, confirmed=poller.was_confirmed, answered_s_ago=round(now - poller.answered_at, 2)
+            )
+            for name, poller in sorted(self._pollers.items())
+            if poller.answered_at > NEVER_S
+        }
+
     async def poll(self, request: PollRequest) -> EncodedPollResponse:
         """Wait until there is an update for the data plane, its wait time ends or the view changes; then respond."""
         poller = self._pollers.setdefault(request.node, PollerState(self._clock()))
-        poller.polled_at = self._clock()
+        poller.polled_at, poller.version = self._clock(), request.configuration_version
         end = self._clock() + min(MAX_WAIT_S, request.wait_ms / 1000.0)
         epoch = self._node.view.epoch
         while (
@@ -118,7 +147,11 @@
             await self._wait_for_change(remaining_s)
         update = await self._encode_update(request)
         poller.polled_at = poller.answered_at = self._clock()
-        return self._build_response(request, update)
+        response = self._build_response(request, update)
+        poller.was_confirmed = response.authoritative
+        if update is not None:
+            poller.version = update.version
+        return response
 
     async def _encode_update(self, request: PollRequest) -> EncodedConfiguration | None:
         """Return the update to the newest configuration, None where the data plane has it.
--- a/mulleinhatch/control_plane/process.py
+++ b/mulleinhatch/control_plane/process.py
@@ -142,6 +142,7 @@
             self.node,
             list(self.placement.recent_orders),
             self.distribution.count_all_data_planes(),
+            self.distribution.status(),
             self.quotas.status(),
             self.clock(),
         )
--- a/mulleinhatch/control_plane/status.py
+++ b/mulleinhatch/control_plane/status.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Protocol, TypedDict
 
+from mulleinhatch.control_plane.distribution import PollerStatus
 from mulleinhatch.control_plane.peers import Peer, Peers
 from mulleinhatch.control_plane.quotas import QuotaAccountStatus
 from mulleinhatch.control_plane.registry import BackendRegistry
@@ -70,6 +71,7 @@
         "fence_token": int,
         "orders": list[Mapping[str, Any]],
         "data_planes": int,
+        "polls": Mapping[str, PollerStatus],
         "peers": dict[str, PeerStatus],
         "stubs": dict[str, BackendStatus],
         "quotas": dict[str, QuotaAccountStatus],
@@ -83,6 +85,7 @@
     node: StatusNode,
     orders: list[Mapping[str, Any]],
     data_planes: int,
+    polls: Mapping[str, PollerStatus],
     quotas: dict[str, QuotaAccountStatus],
     now: float,
 ) -> ControlPlaneStatus:
@@ -92,6 +95,7 @@
         node: The node of this process.
         orders: The latest placement orders, oldest first.
         data_planes: The number of data planes in the whole system.
+        polls: What each data plane that polls this process was told last, by its name.
         quotas: The tenants with a limit that this process owns, by name.
         now: The time of the monotonic clock in seconds.
     """
@@ -109,6 +113,7 @@
         "fence_token": node.state.fencing_token,
         "orders": orders,
         "data_planes": data_planes,
+        "polls": polls,
         "peers": {peer.member.name: _peer_status(peer, now) for peer in node.peers.by_identity.values()},
         "stubs": {backend_id: _backend_status(entry.backend) for backend_id, entry in node.registry.entries.items()},
         "quotas": quotas,
--- a/mulleinhatch/data_plane/control_plane_snapshot.py
+++ b/mulleinhatch/data_plane/control_plane_snapshot.py
@@ -24,6 +24,7 @@
         confirmed_at: Loop time at which a node in contact with a majority last confirmed that `table` is the newest.
         control_epoch: Epoch of the view that `control_addresses` belong to.
         control_addresses: Internal addresses of the chain of control-plane nodes in that view.
+        source: Internal address of the control-plane node that answered last.
     """
 
     table: RouteTable = field(default_factory=RouteTable)
@@ -33,6 +34,7 @@
     confirmed_at: float = -math.inf
     control_epoch: int = 0
     control_addresses: tuple[str, ...] = ()
+    source: str = ""
 
     def is_current(self, now: float, configuration_apply_s: float) -> bool:
         """Return whether `table` may be treated as the newest configuration.
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -102,7 +102,13 @@
     def status(self) -> dict[str, Any]:
         """Return the content of the status page."""
         return status_of(
-            self._settings.name, self.is_ready, self._control_plane.leader, self._router, self._watch, self._slicer
+            self._settings.name,
+            self.is_ready,
+            self._control_plane.leader,
+            self._router,
+            self._watch,
+            self._slicer,
+            self._loop.time(),
         )
 
     # Shutdown.
--- a/mulleinhatch/data_plane/request_context.py
+++ b/mulleinhatch/data_plane/request_context.py
@@ -39,6 +39,8 @@
 class RequestContext:
     """One client request: its content, the writer of its response, and the state of its execution.
 
+    `configuration_version` is the version by which its route and service were chosen.
+
     Args:
         response_writer: Writes the response to the client.
         head: The client's request head.
@@ -54,6 +56,7 @@
     # One object per request, read by every attempt and relay; slots keep the lookups cheap.
     __slots__ = (
         "body",
+        "configuration_version",
         "deadline",
         "event_filter",
         "head",
@@ -83,6 +86,7 @@
     ) -> None:
         self.response_writer, self.head, self.body = response_writer, head, body
         self.route, self.service, self.deadline = route, service, deadline
+        self.configuration_version = table.version if table is not None else 0
         self.bind(table, tenant, priority_classes)
         self.prompt = read_prompt(head)
         self.request_id = head.field_values.get(b"request-id", b"")
--- a/mulleinhatch/data_plane/request_log.py
+++ b/mulleinhatch/data_plane/request_log.py
@@ -12,7 +12,6 @@
 from mulleinhatch.data_plane.admission_queue import PendingRequest
 from mulleinhatch.data_plane.client_timeouts import ClientTimeouts
 from mulleinhatch.data_plane.request_context import RequestContext
-from mulleinhatch.data_plane.send import Send
 from mulleinhatch.data_plane.wait_reason import WaitReason
 
 LOG = logging.getLogger(__name__)
@@ -32,7 +31,8 @@
 class ServedRequest(NamedTuple):
     """An entry of a log line: a request that its first send served.
 
-    `reuse`: requests that the connection carried before; `framing`: what told the end of the response.
+    `reuse`: requests that the connection carried before; `framing`: what told the end of the response;
+    `configuration_version`: the version by which it was routed.
     """
 
     request_id: str
@@ -42,6 +42,7 @@
     connection: int
     reuse: int
     framing: str
+    configuration_version: int
 
 
 class UnsentRequest(NamedTuple):
@@ -51,6 +52,7 @@
     status: int
     held_s: float
     reason: str
+    configuration_version: int
 
 
 class LoggedRequest(Protocol):
@@ -135,10 +137,15 @@
         """
         context, now, arrived_at = request.context, self._clock(), request.pending.arrived_at
         if end is RequestEnd.FORWARDED and len(context.state.sends) == 1:
-            self._record_served(context.request_id_text, context.state.sends[0], status, now - arrived_at)
+            self._record_served(context, status, now - arrived_at)
             return
         if not context.state.sends:
-            self._record_unsent(context.request_id_text, status, reason or end.value, now - arrived_at)
+            reason = reason or end.value
+            self._record_unsent(
+                UnsentRequest(
+                    context.request_id_text, status, round(now - arrived_at, 4), reason, context.configuration_version
+                )
+            )
             return
         LOG.info(
             "request ended",
@@ -148,21 +155,31 @@
                 "status": status,
                 "reason": reason,
                 "held_s": round(now - arrived_at, 4),
+                "configuration_version": context.configuration_version,
                 "attempts": [send.log_fields(arrived_at, now) for send in context.state.sends],
             },
         )
 
-    def _record_served(self, request_id: str, send: Send, status: int, held_s: float) -> None:
+    def _record_served(self, context: RequestContext, status: int, held_s: float) -> None:
         """Remember a request that its first send served; such requests share a log line, which costs much less."""
-        framing = send.framing.value if send.framing is not None else ""
-        served = ServedRequest(request_id, status, round(held_s, 4), send.backend_id, send.connection, send.reuse, framing)
+        send = context.state.sends[0]
+        served = ServedRequest(
+            context.request_id_text,
+            status,
+            round(held_s, 4),
+            send.backend_id,
+            send.connection,
+            send.reuse,
+            send.framing.value if send.framing is not None else "",
+            context.configuration_version,
+        )
         self._served.append(served)
         if len(self._served) >= MAX_REQUESTS_IN_LINE:
             self.flush()
 
-    def _record_unsent(self, request_id: str, status: int, reason: str, held_s: float) -> None:
+    def _record_unsent(self, unsent: UnsentRequest) -> None:
         """Remember a request that ended without a send; such requests share a log line, too."""
-        self._unsent.append(UnsentRequest(request_id, status, round(held_s, 4), reason))
+        self._unsent.append(unsent)
         if len(self._unsent) >= MAX_REQUESTS_IN_LINE:
             self.flush()
 
@@ -175,9 +192,9 @@
             LOG.info("requests that ended without a send", extra={"requests": self._unsent})
             self._unsent = []
 
-    def ended_at_once(self, request_id: str, status: int, reason: str) -> None:
+    def ended_at_once(self, request_id: str, status: int, reason: str, configuration_version: int) -> None:
         """Log a request that was answered on its arrival, before it was queued."""
-        self._record_unsent(request_id, status, reason, 0.0)
+        self._record_unsent(UnsentRequest(request_id, status, 0.0, reason, configuration_version))
 
     def _describe(self, request: LoggedRequest) -> dict[str, str | bool | int]:
         context = request.context
@@ -185,6 +202,7 @@
         return {
             "request_id": context.request_id_text,
             "route": context.route.name,
+            "configuration_version": context.configuration_version,
             "priority": context.route.priority,
             "model": context.model_key.model,
             "adapter": context.model_key.adapter,
--- a/mulleinhatch/data_plane/router.py
+++ b/mulleinhatch/data_plane/router.py
@@ -130,7 +130,8 @@
 
     def _answer(self, session: ResponseWriter, head: Head, status: int, message: str, retry_after_s: float | None) -> None:
         """Answer a request on its arrival."""
-        self.request_log.ended_at_once(head.field_values.get(b"request-id", b"").decode("latin-1"), status, message)
+        request_id = head.field_values.get(b"request-id", b"").decode("latin-1")
+        self.request_log.ended_at_once(request_id, status, message, self.snapshot.table.version)
         session.respond_error(status, message, retry_after_s)
 
     def _decide_access(self, table: RouteTable, head: Head) -> Result[Access, AccessDenied]:
--- a/mulleinhatch/data_plane/status.py
+++ b/mulleinhatch/data_plane/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from mulleinhatch.data_plane.admission_queue import ModelQueue
@@ -13,7 +14,7 @@
 
 
 def status_of(
-    data_plane_name: str, is_ready: bool, leader: str, router: Router, watch: LoopWatch, slicer: TimeSlicer
+    data_plane_name: str, is_ready: bool, leader: str, router: Router, watch: LoopWatch, slicer: TimeSlicer, now: float
 ) -> dict[str, Any]:
     """Return the content of the status page.
 
@@ -24,13 +25,19 @@
         router: Provides the current snapshot, counters, queues and backends.
         watch: Provides the longest turn of the event loop.
         slicer: Provides the calculations that are under way.
+        now: Loop time in seconds.
     """
     snapshot = router.snapshot
+    is_confirmed = snapshot.confirmed_at > -math.inf
+    confirmed_s_ago = round(now - snapshot.confirmed_at, 2) if is_confirmed else None
     return {
         "name": data_plane_name,
         "version": snapshot.table.version,
         "ready": is_ready,
         "authoritative": snapshot.authoritative,
+        "control_plane": snapshot.source,
+        "control_epoch": snapshot.control_epoch,
+        "confirmed_s_ago": confirmed_s_ago,
         "data_planes": snapshot.data_planes,
         "holder": leader,
         "counters": router.request_log.counters,
--- a/tests/system/test_request_trail.py
+++ b/tests/system/test_request_trail.py
@@ -31,8 +31,9 @@
         self.assertEqual(record.getMessage(), "requests served by their first send")
         (first_id, *first), (second_id, *second) = record.requests
         self.assertEqual((first_id, second_id), ("r1", "r2"))
-        for reuse, (status, held_s, backend, connection, told_reuse, framing) in enumerate((first, second)):
-            self.assertEqual((status, backend, told_reuse, framing), (200, "i-0", reuse, "length"))
+        version = self.router.snapshot.table.version
+        for reuse, (status, held_s, backend, connection, *more) in enumerate((first, second)):
+            self.assertEqual((status, backend, more), (200, "i-0", [reuse, "length", version]))
             self.assertGreater(held_s, 0.0)
             self.assertEqual(connection, first[3])
 
@@ -89,8 +90,8 @@
                 self.router.request_log.flush()
         [record] = captured.records
         self.assertEqual(record.getMessage(), "requests that ended without a send")
-        [(request_id, status, _, reason)] = record.requests
-        self.assertEqual((request_id, status), ("r1", 503))
+        [(request_id, status, _, reason, version)] = record.requests
+        self.assertEqual((request_id, status, version), ("r1", 503, self.router.snapshot.table.version))
         self.assertTrue(reason)
 
 
