A data plane without news asks the next control plane beside the silent one, and live nodes before silent ones

Cause: a poll waited for its whole time limit before the next node was asked, and each node that answered without contact with a majority was put off for 2 s like a silent one. After a view change whose confirmation takes longer than 0.2 s (a slow disk, a machine short of processor time) all live nodes are put off at once, and the seeds of the settings, dead for good after the replacements, are asked before them, 0.8 s each: 2.4 s without news, with 2.0 s allowed.

On the users' machines the cause is suspected, not seen.

Why it works: a round of polls asks the next node 0.2 s after the one before, beside it, until one answers with a majority. The time without news is the longest wait and some steps of 0.2 s, whatever the number of silent nodes. Nodes without a majority are asked after confirmed ones, but before those that are named by the settings alone or did not answer. While the polled node answers there is one poll, as before.

Tests that called _poll to apply an answer call _poll_round; what they expect is unchanged.

--- a/mulleinhatch/data_plane/control_plane_client.py
+++ b/mulleinhatch/data_plane/control_plane_client.py
@@ -1,4 +1,9 @@
-"""Connects a data plane to the control plane: long-polls for configuration and registry, and reports demand."""
+"""Connects a data plane to the control plane: long-polls for configuration and registry, and reports demand.
+
+One node is polled at a time while it answers. Where it does not, or has no contact with a majority, the next ones are asked
+beside it, each a short time after the one before, until one answers with a majority: the time without news is one time limit,
+not a sum of them.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +12,8 @@
 import math
 import os
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from result import Err
@@ -18,8 +24,8 @@
 from mulleinhatch.configuration.routes import RouteTable, RouteTableBuilder
 from mulleinhatch.configuration.tenants import TenantTableBuilder
 from mulleinhatch.data_plane.control_plane_snapshot import ControlPlaneSnapshot
+from mulleinhatch.data_plane.poll_targets import PollTargets
 from mulleinhatch.errors import ConfigurationError
-from mulleinhatch.membership.rendezvous import rank_by_weight
 from mulleinhatch.messages.cluster import DemandReport, DemandResponse, ModelDemand, PollRequest, PollResponse
 from mulleinhatch.messages.parsing import UnreadableMessageError, parse_message
 from mulleinhatch.networking.http_client import HttpCallError, HttpClient
@@ -33,17 +39,32 @@
 POLL_WAIT_S = 1.0  # short enough to leave a silent node well within `configuration_apply_s`
 POLL_RESPONSE_MARGIN_S = 0.5  # added to the wait; a node that does not answer by then counts as unreachable
 FIRST_POLL_TIMEOUT_S = 0.8  # short: a node that has not answered before may be down
+NEXT_POLL_AFTER_S = 0.2  # without an answer after the wait, the next node is asked beside this one
 POLL_RETRY_DELAY_S = 0.1
 DEMAND_REPORT_TIMEOUT_S = 0.6
 DIGEST_KEY_BYTES = 32  # length of the random key for this process's digests of the tenants' API keys
 SLICE_S = 0.001  # of processor time: requests wait for as long as it takes on this machine's share of a core
-COOLDOWN_S = 2.0  # a node that failed, or has no majority, is polled last for this time
 
 
 class UnusableConfigurationError(ConfigurationError):
     """A configuration update from a node can't be applied; the complete configuration is requested instead."""
 
 
+@dataclass(frozen=True)
+class PollResult:
+    """The end of one poll.
+
+    Attributes:
+        address: The node that was polled.
+        update: Its answer, None without one.
+        answered_at: Loop time as of which the answer is valid.
+    """
+
+    address: str
+    update: PollResponse | None
+    answered_at: float = -math.inf
+
+
 class ControlPlaneClient:
     """Keeps the newest snapshot of configuration and registry.
 
@@ -79,11 +100,10 @@
         self._needs_complete_configuration = False  # an update could not be applied to the one in force
         self._registry_source, self._registry_cursor = "", 0
         port = settings.internal_address.rpartition(":")[2]
-        self._seeds = [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds]
-        self._control_addresses: list[str] = []  # published by the control plane; the seeds are used while empty
-        self._control_epoch = 0  # epoch of the view that the addresses belong to
-        self._cooldown_until: dict[str, float] = {}  # by address
-        self._responsive: set[str] = set()  # addresses whose last poll was answered
+        self._targets = PollTargets(settings.name, [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds])
+        self._control_epoch = 0  # epoch of the view that the published addresses belong to
+        self._source = ""  # address of the node that last answered with a majority
+        self._answering = ""  # address of the node whose answer is being applied
         self._epoch = 0  # epoch of the newest view that a node reported
         self._deregistrations_index = 0  # log index up to which deregistered backends are known
         self._unconfirmed_since: float | None = None  # when a first configuration was offered without a majority
@@ -93,35 +113,56 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            address = self._next_address()
-            try:
-                await self._poll(address)
-            except HttpCallError as error:
-                LOG.debug("control plane did not answer; another one is asked", extra={"error": str(error)})
-                self._http.forget(address)
-                self._cooldown_until[address] = self._clock() + COOLDOWN_S
-                self._responsive.discard(address)
-                await asyncio.sleep(POLL_RETRY_DELAY_S / 4)
-
-    def _next_address(self) -> str:
-        """Return the address to poll: ranked by rendezvous hashing to spread the data planes, with failed nodes last."""
-        now = self._clock()
-        if not self._control_addresses:
-            addresses = self._seeds
-        else:
-            addresses = list(dict.fromkeys([*self._control_addresses, *self._seeds]))
-        order = rank_by_weight(self._settings.name, addresses)
-        published = set(self._control_addresses)
+            if not await self._poll_round(self._targets.ranked(self._clock())):
+                await asyncio.sleep(POLL_RETRY_DELAY_S)
 
-        def preference(address: str) -> tuple[float, bool, int]:
-            cooldown_s = max(0.0, self._cooldown_until.get(address, 0.0) - now)
-            is_outdated = bool(published) and address not in published
-            return cooldown_s, is_outdated, order.index(address)
+    async def _poll_round(self, addresses: Sequence[str]) -> bool:
+        """Poll nodes until one answers with a majority; return whether one did.
 
-        return min(order, key=preference)
+        The next node is asked as soon as the one before has failed, has answered without a majority, or is late. Of the nodes
+        asked before the one that answers, those without an answer count as silent.
+        """
+        results: asyncio.Queue[PollResult] = asyncio.Queue()
+        polls: dict[str, asyncio.Task[None]] = {}
+        remaining = list(addresses)
+        try:
+            while remaining or polls:
+                patience_s = None
+                if remaining:
+                    address = remaining.pop(0)
+                    is_first = address == addresses[0]
+                    wait_s = POLL_WAIT_S if is_first and self._targets.is_responsive(address) else 0.0
+                    polls[address] = asyncio.ensure_future(self._poll_into(results, address, wait_s))
+                    patience_s = wait_s + NEXT_POLL_AFTER_S
+                result = await _next_result(results, patience_s)
+                if result is None:
+                    continue
+                earlier = list(polls)[: list(polls).index(result.address)]
+                del polls[result.address]
+                if await self._take(result):
+                    for silent in earlier:
+                        self._targets.record_silence(silent, self._clock())
+                    return True
+            return False
+        finally:
+            for poll in polls.values():
+                poll.cancel()
 
-    async def _poll(self, address: str) -> None:
-        wait_s = POLL_WAIT_S if address in self._responsive else 0.0
+    async def _poll_into(self, results: asyncio.Queue[PollResult], address: str, wait_s: float) -> None:
+        """Poll a node; put the result into a queue."""
+        try:
+            result = await self._poll(address, wait_s)
+        except HttpCallError as error:
+            LOG.debug("control plane did not answer; another one is asked", extra={"error": str(error)})
+            result = PollResult(address, None)
+        results.put_nowait(result)
+
+    async def _poll(self, address: str, wait_s: float = 0.0) -> PollResult:
+        """Send one poll.
+
+        Raises:
+            HttpCallError: No answer that can be read arrived in time.
+        """
         request = PollRequest(
             node=self._settings.name,
             zone=self._settings.zone,
@@ -141,15 +182,28 @@
         except UnreadableMessageError as error:
             LOG.error("poll response can't be read; another control plane is asked", extra={"error": str(error)})
             raise HttpCallError(address, str(error)) from error
+        # After a pause of this process the response may be old: it counts as no newer than the timeout allows.
+        return PollResult(address, update, min(self._clock(), sent_at + timeout_s))
+
+    async def _take(self, result: PollResult) -> bool:
+        """Apply the result of a poll; return whether its node was in contact with a majority."""
+        update = result.update
+        if update is None:
+            self._http.forget(result.address)
+            self._targets.record_silence(result.address, self._clock())
+            return False
         if update.epoch < self._epoch:
             update.authoritative = False  # the node has not learned of a newer view yet
         self._epoch = max(self._epoch, update.epoch)
-        self._responsive.add(address)
-        # After a pause of this process the response may be old: it counts as no newer than the timeout allows.
-        await self._apply(update, min(self._clock(), sent_at + timeout_s))
-        if not update.authoritative or self._needs_complete_configuration:
-            self._cooldown_until[address] = self._clock() + COOLDOWN_S
-            await asyncio.sleep(POLL_RETRY_DELAY_S)
+        self._answering = result.address
+        await self._apply(update, result.answered_at)
+        is_usable = update.authoritative and not self._needs_complete_configuration
+        self._targets.record_answer(result.address, is_usable, self._clock())
+        if is_usable and result.address != self._source:
+            fields = {"control_plane": result.address, "former": self._source, "view_epoch": update.epoch}
+            LOG.info("another control plane is polled", extra=fields)
+            self._source = result.address
+        return is_usable
 
     # Applying an update.
 
@@ -176,17 +230,19 @@
             update.authoritative,
             self._confirmed_at,
             self._control_epoch,
-            tuple(self._control_addresses),
+            tuple(self._targets.published),
+            self._answering,
         )
         self._on_snapshot(self.snapshot)
         if replaced:
             await self._slicer.run("release of a former configuration", release_steps(replaced))
 
     def _apply_control_addresses(self, update: PollResponse) -> None:
-        if not update.authoritative and self._control_addresses:
+        if not update.authoritative and self._targets.published:
             return
         if update.control_addresses:
-            self._control_addresses, self._control_epoch = list(update.control_addresses), update.epoch
+            self._targets.publish(update.control_addresses)
+            self._control_epoch = update.epoch
         if update.leader_address and update.leader_address != self.leader:
             self.leader = update.leader_address
             self._on_new_leader()
@@ -212,7 +268,8 @@
         replaced += [*self._table_builder.replaced, *self._tenants.replaced]
         self._table_builder.replaced, self._tenants.replaced = [], []
         self._document, self._table, self._needs_complete_configuration = document, table, False
-        LOG.info("configuration in force", extra={"version": document.version})
+        source = {"control_plane": self._answering, "view_epoch": update.epoch, "is_confirmed": update.authoritative}
+        LOG.info("configuration in force", extra={"version": document.version, **source})
         return replaced
 
     def _is_wanted(self, update: PollResponse) -> bool:
@@ -292,3 +349,12 @@
         except (HttpCallError, UnreadableMessageError):
             self._http.forget(self.leader)
             return False
+
+
+async def _next_result(results: asyncio.Queue[PollResult], patience_s: float | None) -> PollResult | None:
+    """Return the next result, None if there is none within some seconds."""
+    try:
+        async with asyncio.timeout(patience_s):
+            return await results.get()
+    except TimeoutError:
+        return None
--- /dev/null
+++ b/mulleinhatch/data_plane/poll_targets.py
@@ -0,0 +1,81 @@
+"""Order the control-plane nodes that a data plane may poll. Pure.
+
+| node | rank |
+| --- | --- |
+| of the published chain, confirmed by its last answer or not asked lately | first |
+| of the published chain, answered without contact with a majority a moment ago | second |
+| named by the settings only | third |
+| did not answer a moment ago | last |
+
+Within a rank, rendezvous hashing spreads the data planes over the nodes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from mulleinhatch.membership.rendezvous import rank_by_weight
+
+SILENT_S = 2.0  # a node that did not answer is asked last for this time
+UNCONFIRMED_S = 2.0  # a node that answered without contact with a majority is asked after the others for this time
+
+
+@dataclass
+class TargetState:
+    """What is known of one node. Times are loop times in seconds."""
+
+    silent_until: float = 0.0
+    unconfirmed_until: float = 0.0
+    is_responsive: bool = False  # whether it answered the last poll
+
+
+class PollTargets:
+    """The nodes that a data plane may poll.
+
+    Args:
+        name: The name of the data plane.
+        seeds: The internal addresses that its settings name.
+
+    Attributes:
+        published: The internal addresses of the chain, as the control plane last published them.
+    """
+
+    def __init__(self, name: str, seeds: Sequence[str]) -> None:
+        self._name, self._seeds = name, list(seeds)
+        self.published: list[str] = []
+        self._states: dict[str, TargetState] = {}
+
+    def publish(self, addresses: Sequence[str]) -> None:
+        """Replace the published addresses."""
+        self.published = list(addresses)
+        known = {*self.published, *self._seeds}
+        self._states = {address: state for address, state in self._states.items() if address in known}
+
+    def ranked(self, now: float) -> list[str]:
+        """Return all addresses, the one to poll first in front."""
+        addresses = list(dict.fromkeys([*self.published, *self._seeds]))
+        order = rank_by_weight(self._name, addresses)
+        published = set(self.published) or set(addresses)
+
+        def rank(address: str) -> tuple[float, bool, bool, int]:
+            state = self._states.get(address, TargetState())
+            silent_s = max(0.0, state.silent_until - now)
+            return silent_s, address not in published, now < state.unconfirmed_until, order.index(address)
+
+        return sorted(order, key=rank)
+
+    def is_responsive(self, address: str) -> bool:
+        """Return whether a node answered its last poll."""
+        return address in self._states and self._states[address].is_responsive
+
+    def record_answer(self, address: str, is_confirmed: bool, now: float) -> None:
+        """Record an answer, and whether its node was in contact with a majority."""
+        state = self._states.setdefault(address, TargetState())
+        state.is_responsive, state.silent_until = True, 0.0
+        state.unconfirmed_until = 0.0 if is_confirmed else now + UNCONFIRMED_S
+
+    def record_silence(self, address: str, now: float) -> None:
+        """Record that a node did not answer in time."""
+        state = self._states.setdefault(address, TargetState())
+        state.is_responsive, state.silent_until = False, now + SILENT_S
--- a/tests/system/test_control_state.py
+++ b/tests/system/test_control_state.py
@@ -27,7 +27,7 @@
     Snapshot,
     View,
 )
-from mulleinhatch.networking.http_client import HttpCallError, HttpResponse
+from mulleinhatch.networking.http_client import HttpResponse
 from mulleinhatch.process.settings import Bounds, Settings
 from mulleinhatch.replication import state as state_module
 from mulleinhatch.replication.state import (
@@ -290,7 +290,7 @@
         async def poll_all() -> None:
             for moment in at:
                 script.now = moment
-                polled = asyncio.ensure_future(link._poll("10.0.0.1:7000"))
+                polled = asyncio.ensure_future(link._poll_round(["10.0.0.1:7000"]))
                 while link.snapshot is link_snapshot_before[0] and not polled.done():
                     await asyncio.sleep(0)
                 polled.cancel()
@@ -346,10 +346,7 @@
         link = ControlPlaneClient(settings(), script, lambda: script.now, lambda snapshot: None)  # type: ignore[arg-type]
         with self.assertLogs("mulleinhatch.data_plane.control_plane_client"), mock.patch("asyncio.sleep", mock.AsyncMock()):
             for _ in responses:
-                try:
-                    await link._poll("10.0.0.1:7000")
-                except HttpCallError:
-                    pass
+                await link._poll_round(["10.0.0.1:7000"])
                 versions.append(link.snapshot.table.version)
         return link, script, versions
 
--- a/tests/system/test_cut_transfers.py
+++ b/tests/system/test_cut_transfers.py
@@ -81,7 +81,7 @@
         link = ControlPlaneClient(SETTINGS, HttpClient(), loop.time, lambda snapshot: None)
         whole = bytes(registry("i-1", "i-2", "i-3"))
         self.answers.append(write_response(200, [(b"Connection", b"close")], whole))
-        await link._poll(self.address)
+        await link._poll_round([self.address])
         self.assertEqual(sorted(link.snapshot.backends.by_id), ["i-1", "i-2", "i-3"])
         self.answers.append(UNFRAMED_HEAD + bytes(registry("i-1")))  # The bytes of the whole response up to a field's end.
         with self.assertRaisesRegex(HttpCallError, "length"):
--- /dev/null
+++ b/tests/system/test_poll_rounds.py
@@ -0,0 +1,202 @@
+"""The polls of a data plane on sockets: how long it is without news while nodes are silent or unconfirmed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import unittest
+import zlib
+
+from mulleinhatch.data_plane.control_plane_client import ControlPlaneClient
+from mulleinhatch.data_plane.poll_targets import SILENT_S, UNCONFIRMED_S, PollTargets
+from mulleinhatch.membership.rendezvous import rank_by_weight
+from mulleinhatch.messages.cluster import PollRequest, PollResponse
+from mulleinhatch.networking.http_client import HttpClient
+from mulleinhatch.networking.http_streaming import MessageReader, write_response
+from mulleinhatch.process.settings import Bounds, Settings
+
+PORT = 17993
+NETWORK = 1 + os.getpid() % 250  # test processes that run at the same time use different addresses
+LIVE = [f"127.2.{NETWORK}.{number}:{PORT}" for number in (1, 2, 3)]
+DEAD = [f"127.3.{NETWORK}.{number}:{PORT}" for number in (1, 2, 3)]
+# Two thirds of the shortest `configuration_apply_ms` of the deployments, 2 s.
+LONGEST_LAG_S = 1.33
+
+
+def settings(seeds: list[str]) -> Settings:
+    return Settings(
+        name="data-1",
+        ip_address="127.0.95.1",
+        zone="z",
+        region="r",
+        listen={},
+        internal_address=f"127.0.95.1:{PORT}",
+        seeds=tuple(seeds),
+        first_start=False,
+        counts_for_quorum=False,
+        machines_tolerated=1,
+        heartbeat_s=1.0,
+        data_directory="",
+        file_descriptors=100,
+        memory_mb=100.0,
+        regions_of_zones={},
+        bounds=Bounds(),
+    )
+
+
+class Core:
+    """Control-plane nodes that answer polls; those of `silent` accept connections and never answer."""
+
+    def __init__(self) -> None:
+        self.version, self.epoch, self.is_confirmed = 1, 1, True
+        self.silent: set[str] = set(DEAD)
+        self.polled: list[str] = []
+        self.change = asyncio.Event()
+        self._servers: list[asyncio.Server] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        for address in (*LIVE, *DEAD):
+            host, _, port = address.rpartition(":")
+            self._servers.append(await asyncio.start_server(self._handler_of(address), host, int(port)))
+
+    def stop(self) -> None:
+        for server in self._servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def notify(self) -> None:
+        change, self.change = self.change, asyncio.Event()
+        change.set()
+
+    def _handler_of(self, address: str):
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self._tasks.add(asyncio.current_task())
+            messages = MessageReader(reads_responses=False)
+            body, is_begun = b"", False
+            try:
+                while data := await reader.read(65536):
+                    messages.feed(data)
+                    is_begun = is_begun or messages.head() is not None
+                    if is_begun:
+                        body += messages.body()
+                    if not is_begun or not messages.done:
+                        continue
+                    request = PollRequest().parse(body)
+                    messages.next()
+                    body, is_begun = b"", False
+                    self.polled.append(address)
+                    answer = await self._answer(request)
+                    while address in self.silent:
+                        await asyncio.sleep(0.05)
+                    writer.write(write_response(200, [], answer))
+            except (OSError, asyncio.CancelledError):
+                pass
+            finally:
+                writer.close()
+
+        return handle
+
+    async def _answer(self, request: PollRequest) -> bytes:
+        if self.is_confirmed and request.configuration_version >= self.version and request.wait_ms:
+            try:
+                async with asyncio.timeout(request.wait_ms / 1000.0):
+                    await self.change.wait()
+            except TimeoutError:
+                pass
+        text = json.dumps({"version": self.version, "routes": [], "services": []}).encode()
+        response = PollResponse(
+            authoritative=self.is_confirmed, epoch=self.epoch, configuration_version=self.version, control_addresses=LIVE
+        )
+        if self.is_confirmed and request.configuration_version < self.version:
+            response.configuration = zlib.compress(text)
+        return bytes(response)
+
+
+class PollRoundTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.core = Core()
+        self.addCleanup(self.core.stop)
+        await self.core.start()
+        loop = asyncio.get_running_loop()
+        self.link = ControlPlaneClient(settings(DEAD), HttpClient(), loop.time, lambda snapshot: None)
+        self.link._targets.publish(LIVE)  # as a control plane does that has replaced all its first nodes
+        running = asyncio.ensure_future(self.link.run())
+        self.addCleanup(running.cancel)
+        await self._lag_s(1)
+
+    async def _lag_s(self, version: int) -> float:
+        """Return the seconds until a version is in force."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        async with asyncio.timeout(10.0):
+            while self.link.snapshot.table.version < version:
+                await asyncio.sleep(0.01)
+        return loop.time() - began_at
+
+    # Guards against a data plane that asks silent former nodes, one after another, before those that are confirmed again
+    # (CONFIG: 2.5 s after the acknowledgement it still acted by the version before).
+    async def test_silent_former_nodes_do_not_delay_a_configuration_after_a_view_change(self):
+        self.core.is_confirmed, self.core.epoch = False, 2
+        self.core.notify()
+        await asyncio.sleep(0.35)
+        self.core.is_confirmed, self.core.version = True, 2
+        self.assertLess(await self._lag_s(2), LONGEST_LAG_S)
+
+    # Guards against time limits that add up while the polled node and the next one are silent.
+    async def test_two_silent_nodes_delay_a_configuration_by_less_than_two_thirds_of_the_bound(self):
+        first, second, _ = rank_by_weight("data-1", LIVE)
+        await asyncio.sleep(0.1)
+        self.core.silent |= {first, second}
+        self.core.version = 2
+        self.assertLess(await self._lag_s(2), LONGEST_LAG_S + 0.15)
+
+    async def test_a_node_that_answers_is_polled_alone(self):
+        first, *_ = rank_by_weight("data-1", LIVE)
+        self.core.polled.clear()
+        for version in (2, 3, 4):
+            self.core.version = version
+            self.core.notify()
+            self.assertLess(await self._lag_s(version), 0.5)
+        self.assertEqual(set(self.core.polled), {first})
+
+    async def test_the_first_node_is_polled_again_after_it_was_silent(self):
+        first, second, _ = rank_by_weight("data-1", LIVE)
+        self.core.silent.add(first)
+        self.core.version = 2
+        await self._lag_s(2)
+        self.core.silent.discard(first)
+        await asyncio.sleep(SILENT_S + 1.3)
+        self.core.polled.clear()
+        await asyncio.sleep(1.2)
+        self.assertEqual(set(self.core.polled), {first})
+
+
+class PollTargetsTest(unittest.TestCase):
+    def setUp(self):
+        self.targets = PollTargets("data-1", DEAD)
+        self.targets.publish(LIVE)
+        self.order = rank_by_weight("data-1", LIVE)
+
+    def test_published_nodes_come_before_the_others(self):
+        self.assertEqual(self.targets.ranked(0.0)[:3], self.order)
+
+    def test_an_unconfirmed_node_comes_after_the_published_ones_and_before_the_others(self):
+        self.targets.record_answer(self.order[0], False, 0.0)
+        self.assertEqual(self.targets.ranked(0.1)[:3], [*self.order[1:], self.order[0]])
+        self.assertEqual(self.targets.ranked(UNCONFIRMED_S)[:3], self.order)
+
+    def test_a_silent_node_comes_last(self):
+        self.targets.record_silence(self.order[0], 0.0)
+        self.assertEqual(self.targets.ranked(0.1)[-1], self.order[0])
+        self.assertFalse(self.targets.is_responsive(self.order[0]))
+        self.assertEqual(self.targets.ranked(SILENT_S)[:3], self.order)
+
+    def test_without_published_nodes_the_seeds_are_asked(self):
+        self.assertEqual(PollTargets("data-1", DEAD).ranked(0.0), rank_by_weight("data-1", DEAD))
+
+
+if __name__ == "__main__":
+    unittest.main()
