A service of weight 0 in a traffic split gets no request

Cause: the initial current weights of the services above 0 were centred on the mean of all draws, so that their sum could be far below 0; with three services of weight 0 beside two others, all of those above 0 could stand below 0 and a service of weight 0 won. Now only the services above 0 take part.

--- a/mulleinhatch/data_plane/traffic_split.py
+++ b/mulleinhatch/data_plane/traffic_split.py
@@ -2,7 +2,8 @@
 
 Each request adds every service's weight to its current weight; the service with the largest current weight is chosen, and the
 sum of all weights is subtracted from its current weight. After any number of requests, each service has received its share to
-within one or two requests; with random draws, the deviation would grow with the square root of the number of requests.
+within one or two requests; with random draws, the deviation would grow with the square root of the number of requests. A service
+of weight 0 is never chosen.
 """
 
 from __future__ import annotations
@@ -26,11 +27,16 @@
         self._current_weights: dict[str, tuple[ServiceWeights, list[float]]] = {}  # Weights and current weights by route.
 
     def next(self, route: str, weights: ServiceWeights) -> str:
-        """Return the service for the next request of a route; the sequence restarts when the route's weights change."""
+        """Return the service for the next request of a route; the sequence restarts when the route's weights change.
+
+        Args:
+            route: The name of the route.
+            weights: Its services with their weights, one of them above 0 at least.
+        """
         known = self._current_weights.get(route)
         if known is None or known[0] != weights:
-            known = self._current_weights[route] = weights, self._initial_weights(route, weights)
-        current_weights = known[1]
+            known = self._current_weights[route] = weights, self._initial_weights(route, _positive(weights))
+        weights, current_weights = _positive(weights), known[1]
         for index, (_, weight) in enumerate(weights):
             current_weights[index] += weight
         chosen = max(range(len(weights)), key=lambda index: (current_weights[index], weights[index][1]))
@@ -42,9 +48,14 @@
         total = sum(weight for _, weight in weights)
         draws = [crc32(f"{self._seed}/{route}/{service}".encode()) / 2**32 for service, _ in weights]
         mean = sum(draws) / len(draws)
-        return [(draw - mean) * total if weight else 0.0 for draw, (_, weight) in zip(draws, weights)]
+        return [(draw - mean) * total for draw in draws]
 
     def keep_only(self, routes: Container[str]) -> None:
         """Drop routes that are no longer configured."""
         for route in [route for route in self._current_weights if route not in routes]:
             del self._current_weights[route]
+
+
+def _positive(weights: ServiceWeights) -> ServiceWeights:
+    """Return the services whose weight is above 0."""
+    return tuple(pair for pair in weights if pair[1] > 0)
