--- a/benchmarks/in_force.py
+++ b/benchmarks/in_force.py
@@ -2,7 +2,7 @@
 
 Usage: python -m benchmarks.in_force [--seed=1] [--seeds=1] [--seconds=30] [--data-planes=4] [--control-planes=3]
 [--kinds=kill,power] [--replaces-all] [--longest-sync-s=0.4] [--stall-probability=0.1]
-[--processors=2] [--busy=4] [--tree=DIR] [--logs=DIR]
+[--defect=NAME] [--processors=2] [--busy=4] [--tree=DIR] [--logs=DIR]
 
 Control-plane nodes are killed, fall silent, are frozen, replaced at another address with an empty disk, or are all lost at
 once right after an acknowledgement, while the operator changes the configuration and each data plane is asked for the routes
@@ -22,6 +22,7 @@
 
 import fire
 
+from benchmarks.in_force_parts.defects import PlantedDefect
 from benchmarks.in_force_parts.judge import Judge
 from benchmarks.in_force_parts.run import ALL_KINDS, Run, RunSize
 from benchmarks.soak_parts.bounds import SoakBounds
@@ -78,6 +79,7 @@
     stall_probability: float = 0.1,
     processors: int = 0,
     busy: int = 0,
+    defect: str = PlantedDefect.NONE.name,
     tree: str = "",
     logs: str = "",
 ) -> None:
@@ -95,6 +97,7 @@
         stall_probability: Probability that a sync takes up to that much longer, rather than up to a tenth of it.
         processors: Number of processors that the fleet may use, 0 for all.
         busy: Number of busy processes that share them.
+        defect: Name of a planted defect.
         tree: Source tree whose programs are run, this one if empty.
         logs: Directory for the records and logs of failing seeds.
     """
@@ -109,7 +112,8 @@
         float(stall_probability),
         processors,
         busy,
-        Path(tree) if tree else ROOT,
+        PlantedDefect[defect],
+        tree=Path(tree) if tree else ROOT,
     )
     failed = []
     for number in range(seed, seed + seeds):
--- a/benchmarks/in_force_parts/fleet.py
+++ b/benchmarks/in_force_parts/fleet.py
@@ -12,6 +12,7 @@
 import signal
 from pathlib import Path
 
+from benchmarks.in_force_parts.defects import PLANTED_DIRECTORY, PlantedDefect
 from benchmarks.in_force_parts.records import Outage, RunRecords
 from benchmarks.soak_parts.bounds import SoakBounds
 from benchmarks.soak_parts.fleet import CONTROL_PORT, ROOT, Fleet
@@ -49,6 +50,7 @@
         self._started_count = control_planes
         self._seeds = self.control_addresses[:SEED_COUNT]
         self._silent: set[str] = set()
+        self.defect = PlantedDefect.NONE
         self.longest_sync_s = 0.0  # by which a sync of a control-plane node's disk may take longer
         self.stall_probability = 0.0  # that a sync takes up to this much longer, rather than a tenth of it
         self.processors: set[int] = set()  # that the processes may use
@@ -166,6 +168,8 @@
 
     def _environment(self, name: str, settings_path: Path) -> dict[str, str]:
         environment = super()._environment(name, settings_path)
+        if self.defect is not PlantedDefect.NONE:
+            return {**environment, "PYTHONPATH": str(PLANTED_DIRECTORY), "PLANTED_DEFECT": self.defect.name}
         if not self.longest_sync_s or not name.startswith("control"):
             return environment
         disk = {"LONGEST_SYNC_S": str(self.longest_sync_s), "STALL_PROBABILITY": str(self.stall_probability)}
--- a/benchmarks/in_force_parts/run.py
+++ b/benchmarks/in_force_parts/run.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from benchmarks.in_force_parts.busy import BusyProcesses, some_processors
+from benchmarks.in_force_parts.defects import PlantedDefect
 from benchmarks.in_force_parts.fleet import ReplaceableFleet
 from benchmarks.in_force_parts.operator import SERVICES, Operator
 from benchmarks.in_force_parts.probes import Prober
@@ -18,10 +19,10 @@
 
 START_TIMEOUT_S = 60.0
 LAST_CHANGE_TIMEOUT_S = 30.0
-RECOVERY_S = 10.0  # traffic goes on this long after the last fault
 BACKENDS_PER_SERVICE = 2
 CHANGE_PAUSE_S = (0.05, 0.5)
-EVENT_PAUSE_S = (0.0, 9.0)  # between the end of an outage and the next one: some are longer than the contact time
+LONG_CHANGE_PAUSE_S = (2.5, 4.0)  # longer than the short bound: a data plane that stays behind is seen
+LONG_PAUSE_PROBABILITY = 0.1
 CATCH_UP_S = 4.0  # a node that was lost needs this long before another one may be lost
 ACK_DELAY_S = (0.0, 0.02)  # some outages begin this long after an acknowledgement
 ALL_KINDS = (
@@ -52,6 +53,9 @@
         stall_probability: Probability that a sync takes up to that much longer, rather than up to a tenth of it.
         processors: Number of processors that the fleet may use, 0 for all.
         busy: Number of busy processes that share them.
+        defect: The defect that is planted into all processes; then disks are not slow.
+        longest_pause_s: From the end of an outage to the next one, in seconds; some pauses should exceed the contact time.
+        recovery_s: How long traffic goes on after the last fault, in seconds.
         tree: Source tree whose programs are run.
     """
 
@@ -64,6 +68,9 @@
     stall_probability: float = 0.1
     processors: int = 0
     busy: int = 0
+    defect: PlantedDefect = PlantedDefect.NONE
+    longest_pause_s: float = 9.0
+    recovery_s: float = 10.0
     tree: Path = field(default=ROOT)
 
 
@@ -97,7 +104,7 @@
         load = BusyProcesses(self._size.busy, processors)
         try:
             load.start()
-            self._fleet.processors = processors
+            self._fleet.processors, self._fleet.defect = processors, self._size.defect
             self._fleet.longest_sync_s = self._size.longest_sync_s
             self._fleet.stall_probability = self._size.stall_probability
             await self._start()
@@ -109,7 +116,7 @@
             if not done:
                 changes.cancel()
                 self.records.failures.append(f"version {self.records.versions[-1].number} was not acknowledged")
-            await asyncio.sleep(RECOVERY_S)
+            await asyncio.sleep(self._size.recovery_s)
             self.records.failures += [f"{name} ended by itself" for name in self._fleet.ended_by_themselves()]
         finally:
             for task in tasks:
@@ -144,7 +151,8 @@
         while not self._is_over:
             await self._operator.change()
             self._acknowledged.set()
-            await asyncio.sleep(self._random.uniform(*CHANGE_PAUSE_S))
+            is_long = self._random.random() < LONG_PAUSE_PROBABILITY
+            await asyncio.sleep(self._random.uniform(*(LONG_CHANGE_PAUSE_S if is_long else CHANGE_PAUSE_S)))
 
     async def _lose_processes(self) -> None:
         loop = asyncio.get_running_loop()
@@ -157,7 +165,7 @@
                 await asyncio.sleep(self._random.uniform(*ACK_DELAY_S))
             kind = self._random.choice(self._size.kinds)
             await self._lose(kind)
-            pause_s = self._random.uniform(*EVENT_PAUSE_S)
+            pause_s = self._random.uniform(0.0, self._size.longest_pause_s)
             await asyncio.sleep(pause_s if kind in ("front", "calm") else max(CATCH_UP_S, pause_s))
 
     async def _wait_for_acknowledgement(self) -> None:
--- a/benchmarks/soak_parts/clients.py
+++ b/benchmarks/soak_parts/clients.py
@@ -23,6 +23,8 @@
 UNKNOWN_KEY_SHARE, OLD_KEY_SHARE, NO_KEY_SHARE, HOT_SHARE = 0.05, 0.15, 0.03, 0.6
 CLAIMED_TENANT = "somebody-else"
 MAX_ADDED_ROUTES = 12
+DROPPED_ROUTE_SHARE = 0.1  # of the requests, where there is such a route
+RECENT_VERSIONS = 12  # of which a route may be one that was removed
 
 
 @dataclass(frozen=True)
@@ -48,9 +50,13 @@
         random_source: Source of the draws.
     """
     newest = versions[-1]
-    # Of many routes that one change added, few are drawn: the other kinds of requests stay as frequent.
+    # Of many routes that one change added or removed, few are drawn: the other kinds of requests stay as frequent.
     added = sorted(newest.routes - set(KINDS))
-    names = [*KINDS, *(random_source.sample(added, MAX_ADDED_ROUTES) if len(added) > MAX_ADDED_ROUTES else added)]
+    dropped = sorted({name for version in versions[-RECENT_VERSIONS:] for name in version.routes} - newest.routes)
+    if dropped and random_source.random() < DROPPED_ROUTE_SHARE:
+        names = dropped
+    else:
+        names = [*KINDS, *(random_source.sample(added, MAX_ADDED_ROUTES) if len(added) > MAX_ADDED_ROUTES else added)]
     claimed = CLAIMED_TENANT if random_source.random() < 0.2 else ""
     return PlannedRequest(
         random_source.choice(names), _draw_key(versions, random_source), claimed, random_source.random() < 0.8
--- a/mulleinhatch/data_plane/traffic_split.py
+++ b/mulleinhatch/data_plane/traffic_split.py
@@ -2,8 +2,8 @@
 
 Each request adds every service's weight to its current weight; the service with the largest current weight is chosen, and the
 sum of all weights is subtracted from its current weight. After any number of requests, each service has received its share to
-within one or two requests; with random draws, the deviation would grow with the square root of the number of requests. A service
-of weight 0 is never chosen.
+within one or two requests; with random draws, the deviation would grow with the square root of the number of requests.
+A service of weight 0 is never chosen.
 """
 
 from __future__ import annotations
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import math
+import random
 import tempfile
 import unittest
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 
@@ -13,8 +15,9 @@
 
 from benchmarks.soak_parts.backends import plain_answer, stream_answer
 from benchmarks.soak_parts.bounds import SoakBounds
-from benchmarks.soak_parts.changes import PLAIN_TOKENS, apply_patch, initial_document
+from benchmarks.soak_parts.changes import PLAIN_TOKENS, apply_patch, initial_document, route
 from benchmarks.soak_parts.checks import SoakChecker
+from benchmarks.soak_parts.clients import draw_request
 from benchmarks.soak_parts.quota_check import limit_periods
 from benchmarks.soak_parts.records import BackendRun, ClientRequest, Disturbance, Observations, Version
 from benchmarks.soak_parts.scene import SoakRun, SoakSize
@@ -35,6 +38,17 @@
         self.assertGreater(sum(request.status == 200 for request in observations.requests), 100)
 
 
+class DrawnRequestTest(unittest.TestCase):
+    # Guards against a check of dropped routes that nothing can fail, as nobody asks for one.
+    def test_routes_are_asked_for_after_their_removal(self):
+        after = initial_document()
+        before = {**after, "routes": [*after["routes"], route("extra-1", "safe")]}
+        versions, source = [Version(1, before, 0.0, 0.1), Version(2, after, 1.0, 1.1)], random.Random(1)
+        drawn = Counter(draw_request(versions, source).route for _ in range(1000))
+        self.assertGreater(drawn["extra-1"], 50)
+        self.assertGreater(drawn["read"], drawn["extra-1"])
+
+
 class SoakCheckerTest(unittest.TestCase):
     def setUp(self):
         self.document = initial_document()
