A poll that fails unexpectedly does not end the polling of a data plane

Found on rereading the rounds of polls: a round waits for one result of each poll, and a poll that ended by an error other than a failed call put none. The data plane would have polled nobody any more.

The test fails without this (no end within 5 s) and passes with it.

--- a/mulleinhatch/data_plane/control_plane_client.py
+++ b/mulleinhatch/data_plane/control_plane_client.py
@@ -149,13 +149,16 @@
                 poll.cancel()
 
     async def _poll_into(self, results: asyncio.Queue[PollResult], address: str, wait_s: float) -> None:
-        """Poll a node; put the result into a queue."""
+        """Poll a node; put the result into a queue, whatever happens: the round waits for one of each poll."""
+        result = PollResult(address, None)
         try:
             result = await self._poll(address, wait_s)
         except HttpCallError as error:
             LOG.debug("control plane did not answer; another one is asked", extra={"error": str(error)})
-            result = PollResult(address, None)
-        results.put_nowait(result)
+        except Exception:
+            LOG.exception("a poll of a control plane failed; another one is asked")
+        finally:
+            results.put_nowait(result)
 
     async def _poll(self, address: str, wait_s: float = 0.0) -> PollResult:
         """Send one poll.
--- a/tests/system/test_control_state.py
+++ b/tests/system/test_control_state.py
@@ -375,6 +375,24 @@
         self.assertEqual(versions, [9, 9, 10])
 
 
+class FailingPollTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a round of polls that waits for ever for a poll that ended by an unexpected error.
+    async def test_a_poll_that_fails_unexpectedly_does_not_end_the_polling(self):
+        class Failing(ScriptedControlPlane):
+            async def request(self, address: str, *arguments: object) -> HttpResponse:
+                if address == "10.0.0.1:7000":
+                    raise RuntimeError("unexpected")
+                return await super().request(address, *arguments)
+
+        script = Failing([poll_response(4, True)])
+        link = ControlPlaneClient(settings(), script, lambda: script.now, lambda snapshot: None)  # type: ignore[arg-type]
+        with self.assertLogs("mulleinhatch.data_plane.control_plane_client", "ERROR"):
+            async with asyncio.timeout(5.0):
+                self.assertFalse(await link._poll_round(["10.0.0.1:7000"]))
+                self.assertTrue(await link._poll_round(["10.0.0.1:7000", "10.0.0.2:7000"]))
+        self.assertEqual(link.snapshot.table.version, 4)
+
+
 class RejectionTest(unittest.TestCase):
     def test_rejection_names_the_remedy(self):
         rejection = ControlState().check("PUT", None, change(1))
