--- a/benchmarks/in_force_parts/operator.py
+++ b/benchmarks/in_force_parts/operator.py
@@ -8,13 +8,13 @@
 from collections.abc import Callable
 
 from benchmarks.in_force_parts.records import RunRecords, SentVersion
-from mulleinhatch.networking.http_client import HttpCallError, HttpClient, HttpResponse
+from benchmarks.soak_parts.configuration_calls import call_configuration
+from mulleinhatch.networking.http_client import HttpClient
 
 HOST = "in-force.example"
 SERVICES = ("first", "second")
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.05
-MAX_REDIRECTS = 2
 REJECTED = (400, 404, 409, 412, 413, 422)
 LARGE_ROUTES = 350
 LARGE_SHARE = 0.08  # of the changes add many routes, or remove them
@@ -95,10 +95,11 @@
 
     async def _send(self, version: SentVersion, method: str, base: int, body: dict[str, object]) -> None:
         data, fields = json.dumps(body).encode(), ((b"If-Match", b"%d" % base),)
+        timeout_s = LARGE_TIMEOUT_S if len(data) > LARGE_BYTES else CALL_TIMEOUT_S
         while True:
             addresses = self._control_addresses()
             for address in self._random.sample(addresses, len(addresses)):
-                answer = await self._send_with_redirects(address, method, data, fields)
+                answer = await call_configuration(self._client, address, method, data, fields, timeout_s)
                 if answer is not None and answer.status == 200:
                     version.acknowledged_at = asyncio.get_running_loop().time()
                     return
@@ -106,19 +107,3 @@
                     self._records.failures.append(f"version {version.number}: {answer.status} {answer.body[:200]!r}")
                     raise RuntimeError(self._records.failures[-1])
             await asyncio.sleep(RETRY_S)
-
-    async def _send_with_redirects(
-        self, address: str, method: str, body: bytes, fields: tuple[tuple[bytes, bytes], ...]
-    ) -> HttpResponse | None:
-        timeout_s = LARGE_TIMEOUT_S if len(body) > LARGE_BYTES else CALL_TIMEOUT_S
-        for _ in range(MAX_REDIRECTS + 1):
-            try:
-                answer = await self._client.request(
-                    address, method, "/configuration", body, timeout_s, "application/json", fields
-                )
-            except HttpCallError:
-                return None
-            if answer.status != 307:
-                return answer
-            address = answer.head.field_values[b"location"].decode().removeprefix("http://").partition("/")[0]
-        return None
--- a/benchmarks/soak_parts/changes.py
+++ b/benchmarks/soak_parts/changes.py
@@ -8,14 +8,14 @@
 import secrets
 from typing import Any
 
+from benchmarks.soak_parts.configuration_calls import call_configuration
 from benchmarks.soak_parts.records import Observations, Version
-from mulleinhatch.networking.http_client import HttpCallError, HttpClient, HttpResponse
+from mulleinhatch.networking.http_client import HttpClient
 
 HOST = "soak.example"
 SERVICE = "writer"
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.1
-MAX_REDIRECTS = 2
 MAX_ROUTES = 12
 MANY_ROUTES = (400, 1600)
 EXTRA_PREFIX, MANY_PREFIX = "extra-", "many-"
@@ -182,7 +182,7 @@
     async def read(self) -> dict[str, Any] | None:
         """Return the configuration from any control-plane node, or None if none returns it."""
         for address in self._shuffled():
-            answer = await self._send_with_redirects(address, "GET", b"", ())
+            answer = await call_configuration(self._client, address, "GET", b"", (), CALL_TIMEOUT_S)
             if answer is not None and answer.status == 200:
                 return json.loads(answer.body)
         return None
@@ -194,7 +194,7 @@
         data, fields = json.dumps(body).encode(), ((b"If-Match", b"%d" % base),)
         while True:
             for address in self._shuffled():
-                answer = await self._send_with_redirects(address, method, data, fields)
+                answer = await call_configuration(self._client, address, method, data, fields, CALL_TIMEOUT_S)
                 if answer is not None and answer.status == 200:
                     version.acknowledged_at = loop.time()
                     return True
@@ -205,18 +205,5 @@
                     return False
             await asyncio.sleep(RETRY_S)
 
-    async def _send_with_redirects(self, address: str, method: str, body: bytes, fields: tuple) -> HttpResponse | None:
-        for _ in range(MAX_REDIRECTS + 1):
-            try:
-                answer = await self._client.request(
-                    address, method, "/configuration", body, CALL_TIMEOUT_S, "application/json", fields
-                )
-            except HttpCallError:
-                return None
-            if answer.status != 307:
-                return answer
-            address = answer.head.field_values[b"location"].decode().removeprefix("http://").partition("/")[0]
-        return None
-
     def _shuffled(self) -> list[str]:
         return self._random.sample(self._addresses, len(self._addresses))
