--- a/mulleinhatch/data_plane/poll_targets.py
+++ b/mulleinhatch/data_plane/poll_targets.py
@@ -30,6 +30,9 @@
     is_responsive: bool = False  # whether it answered the last poll
 
 
+NEVER_POLLED = TargetState()
+
+
 class PollTargets:
     """The nodes that a data plane may poll.
 
@@ -44,26 +47,31 @@
     def __init__(self, name: str, seeds: Sequence[str]) -> None:
         self._name, self._seeds = name, list(seeds)
         self.published: list[str] = []
+        self._positions = self._rank_positions()  # by address: its place by rendezvous hashing
         self._states: dict[str, TargetState] = {}
 
     def publish(self, addresses: Sequence[str]) -> None:
         """Replace the published addresses."""
+        if self.published == addresses:
+            return
         self.published = list(addresses)
-        known = {*self.published, *self._seeds}
-        self._states = {address: state for address, state in self._states.items() if address in known}
+        self._positions = self._rank_positions()
+        self._states = {address: state for address, state in self._states.items() if address in self._positions}
+
+    def _rank_positions(self) -> dict[str, int]:
+        order = rank_by_weight(self._name, dict.fromkeys([*self.published, *self._seeds]))
+        return {address: position for position, address in enumerate(order)}
 
     def ranked(self, now: float) -> list[str]:
         """Return all addresses, the one to poll first in front."""
-        addresses = list(dict.fromkeys([*self.published, *self._seeds]))
-        order = rank_by_weight(self._name, addresses)
-        published = set(self.published) or set(addresses)
+        published = self.published or self._positions
 
         def rank(address: str) -> tuple[float, bool, bool, int]:
-            state = self._states.get(address, TargetState())
+            state = self._states.get(address, NEVER_POLLED)
             silent_s = max(0.0, state.silent_until - now)
-            return silent_s, address not in published, now < state.unconfirmed_until, order.index(address)
+            return silent_s, address not in published, now < state.unconfirmed_until, self._positions[address]
 
-        return sorted(order, key=rank)
+        return sorted(self._positions, key=rank)
 
     def is_responsive(self, address: str) -> bool:
         """Return whether a node answered its last poll."""
