Reread: what a traffic split needs is computed when its weights change, and two pieces stand once

The services above 0 of a split were collected at each request; they are kept with the sequence of the route. A status page forgets expired data planes by that name, not by counting them. No behaviour changes; one test reads a private attribute by its new name, its assertion is the same.

--- a/benchmarks/in_force_parts/judge.py
+++ b/benchmarks/in_force_parts/judge.py
@@ -9,6 +9,7 @@
 
 from benchmarks.in_force_parts.records import Answer, Outage, RunRecords, SentVersion
 from benchmarks.soak_parts.bounds import SoakBounds
+from benchmarks.soak_parts.history import overlaps
 
 START_S = 0.3  # a process counts as started this long after its start was requested
 CLOSING_FACTOR = 2  # after a loss of most of the core, contact takes this many times as long
@@ -134,4 +135,4 @@
 
 
 def _overlap(outages: Iterable[Outage], begin: float, end: float) -> bool:
-    return any(one.began_at <= end and one.ended_at >= begin for one in outages)
+    return overlaps(((one.began_at, one.ended_at) for one in outages), begin, end)
--- a/mulleinhatch/control_plane/distribution.py
+++ b/mulleinhatch/control_plane/distribution.py
@@ -101,11 +101,14 @@
 
     def count_local_data_planes(self) -> int:
         """Return the number of data planes that poll this process."""
+        self._forget_expired_pollers()
+        return len(self._pollers)
+
+    def _forget_expired_pollers(self) -> None:
         now = self._clock()
         for name, poller in list(self._pollers.items()):
             if now - poller.polled_at > POLLER_EXPIRY_S:
                 del self._pollers[name]
-        return len(self._pollers)
 
     def count_all_data_planes(self) -> int:
         """Return the number of data planes that poll this process or a reachable peer, at least 1."""
@@ -116,7 +119,7 @@
 
     def status(self) -> dict[str, PollerStatus]:
         """Return what each data plane that polls this process was told last, by its name."""
-        self.count_local_data_planes()  # removes those that no longer poll
+        self._forget_expired_pollers()
         now = self._clock()
         return {
             name: PollerStatus(
--- a/mulleinhatch/data_plane/traffic_split.py
+++ b/mulleinhatch/data_plane/traffic_split.py
@@ -9,11 +9,27 @@
 from __future__ import annotations
 
 from collections.abc import Container
+from dataclasses import dataclass
 from zlib import crc32
 
 ServiceWeights = tuple[tuple[str, float], ...]
 
 
+@dataclass(frozen=True)
+class _Sequence:
+    """The state of one route's sequence.
+
+    Attributes:
+        weights: The weights that it belongs to.
+        usable: Those above 0.
+        current_weights: The current weight of each usable service.
+    """
+
+    weights: ServiceWeights
+    usable: ServiceWeights
+    current_weights: list[float]
+
+
 class WeightedRoundRobin:
     """The sequence of services of each route, on one data plane.
 
@@ -24,7 +40,7 @@
 
     def __init__(self, seed: str) -> None:
         self._seed = seed
-        self._current_weights: dict[str, tuple[ServiceWeights, list[float]]] = {}  # Weights and current weights by route.
+        self._sequences: dict[str, _Sequence] = {}  # by route
 
     def next(self, route: str, weights: ServiceWeights) -> str:
         """Return the service for the next request of a route; the sequence restarts when the route's weights change.
@@ -33,15 +49,16 @@
             route: The name of the route.
             weights: Its services with their weights, one of them above 0 at least.
         """
-        known = self._current_weights.get(route)
-        if known is None or known[0] != weights:
-            known = self._current_weights[route] = weights, self._initial_weights(route, _positive(weights))
-        weights, current_weights = _positive(weights), known[1]
-        for index, (_, weight) in enumerate(weights):
+        sequence = self._sequences.get(route)
+        if sequence is None or sequence.weights != weights:
+            usable = tuple(pair for pair in weights if pair[1] > 0)
+            sequence = self._sequences[route] = _Sequence(weights, usable, self._initial_weights(route, usable))
+        usable, current_weights = sequence.usable, sequence.current_weights
+        for index, (_, weight) in enumerate(usable):
             current_weights[index] += weight
-        chosen = max(range(len(weights)), key=lambda index: (current_weights[index], weights[index][1]))
-        current_weights[chosen] -= sum(weight for _, weight in weights)
-        return weights[chosen][0]
+        chosen = max(range(len(usable)), key=lambda index: (current_weights[index], usable[index][1]))
+        current_weights[chosen] -= sum(weight for _, weight in usable)
+        return usable[chosen][0]
 
     def _initial_weights(self, route: str, weights: ServiceWeights) -> list[float]:
         """Return initial current weights with a sum of zero, as they occur in the middle of a sequence."""
@@ -52,10 +69,5 @@
 
     def keep_only(self, routes: Container[str]) -> None:
         """Drop routes that are no longer configured."""
-        for route in [route for route in self._current_weights if route not in routes]:
-            del self._current_weights[route]
-
-
-def _positive(weights: ServiceWeights) -> ServiceWeights:
-    """Return the services whose weight is above 0."""
-    return tuple(pair for pair in weights if pair[1] > 0)
+        for route in [route for route in self._sequences if route not in routes]:
+            del self._sequences[route]
--- a/tests/system/test_traffic_split.py
+++ b/tests/system/test_traffic_split.py
@@ -45,7 +45,7 @@
             split.next("r", services((1.0, 1.0)))
         self.assertEqual({split.next("r", services((0.0, 1.0))) for _ in range(5)}, {"s1"})
         split.keep_only(())
-        self.assertEqual(split._current_weights, {})
+        self.assertEqual(split._sequences, {})
 
     def test_routes_are_independent(self):
         split = WeightedRoundRobin("front-1")
