A data plane logs since when no known control plane confirms its configuration

Nothing in that front's log tells whether it is without contact, or in contact and behind: silence was logged at debug level, without addresses.

Now: a warning from half of configuration_apply_ms on, with the version in force, the seconds, the addresses that are silent and those without a majority; a line at the end of it; and /status names each address that may be polled, who named it and whether it answers. The warnings become rarer while it lasts, so a long outage does not fill the log.

--- a/mulleinhatch/data_plane/control_plane_client.py
+++ b/mulleinhatch/data_plane/control_plane_client.py
@@ -23,8 +23,9 @@
 from mulleinhatch.configuration.json_reader import read_json_steps
 from mulleinhatch.configuration.routes import RouteTable, RouteTableBuilder
 from mulleinhatch.configuration.tenants import TenantTableBuilder
+from mulleinhatch.data_plane.confirmation_watch import ConfirmationWatch
 from mulleinhatch.data_plane.control_plane_snapshot import ControlPlaneSnapshot
-from mulleinhatch.data_plane.poll_targets import PollTargets
+from mulleinhatch.data_plane.poll_targets import PollTargets, TargetStatus
 from mulleinhatch.errors import ConfigurationError
 from mulleinhatch.messages.cluster import DemandReport, DemandResponse, ModelDemand, PollRequest, PollResponse
 from mulleinhatch.messages.parsing import UnreadableMessageError, parse_message
@@ -101,6 +102,7 @@
         self._registry_source, self._registry_cursor = "", 0
         port = settings.internal_address.rpartition(":")[2]
         self._targets = PollTargets(settings.name, [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds])
+        self._watch = ConfirmationWatch(self._targets, settings.bounds.configuration_apply_s, clock())
         self._control_epoch = 0  # epoch of the view that the published addresses belong to
         self._source = ""  # address of the node that last answered with a majority
         self._answering = ""  # address of the node whose answer is being applied
@@ -114,6 +116,7 @@
         """Poll until cancelled."""
         while True:
             if not await self._poll_round(self._targets.ranked(self._clock())):
+                self._watch.record_unconfirmed(self._document.version, self._clock())
                 await asyncio.sleep(POLL_RETRY_DELAY_S)
 
     async def _poll_round(self, addresses: Sequence[str]) -> bool:
@@ -202,6 +205,8 @@
         await self._apply(update, result.answered_at)
         is_usable = update.authoritative and not self._needs_complete_configuration
         self._targets.record_answer(result.address, is_usable, self._clock())
+        if is_usable:
+            self._watch.record_confirmed(result.address, self._clock())
         if is_usable and result.address != self._source:
             fields = {"control_plane": result.address, "former": self._source, "view_epoch": update.epoch}
             LOG.info("another control plane is polled", extra=fields)
@@ -331,6 +336,10 @@
         except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
             raise UnusableConfigurationError(f"it is not a valid configuration: {error!r}") from error
 
+    def targets_status(self) -> dict[str, TargetStatus]:
+        """Return what is known of each control-plane node that may be polled, by its address."""
+        return self._targets.status()
+
     # Reporting demand.
 
     async def report_demand(self, demand: list[ModelDemand], is_partial: bool) -> bool:
--- a/mulleinhatch/data_plane/poll_targets.py
+++ b/mulleinhatch/data_plane/poll_targets.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import TypedDict
 
 from mulleinhatch.membership.rendezvous import rank_by_weight
 
@@ -33,6 +34,13 @@
 NEVER_POLLED = TargetState()
 
 
+class TargetStatus(TypedDict):
+    """One node, for the status page: who named it, and whether it answered its last poll."""
+
+    named_by: str
+    responsive: bool
+
+
 class PollTargets:
     """The nodes that a data plane may poll.
 
@@ -62,6 +70,20 @@
         order = rank_by_weight(self._name, dict.fromkeys([*self.published, *self._seeds]))
         return {address: position for position, address in enumerate(order)}
 
+    @property
+    def addresses(self) -> list[str]:
+        """All addresses, in the order of rendezvous hashing."""
+        return list(self._positions)
+
+    def status(self) -> dict[str, TargetStatus]:
+        """Return what is known of each node, by its address."""
+        return {
+            address: TargetStatus(
+                named_by="control plane" if address in self.published else "settings", responsive=self.is_responsive(address)
+            )
+            for address in self._positions
+        }
+
     def ranked(self, now: float) -> list[str]:
         """Return all addresses, the one to poll first in front."""
         published = self.published or self._positions
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -105,6 +105,7 @@
             self._settings.name,
             self.is_ready,
             self._control_plane.leader,
+            self._control_plane.targets_status(),
             self._router,
             self._watch,
             self._slicer,
--- a/mulleinhatch/data_plane/status.py
+++ b/mulleinhatch/data_plane/status.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from typing import Any
 
 from mulleinhatch.data_plane.admission_queue import ModelQueue
 from mulleinhatch.data_plane.backend_health import BackendHealthTracker
+from mulleinhatch.data_plane.poll_targets import TargetStatus
 from mulleinhatch.data_plane.registry_snapshot import RegisteredBackend
 from mulleinhatch.data_plane.router import Router
 from mulleinhatch.process.loop_watch import LoopWatch, turn_status
@@ -14,7 +16,14 @@
 
 
 def status_of(
-    data_plane_name: str, is_ready: bool, leader: str, router: Router, watch: LoopWatch, slicer: TimeSlicer, now: float
+    data_plane_name: str,
+    is_ready: bool,
+    leader: str,
+    control_planes: Mapping[str, TargetStatus],
+    router: Router,
+    watch: LoopWatch,
+    slicer: TimeSlicer,
+    now: float,
 ) -> dict[str, Any]:
     """Return the content of the status page.
 
@@ -22,6 +31,7 @@
         data_plane_name: Name of this data plane.
         is_ready: Whether it accepts connections.
         leader: Address of the placement leader, empty if unknown.
+        control_planes: The control-plane nodes that it may poll, by address.
         router: Provides the current snapshot, counters, queues and backends.
         watch: Provides the longest turn of the event loop.
         slicer: Provides the calculations that are under way.
@@ -36,6 +46,7 @@
         "ready": is_ready,
         "authoritative": snapshot.authoritative,
         "control_plane": snapshot.source,
+        "control_planes": control_planes,
         "control_epoch": snapshot.control_epoch,
         "confirmed_s_ago": confirmed_s_ago,
         "data_planes": snapshot.data_planes,
--- a/tests/system/test_poll_rounds.py
+++ b/tests/system/test_poll_rounds.py
@@ -8,6 +8,8 @@
 import unittest
 import zlib
 
+from mulleinhatch.data_plane import confirmation_watch
+from mulleinhatch.data_plane.confirmation_watch import ConfirmationWatch
 from mulleinhatch.data_plane.control_plane_client import ControlPlaneClient
 from mulleinhatch.data_plane.poll_targets import SILENT_S, UNCONFIRMED_S, PollTargets
 from mulleinhatch.membership.rendezvous import rank_by_weight
@@ -174,6 +176,42 @@
         self.assertEqual(set(self.core.polled), {first})
 
 
+class ConfirmationWatchTest(unittest.TestCase):
+    def setUp(self):
+        self.targets = PollTargets("data-1", DEAD[:2])
+        self.watch = ConfirmationWatch(self.targets, 2.0, 10.0)
+
+    def warnings(self, *times: float) -> list[dict[str, object]]:
+        """Return the warnings while no node confirms the configuration at some times."""
+        with self.assertLogs(level="INFO") as logs:
+            confirmation_watch.LOG.info("begin")
+            for now in times:
+                self.watch.record_unconfirmed(7, now)
+        return [vars(record) for record in logs.records[1:]]
+
+    # Guards against a data plane without contact whose log does not tell it (CONFIG: it acted by an older version for good).
+    def test_the_log_tells_since_when_no_known_node_confirms_the_configuration(self):
+        self.targets.record_answer(DEAD[0], False, 10.0)
+        self.watch.record_confirmed(DEAD[0], 11.0)
+        (first,) = self.warnings(11.9, 12.0)
+        self.assertEqual((first["version"], first["unconfirmed_s"]), (7, 1.0))
+        self.assertEqual((first["silent"], first["without_majority"]), ([DEAD[1]], [DEAD[0]]))
+
+    def test_warnings_become_rarer_and_the_end_is_logged(self):
+        self.assertEqual([one["unconfirmed_s"] for one in self.warnings(11.0, 12.0, 13.0, 13.9, 14.1, 16.0)], [1.0, 2.0, 4.1])
+        with self.assertLogs(level="INFO") as logs:
+            self.watch.record_confirmed(DEAD[0], 20.0)
+        self.assertEqual(vars(logs.records[0])["unconfirmed_s"], 10.0)
+        self.assertEqual(self.warnings(20.9), [])
+
+    def test_the_status_tells_who_named_each_node_and_whether_it_answers(self):
+        self.targets.publish(LIVE[:1])
+        self.targets.record_answer(LIVE[0], True, 10.0)
+        status = self.targets.status()
+        self.assertEqual(status[LIVE[0]], {"named_by": "control plane", "responsive": True})
+        self.assertEqual(status[DEAD[0]], {"named_by": "settings", "responsive": False})
+
+
 class PollTargetsTest(unittest.TestCase):
     def setUp(self):
         self.targets = PollTargets("data-1", DEAD)
