--- a/benchmarks/in_force.py
+++ b/benchmarks/in_force.py
@@ -2,12 +2,12 @@
 
 Usage: python -m benchmarks.in_force [--seed=1] [--seeds=1] [--seconds=30] [--data-planes=4] [--control-planes=3]
 [--kinds=kill,power] [--replaces-all] [--longest-sync-s=0.4] [--stall-probability=0.1]
-[--defect=NAME] [--processors=2] [--busy=4] [--tree=DIR] [--logs=DIR]
+[--defect=NAME] [--processors=2] [--busy=4] [--tree=DIR] [--settings=silent] [--logs=DIR]
 
 Control-plane nodes are killed, fall silent, are frozen, replaced at another address with an empty disk, or are all lost at
-once right after an acknowledgement, while the operator changes the configuration and each data plane is asked for the routes
-that the latest changes added, removed and moved. Each seed prints its violations and a JSON line; the exit status is 1 if
-there is a violation, or if fewer than `MIN_JUDGED` answers were judged under the short bound.
+once right after an acknowledgement, and data planes are away meanwhile. The operator changes the configuration, and each data
+plane is asked for the routes that the latest changes added, removed and moved. Each seed prints its violations and a JSON
+line; the exit status is 1 if there is a violation, or if fewer than `MIN_JUDGED` answers were judged under the short bound.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 import fire
 
 from benchmarks.in_force_parts.defects import PlantedDefect
+from benchmarks.in_force_parts.fleet import SettingsUpdate
 from benchmarks.in_force_parts.judge import Judge
 from benchmarks.in_force_parts.run import ALL_KINDS, Run, RunSize
 from benchmarks.soak_parts.bounds import SoakBounds
@@ -47,7 +48,7 @@
     one = Run(folder, seed, size, BOUNDS)
     records = asyncio.run(one.run())
     judge = Judge(records, BOUNDS, size.control_planes)
-    violations = [violation.describe() for violation in judge.violations()] + records.failures
+    violations = judge.report()
     lags = judge.lags_s()
     kinds: dict[str, int] = {}
     for outage in records.outages:
@@ -81,6 +82,7 @@
     busy: int = 0,
     defect: str = PlantedDefect.NONE.name,
     tree: str = "",
+    settings: str = "",
     logs: str = "",
 ) -> None:
     """Run consecutive seeds and exit with status 1 if one has a violation.
@@ -99,6 +101,7 @@
         busy: Number of busy processes that share them.
         defect: Name of a planted defect.
         tree: Source tree whose programs are run, this one if empty.
+        settings: How settings files follow replacements: signal, silent or never; drawn each time if empty.
         logs: Directory for the records and logs of failing seeds.
     """
     kinds = tuple(kinds.split(",")) if isinstance(kinds, str) else tuple(kinds)
@@ -114,6 +117,7 @@
         busy,
         PlantedDefect[defect],
         tree=Path(tree) if tree else ROOT,
+        settings_update=SettingsUpdate[settings.upper()] if settings else None,
     )
     failed = []
     for number in range(seed, seed + seeds):
--- a/benchmarks/in_force_parts/fleet.py
+++ b/benchmarks/in_force_parts/fleet.py
@@ -10,6 +10,9 @@
 import os
 import shutil
 import signal
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
 from pathlib import Path
 
 from benchmarks.in_force_parts.defects import PLANTED_DIRECTORY, PlantedDefect
@@ -21,6 +24,30 @@
 SEED_COUNT = 3
 SLOW_DISK = Path(__file__).resolve().parent / "slow_disk"
 SEED_LAG_S = 3.0  # the settings name new control-plane nodes this much later
+SIGNAL_SAFE_S = 2.0  # a process that started more recently gets no SIGHUP: Python may not handle signals yet
+
+
+class SettingsUpdate(Enum):
+    """How running processes get settings files that name other control-plane nodes."""
+
+    SIGNAL = "the file changes, and SIGHUP tells so"
+    SILENT = "the file changes without a signal"
+    NEVER = "the file does not change"
+
+
+@dataclass(frozen=True)
+class Absence:
+    """Data planes that are away: stopped, or killed to be started again.
+
+    Attributes:
+        names: Their names.
+        is_killed: Whether they were killed.
+        began_at: When, as loop time in seconds.
+    """
+
+    names: tuple[str, ...]
+    is_killed: bool
+    began_at: float
 
 
 class ReplaceableFleet(Fleet):
@@ -50,6 +77,9 @@
         self._started_count = control_planes
         self._seeds = self.control_addresses[:SEED_COUNT]
         self._silent: set[str] = set()
+        self._absent: set[str] = set()
+        self._started_at: dict[str, float] = {}
+        self.draw_update: Callable[[], SettingsUpdate] = lambda: SettingsUpdate.SILENT
         self.defect = PlantedDefect.NONE
         self.longest_sync_s = 0.0  # by which a sync of a control-plane node's disk may take longer
         self.stall_probability = 0.0  # that a sync takes up to this much longer, rather than a tenth of it
@@ -65,9 +95,10 @@
         """Return the control addresses of all nodes that may run at some time."""
         return [f"{self.ip(f'control-{number}')}:{CONTROL_PORT}" for number in range(MAX_CONTROL_PLANES)]
 
-    def start(self, name: str, is_first: bool = False) -> None:
+    def _start_process(self, name: str) -> None:
         """Start one process on the processors of the fleet."""
-        super().start(name, is_first)
+        super()._start_process(name)
+        self._started_at[name] = self._now()
         if self.processors:
             os.sched_setaffinity(self._processes[name].pid, self.processors)
 
@@ -106,6 +137,32 @@
         self._processes[name].send_signal(signal.SIGCONT)
         self._add_outage(name, "freeze", began_at)
 
+    @property
+    def present_data_planes(self) -> list[str]:
+        """Return the names of the data planes that are not away."""
+        return [name for name in self.data_plane_names if name not in self._absent]
+
+    def begin_absence(self, names: list[str], is_killed: bool) -> Absence:
+        """Stop data planes with SIGSTOP, or kill them."""
+        for name in names:
+            self._absent.add(name)
+            if is_killed:
+                self._end(name)
+            else:
+                self._processes[name].send_signal(signal.SIGSTOP)
+        return Absence(tuple(names), is_killed, self._now())
+
+    def end_absence(self, absence: Absence) -> None:
+        """Resume the data planes of an absence, or start them again; their settings are those of before, and follow later."""
+        for name in absence.names:
+            self._absent.discard(name)
+            if absence.is_killed:
+                self._start_process(name)
+            else:
+                self._processes[name].send_signal(signal.SIGCONT)
+            self._add_outage(name, "killed for long" if absence.is_killed else "frozen for long", absence.began_at)
+        asyncio.get_running_loop().call_later(SEED_LAG_S, self._update_settings, absence.names)
+
     async def replace(self, name: str, seconds: float, is_silent: bool) -> None:
         """Lose a node for good; start another one elsewhere, with an empty disk, after some seconds."""
         began_at = self._now()
@@ -164,7 +221,23 @@
         asyncio.get_running_loop().call_later(SEED_LAG_S, self._publish_seeds)
 
     def _publish_seeds(self) -> None:
+        """Name the control-plane nodes of this moment in the settings of later starts, and perhaps of running processes."""
         self._seeds = self.control_addresses[:SEED_COUNT]
+        self._update_settings([*self._core, *self.present_data_planes])
+
+    def _update_settings(self, names: Iterable[str]) -> None:
+        """Change the settings files of running processes, if they are to change, and perhaps tell so."""
+        update = self.draw_update()
+        if update is SettingsUpdate.NEVER:
+            return
+        for name in names:
+            self.write_settings(name)
+            if update is SettingsUpdate.SIGNAL and self._takes_signals(name):
+                self._processes[name].send_signal(signal.SIGHUP)
+
+    def _takes_signals(self, name: str) -> bool:
+        is_running = self._processes[name].poll() is None
+        return is_running and self._now() - self._started_at[name] > SIGNAL_SAFE_S
 
     def _environment(self, name: str, settings_path: Path) -> dict[str, str]:
         environment = super()._environment(name, settings_path)
--- a/benchmarks/in_force_parts/judge.py
+++ b/benchmarks/in_force_parts/judge.py
@@ -15,6 +15,7 @@
 CLOSING_FACTOR = 2  # after a loss of most of the core, contact takes this many times as long
 ROUTE_UNKNOWN = 404
 STATUSES_OF_KNOWN_ROUTES = (200,)
+MIN_UNSERVED = 20  # probes in a row of the newest routes that a data plane in contact does not serve
 
 
 @dataclass(frozen=True)
@@ -42,6 +43,28 @@
         )
 
 
+@dataclass
+class UnservedSpan:
+    """A time in which a data plane in contact served none of the probes of the newest acknowledged routes.
+
+    Attributes:
+        front: Its name.
+        began_at: When the first of these probes was sent, as loop time in seconds.
+        ended_at: When the last of them was sent.
+        probes: Their number.
+    """
+
+    front: str
+    began_at: float
+    ended_at: float
+    probes: int = 0
+
+    def describe(self) -> str:
+        """Return a line for the report."""
+        span = f"{self.ended_at - self.began_at:.1f} s from {self.began_at:.3f} s"
+        return f"{self.front} served none of {self.probes} probes of the newest routes in {span}"
+
+
 class Judge:
     """Judges the answers of one run.
 
@@ -62,6 +85,11 @@
         self._positions = {version.number: position for position, version in enumerate(records.versions)}
         self.judged: Counter[str] = Counter()  # answers by the bound that was applied
 
+    def report(self) -> list[str]:
+        """Return a line for each violation and each time without service of the newest routes, and the run's own failures."""
+        found = [*self.violations(), *self.unserved_spans()]
+        return [one.describe() for one in found] + self._records.failures
+
     def violations(self) -> list[Violation]:
         """Return the answers that only a version that may no longer be in force allows; count the answers that were judged."""
         self.judged.clear()
@@ -76,6 +104,28 @@
                 found.append(Violation(answer, binding, bound_s))
         return found
 
+    def unserved_spans(self) -> list[UnservedSpan]:
+        """Return the times, longer than the short bound, in which a data plane in contact served no newest route."""
+        found = []
+        for front in self._records.fronts:
+            span: UnservedSpan | None = None
+            for answer in self._records.answers:
+                if answer.front != front or not self._is_newest_route(answer):
+                    continue
+                if answer.status in STATUSES_OF_KNOWN_ROUTES or self.bound_s(answer) != self._bounds.apply_s:
+                    span = None
+                    continue
+                if span is None:
+                    span = UnservedSpan(front, answer.sent_at, answer.sent_at)
+                    found.append(span)
+                span.ended_at, span.probes = answer.sent_at, span.probes + 1
+        return [one for one in found if one.probes >= MIN_UNSERVED and one.ended_at - one.began_at > self._bounds.apply_s]
+
+    def _is_newest_route(self, answer: Answer) -> bool:
+        """Return whether a probe asked for the route of the version that had been acknowledged last."""
+        newest = self._newest_acknowledged(answer.sent_at)
+        return newest is not None and answer.number == newest.number
+
     def bound_s(self, answer: Answer) -> float:
         """Return the time that a data plane had to apply a version before it handled a probe, infinite if out of contact."""
         bounds, begin, end = self._bounds, answer.sent_at - self._bounds.contact_s, answer.ended_at
@@ -108,8 +158,7 @@
         return answer.number > 0 and answer.status in STATUSES_OF_KNOWN_ROUTES
 
     def _newest_acknowledged(self, until: float) -> SentVersion | None:
-        acknowledged = [one for one in self._records.versions if one.acknowledged_at <= until]
-        return acknowledged[-1] if acknowledged else None
+        return next((one for one in reversed(self._records.versions) if one.acknowledged_at <= until), None)
 
     def _is_allowed(self, answer: Answer, binding: SentVersion) -> bool:
         """Return whether a version that may be in force, the binding one or one that was sent later, explains an answer."""
--- a/benchmarks/in_force_parts/run.py
+++ b/benchmarks/in_force_parts/run.py
@@ -9,7 +9,7 @@
 
 from benchmarks.in_force_parts.busy import BusyProcesses, some_processors
 from benchmarks.in_force_parts.defects import PlantedDefect
-from benchmarks.in_force_parts.fleet import ReplaceableFleet
+from benchmarks.in_force_parts.fleet import Absence, ReplaceableFleet, SettingsUpdate
 from benchmarks.in_force_parts.operator import SERVICES, Operator
 from benchmarks.in_force_parts.probes import Prober
 from benchmarks.in_force_parts.records import RunRecords
@@ -22,7 +22,7 @@
 BACKENDS_PER_SERVICE = 2
 CHANGE_PAUSE_S = (0.05, 0.5)
 LONG_CHANGE_PAUSE_S = (2.5, 4.0)  # longer than the short bound: a data plane that stays behind is seen
-LONG_PAUSE_PROBABILITY = 0.1
+LONG_PAUSE_PROBABILITIES = (0.1, 0.1, 0.7)  # one is drawn for each run
 CATCH_UP_S = 4.0  # a node that was lost needs this long before another one may be lost
 ACK_DELAY_S = (0.0, 0.02)  # some outages begin this long after an acknowledgement
 ALL_KINDS = (
@@ -36,7 +36,12 @@
     "closing",
     "closing wiped",
     "front",
+    "away",
+    "replace all away",
 )
+BACKGROUND_KINDS = ("front", "calm", "away")  # another outage may follow at once
+ABSENCE_S = (4.0, 25.0)
+KILLED_ABSENCE_PROBABILITY = 0.4
 
 
 @dataclass(frozen=True)
@@ -57,6 +62,8 @@
         longest_pause_s: From the end of an outage to the next one, in seconds; some pauses should exceed the contact time.
         recovery_s: How long traffic goes on after the last fault, in seconds.
         tree: Source tree whose programs are run.
+        settings_update: How running processes learn of new control-plane nodes by their settings, None to draw it each time.
+        are_absent_killed: Whether data planes that are away are killed rather than stopped, None to draw it each time.
     """
 
     seconds: float = 30.0
@@ -72,6 +79,8 @@
     longest_pause_s: float = 9.0
     recovery_s: float = 10.0
     tree: Path = field(default=ROOT)
+    settings_update: SettingsUpdate | None = None
+    are_absent_killed: bool | None = None
 
 
 class Run:
@@ -95,7 +104,9 @@
         self._backends: list[RecordingBackend] = []
         self._services: dict[str, str] = {}  # of the backends, by signature
         self._acknowledged = asyncio.Event()
+        self._long_pause_probability = random.Random(f"pauses of in force {seed}").choice(LONG_PAUSE_PROBABILITIES)
         self._is_over = False
+        self._absences: set[asyncio.Task[None]] = set()
 
     async def run(self) -> RunRecords:
         """Run; return the records."""
@@ -107,10 +118,12 @@
             self._fleet.processors, self._fleet.defect = processors, self._size.defect
             self._fleet.longest_sync_s = self._size.longest_sync_s
             self._fleet.stall_probability = self._size.stall_probability
+            self._fleet.draw_update = self._draw_settings_update
             await self._start()
             tasks = [asyncio.ensure_future(self._prober(name).run()) for name in self.records.fronts]
             changes = asyncio.ensure_future(self._change_forever())
             await self._lose_processes()
+            await asyncio.gather(*self._absences)
             self._is_over = True
             done, _ = await asyncio.wait([changes], timeout=LAST_CHANGE_TIMEOUT_S)
             if not done:
@@ -119,9 +132,9 @@
             await asyncio.sleep(self._size.recovery_s)
             self.records.failures += [f"{name} ended by itself" for name in self._fleet.ended_by_themselves()]
         finally:
-            for task in tasks:
+            for task in (*tasks, *self._absences):
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, *self._absences, return_exceptions=True)
             self._fleet.end()
             load.end()
             for backend in self._backends:
@@ -151,7 +164,7 @@
         while not self._is_over:
             await self._operator.change()
             self._acknowledged.set()
-            is_long = self._random.random() < LONG_PAUSE_PROBABILITY
+            is_long = self._random.random() < self._long_pause_probability
             await asyncio.sleep(self._random.uniform(*(LONG_CHANGE_PAUSE_S if is_long else CHANGE_PAUSE_S)))
 
     async def _lose_processes(self) -> None:
@@ -166,7 +179,7 @@
             kind = self._random.choice(self._size.kinds)
             await self._lose(kind)
             pause_s = self._random.uniform(0.0, self._size.longest_pause_s)
-            await asyncio.sleep(pause_s if kind in ("front", "calm") else max(CATCH_UP_S, pause_s))
+            await asyncio.sleep(pause_s if kind in BACKGROUND_KINDS else max(CATCH_UP_S, pause_s))
 
     async def _wait_for_acknowledgement(self) -> None:
         self._acknowledged.clear()
@@ -197,5 +210,38 @@
             wiped = frozenset([name] if kind == "closing wiped" else [])
             await self._fleet.lose(core, seconds, is_silent=draw.random() < 0.5, wiped=wiped)
         elif kind == "front":
-            front = draw.choice(self.records.fronts)
+            front = draw.choice(self._fleet.present_data_planes)
             await self._fleet.lose([front], seconds, is_silent=draw.random() < 0.5)
+        elif kind == "away":
+            self._absences.add(asyncio.ensure_future(self._keep_away(draw.uniform(*ABSENCE_S))))
+        elif kind == "replace all away":
+            await self._replace_all_while_away()
+
+    async def _keep_away(self, seconds: float) -> None:
+        """Keep one data plane away, beside the outages that follow."""
+        absence = self._begin_absence(1)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._fleet.end_absence(absence)
+
+    async def _replace_all_while_away(self) -> None:
+        """Replace all control-plane nodes, one after another, while data planes are away."""
+        absence = self._begin_absence(self._random.randint(1, max(1, self._size.data_planes // 2)))
+        try:
+            for name in self._fleet.control_plane_names:
+                await self._fleet.replace(name, self._random.uniform(0.3, 1.5), is_silent=self._random.random() < 0.5)
+                await asyncio.sleep(CATCH_UP_S)
+        finally:
+            self._fleet.end_absence(absence)
+
+    def _begin_absence(self, count: int) -> Absence:
+        present = self._fleet.present_data_planes
+        names = self._random.sample(present, min(count, len(present) - 1))
+        are_killed = self._size.are_absent_killed
+        if are_killed is None:
+            are_killed = self._random.random() < KILLED_ABSENCE_PROBABILITY
+        return self._fleet.begin_absence(names, are_killed)
+
+    def _draw_settings_update(self) -> SettingsUpdate:
+        return self._size.settings_update or self._random.choice(list(SettingsUpdate))
--- a/benchmarks/soak_parts/fleet.py
+++ b/benchmarks/soak_parts/fleet.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 
 from benchmarks.soak_parts.bounds import SoakBounds
@@ -18,21 +19,38 @@
 ROOT = Path(__file__).resolve().parents[2]
 CONTROL_PORT, INTERNAL_PORT, FRONT_PORT, READY_PORT, BACKEND_PORT = 18146, 17660, 18144, 18140, 18300
 KIND_NUMBERS = {"control": 1, "data": 2, "backend": 3}
+RESERVATION_NUMBER = 9  # like a kind's number, of the address that reserves a network
 SCRIPTS = {"control": "control_plane.py", "data": "data_plane.py"}
 EXIT_POLL_S = 0.02
 
 
-def free_network() -> int:
-    """Return a number N such that no soak on this machine listens in 127.N.0.0/16."""
+@dataclass(frozen=True)
+class Network:
+    """A network 127.N.0.0/16 that no other fleet on this machine uses while `reservation` is open.
+
+    Attributes:
+        number: N.
+        reservation: A socket bound to an address of the network.
+    """
+
+    number: int
+    reservation: socket.socket
+
+
+def reserve_network() -> Network:
+    """Reserve a network for a fleet."""
     while True:
         number = random.SystemRandom().randrange(64, 250)
+        reservation = socket.socket()
         try:
+            reservation.bind((f"127.{number}.{RESERVATION_NUMBER}.1", CONTROL_PORT))
             for kind, port in ((1, CONTROL_PORT), (2, FRONT_PORT), (3, BACKEND_PORT)):
                 with socket.socket() as probe:
                     probe.bind((f"127.{number}.{kind}.1", port))
         except OSError:
+            reservation.close()
             continue
-        return number
+        return Network(number, reservation)
 
 
 class Fleet:
@@ -48,7 +66,7 @@
 
     def __init__(self, folder: Path, control_planes: int, data_planes: int, bounds: SoakBounds, tree: Path = ROOT) -> None:
         self._folder, self._bounds, self._tree = folder, bounds, tree
-        self._network = free_network()
+        self._network = reserve_network()
         self._control_planes, self._data_planes = control_planes, data_planes
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self.disturbances: list[Disturbance] = []
@@ -84,7 +102,7 @@
     def ip(self, name: str) -> str:
         """Return the loopback address of a process or backend."""
         kind, _, number = name.partition("-")
-        return f"127.{self._network}.{KIND_NUMBERS[kind]}.{int(number) + 1}"
+        return f"127.{self._network.number}.{KIND_NUMBERS[kind]}.{int(number) + 1}"
 
     def log_paths(self) -> list[Path]:
         """Return the logs of all processes."""
@@ -97,8 +115,11 @@
 
     def start(self, name: str, is_first: bool = False) -> None:
         """Start one process; its log is appended to a file next to its settings."""
-        path = self._folder / f"{name}.conf"
-        path.write_text("\n".join(self._settings_lines(name, is_first)) + "\n")
+        self.write_settings(name, is_first)
+        self._start_process(name)
+
+    def _start_process(self, name: str) -> None:
+        path = self._settings_path(name)
         with path.with_suffix(".log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, SCRIPTS[name.partition("-")[0]]],
@@ -108,6 +129,13 @@
                 stderr=log,
             )
 
+    def write_settings(self, name: str, is_first: bool = False) -> None:
+        """Write the settings file of a process."""
+        self._settings_path(name).write_text("\n".join(self._settings_lines(name, is_first)) + "\n")
+
+    def _settings_path(self, name: str) -> Path:
+        return self._folder / f"{name}.conf"
+
     def _environment(self, name: str, settings_path: Path) -> dict[str, str]:
         """Return the environment variables of a process."""
         return {**os.environ, FILE_VARIABLE: str(settings_path)}
@@ -189,6 +217,7 @@
             process.kill()
         for process in self._processes.values():
             process.wait()
+        self._network.reservation.close()
 
     async def _wait_for_exit(self, name: str) -> None:
         while self._processes[name].poll() is None:
--- a/tests/system/test_in_force.py
+++ b/tests/system/test_in_force.py
@@ -28,7 +28,7 @@
     with tempfile.TemporaryDirectory(prefix="mulleinhatch-in-force-") as folder:
         records = asyncio.run(Run(Path(folder), seed, size, BOUNDS).run())
     judge = Judge(records, BOUNDS, size.control_planes)
-    return [violation.describe() for violation in judge.violations()] + records.failures, judge
+    return judge.report(), judge
 
 
 def finds(defect: PlantedDefect) -> bool:
@@ -92,6 +92,23 @@
         self.answer(0, 12.2, service="first")
         self.assertEqual(self.violations(), [3])
 
+    # Guards against a data plane that is behind for good and refuses the newest routes, which no single probe shows.
+    def test_a_data_plane_that_serves_none_of_the_newest_routes_is_found(self):
+        for number in range(30):
+            self.answer(3, 12.2 + 0.1 * number, 503, "")
+        judge = Judge(self.records, BOUNDS, len(CORES))
+        self.assertEqual([(one.front, one.probes) for one in judge.unserved_spans()], [("data-0", 30)])
+        self.assertEqual(len(judge.report()), 1)
+
+    def test_newest_routes_may_be_refused_within_the_bound_and_out_of_contact(self):
+        for number in range(20):
+            self.answer(3, 12.2 + 0.1 * number, 503, "")
+        self.answer(3, 14.3)
+        self.records.outages.append(Outage("data-0", "kill", 15.0, 15.5))
+        for number in range(30):
+            self.answer(3, 15.5 + 0.1 * number, 503, "")
+        self.assertEqual(Judge(self.records, BOUNDS, len(CORES)).unserved_spans(), [])
+
     def test_a_disturbed_core_stretches_the_bound_and_a_lost_majority_lifts_it(self):
         self.records.outages.append(Outage("control-0", "kill", 11.0, 12.0))
         self.answer(1, 14.0)
