--- a/benchmarks/large_change_parts/measurements.py
+++ b/benchmarks/large_change_parts/measurements.py
@@ -200,7 +200,7 @@
 
     def __init__(self, meter: Meter) -> None:
         self._meter = meter
-        settings = mock.Mock(seeds=(), internal_address="10.0.0.1:7000")
+        settings = mock.Mock(seeds=(), internal_address="10.0.0.1:7000", bounds=Bounds())
         self._client = ControlPlaneClient(settings, None, lambda: 0.0, lambda snapshot: None)
 
     def take(self, name: str, update: PollResponse) -> None:
--- a/tests/system/test_gradual_release.py
+++ b/tests/system/test_gradual_release.py
@@ -16,6 +16,7 @@
 from mulleinhatch.data_plane.control_plane_client import ControlPlaneClient
 from mulleinhatch.messages.cluster import Entry, PollResponse
 from mulleinhatch.process.loop_watch import LoopWatch
+from mulleinhatch.process.settings import Bounds
 from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.replication.state import ControlState, EntryKind
 from mulleinhatch.simulation.control_plane.clients import routes_of
@@ -39,7 +40,7 @@
         slicer = TimeSlicer(LoopWatch(), processor_time=lambda: float(next(times)))
 
         async def replace() -> list[int]:
-            settings = mock.Mock(seeds=(), internal_address="10.0.0.1:7000")
+            settings = mock.Mock(seeds=(), internal_address="10.0.0.1:7000", bounds=Bounds())
             client = ControlPlaneClient(settings, None, asyncio.get_running_loop().time, lambda snapshot: None, slicer=slicer)
             await client._apply(configuration(1, 5000), 0.0)
             former = weakref.WeakSet(client.snapshot.table.routes.values())
--- a/tests/system/test_route_table_builder.py
+++ b/tests/system/test_route_table_builder.py
@@ -20,6 +20,7 @@
 from mulleinhatch.data_plane.control_plane_client import ControlPlaneClient
 from mulleinhatch.messages.cluster import PollResponse
 from mulleinhatch.process.loop_watch import LoopWatch
+from mulleinhatch.process.settings import Bounds
 from mulleinhatch.process.time_slices import TimeSlicer
 from mulleinhatch.simulation.control_plane.clients import routes_of
 from mulleinhatch.steps import complete
@@ -114,7 +115,7 @@
 
         async def apply() -> RouteTable:
             nonlocal turns
-            settings = mock.Mock(seeds=(), internal_address="10.0.0.1:7000")
+            settings = mock.Mock(seeds=(), internal_address="10.0.0.1:7000", bounds=Bounds())
             link = ControlPlaneClient(settings, None, asyncio.get_running_loop().time, lambda snapshot: None, slicer=slicer)
             applying = asyncio.ensure_future(link._apply(update, 0.0))
             while not applying.done():
