A changed settings file takes effect while a process runs: new seeds at once, on SIGHUP and without

Cause: a process finds the system only by addresses that it once heard, and the addresses of its settings were those of its start. 'SIGHUP ignored: settings are read at start-up only'; a file that changed without a signal was not seen. When the published chain and the first seeds are gone, a data plane polls dead addresses for ever, and a control plane sends heartbeats to them.

Evidence: tests/system/test_lost_contact.py on; the log of the front has three silent addresses and no other.

Why the fix works: both planes read the file on SIGHUP and each second, and compare its content (a file may be replaced by one with an earlier time). New seeds are polled, or sent heartbeats, at once; where no node confirms the configuration the round of polls under way ends. A file that is missing, invalid or names another process changes nothing and is reported once. All other settings wait for a restart and are named.

--- a/benchmarks/large_change_parts/measurements.py
+++ b/benchmarks/large_change_parts/measurements.py
@@ -20,6 +20,7 @@
 from mulleinhatch.control_plane import distribution
 from mulleinhatch.data_plane.control_plane_client import ControlPlaneClient
 from mulleinhatch.messages.cluster import Entry, PollResponse
+from mulleinhatch.process.settings import Bounds
 from mulleinhatch.replication.state import ControlState, EntryKind
 
 try:
--- a/mulleinhatch/control_plane/node.py
+++ b/mulleinhatch/control_plane/node.py
@@ -92,6 +92,7 @@
         self._tasks = BackgroundTasks()
         self._pauses = PauseDetector(clock, self._extend_grace_periods, self.watch)
         self._tolerance = FaultTolerance(settings.machines_tolerated, settings.zones_tolerated, settings.regions_tolerated)
+        self._seeds = settings.seeds
         self._applied_departures_index = 0  # departures in entries up to this index are applied to the registry
 
     # Start.
@@ -259,8 +260,17 @@
         """Send a heartbeat to every control-plane node soon."""
         self._heartbeats.request_heartbeat()
 
+    def replace_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Send heartbeats to the nodes at other seeds, from now on.
+
+        Args:
+            seeds: Control addresses.
+        """
+        self._seeds = seeds
+        self.request_heartbeat()
+
     def _heartbeat_addresses(self) -> list[str]:
-        seeds = [self._internal_address_of(seed) for seed in self.settings.seeds]
+        seeds = [self._internal_address_of(seed) for seed in self._seeds]
         return self.peers.addresses(self.view, seeds)
 
     def _internal_address_of(self, control_address: str) -> str:
--- a/mulleinhatch/control_plane/process.py
+++ b/mulleinhatch/control_plane/process.py
@@ -21,7 +21,8 @@
 from mulleinhatch.networking.http_server import MAX_BODY_BYTES, HttpServer
 from mulleinhatch.process.event_loop import running_watch
 from mulleinhatch.process.garbage_collection import GarbageCollection
-from mulleinhatch.process.settings import Settings
+from mulleinhatch.process.settings import Settings, settings_path
+from mulleinhatch.process.settings_watch import SettingsWatch
 from mulleinhatch.process.supervision import run_until_stopped, supervise
 from mulleinhatch.quotas.limits import QuotaBounds
 
@@ -96,11 +97,17 @@
         self.quotas.on_change()  # starts the wait of a new quota owner
         self._listen()
         self.loop.add_signal_handler(signal.SIGTERM, self._on_terminate)
-        self.loop.add_signal_handler(signal.SIGHUP, lambda: LOG.info("SIGHUP ignored: settings are read only at start"))
+        settings_watch = SettingsWatch(settings_path(), self.settings, self.node.replace_seeds)
+        self.loop.add_signal_handler(signal.SIGHUP, settings_watch.on_signal)
         self.garbage_collection.start()
         LOG.info("control plane started", extra={"identity": self.node.member.identity, "view_epoch": self.node.view.epoch})
-        jobs = supervise("placement", self.placement.run), supervise("garbage collection", self.garbage_collection.run)
-        await run_until_stopped(self.stopped, self.node.run(), *jobs)
+        jobs = {
+            "placement": self.placement.run,
+            "garbage collection": self.garbage_collection.run,
+            "settings": settings_watch.run,
+        }
+        supervised = [supervise(name, job) for name, job in jobs.items()]
+        await run_until_stopped(self.stopped, self.node.run(), *supervised)
 
     def _listen(self) -> None:
         server = HttpServer(self.loop)
--- a/mulleinhatch/data_plane/confirmation_watch.py
+++ b/mulleinhatch/data_plane/confirmation_watch.py
@@ -23,6 +23,9 @@
         targets: The nodes that the data plane polls.
         configuration_apply_s: Time within which an acknowledged configuration has to be in force, in seconds.
         started_at: Loop time in seconds.
+
+    Attributes:
+        is_confirmed: Whether a node in contact with a majority answered in the last round of polls.
     """
 
     def __init__(self, targets: PollTargets, configuration_apply_s: float, started_at: float) -> None:
@@ -30,12 +33,14 @@
         self._first_interval_s = FIRST_WARNING_SHARE * configuration_apply_s
         self._interval_s = self._first_interval_s
         self._confirmed_at, self._warned_at = started_at, started_at
+        self.is_confirmed = False
 
     def record_confirmed(self, address: str, now: float) -> None:
         """Record that a node in contact with a majority answered."""
         if self._warned_at > self._confirmed_at:
             fields = {"control_plane": address, "unconfirmed_s": self._unconfirmed_s(now)}
             LOG.info("a control plane confirms the configuration again", extra=fields)
+        self.is_confirmed = True
         self._confirmed_at = self._warned_at = now
         self._interval_s = self._first_interval_s
 
@@ -46,6 +51,7 @@
             version: Version of the configuration in force.
             now: Loop time in seconds.
         """
+        self.is_confirmed = False
         if now - self._warned_at < self._interval_s:
             return
         if self._warned_at > self._confirmed_at:
--- a/mulleinhatch/data_plane/control_plane_client.py
+++ b/mulleinhatch/data_plane/control_plane_client.py
@@ -100,8 +100,8 @@
         self._confirmed_at = -math.inf  # when a node with a majority last confirmed the configuration in force
         self._needs_complete_configuration = False  # an update could not be applied to the one in force
         self._registry_source, self._registry_cursor = "", 0
-        port = settings.internal_address.rpartition(":")[2]
-        self._targets = PollTargets(settings.name, [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds])
+        self._targets = PollTargets(settings.name, self._internal_addresses(settings.seeds))
+        self._results: asyncio.Queue[PollResult | None] = asyncio.Queue()  # of the current round; None ends it
         self._watch = ConfirmationWatch(self._targets, settings.bounds.configuration_apply_s, clock())
         self._control_epoch = 0  # epoch of the view that the published addresses belong to
         self._source = ""  # address of the node that last answered with a majority
@@ -112,6 +112,24 @@
         self.snapshot = ControlPlaneSnapshot()
         self.leader = ""  # internal address of the head of the chain, which leads placement once it holds the lease
 
+    def _internal_addresses(self, control_addresses: Sequence[str]) -> list[str]:
+        """Return the internal addresses of control-plane nodes: all nodes use the same internal port."""
+        port = self._settings.internal_address.rpartition(":")[2]
+        return [f"{address.rpartition(':')[0]}:{port}" for address in control_addresses]
+
+    def replace_seeds(self, seeds: Sequence[str]) -> None:
+        """Poll the nodes at other seeds, at once if no node confirms the configuration now.
+
+        Args:
+            seeds: Control addresses.
+        """
+        self._targets.replace_seeds(self._internal_addresses(seeds))
+        self._poll_new_targets()
+
+    def _poll_new_targets(self) -> None:
+        if not self._watch.is_confirmed:
+            self._results.put_nowait(None)
+
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
@@ -123,9 +141,9 @@
         """Poll nodes until one answers with a majority; return whether one did.
 
         The next node is asked as soon as the one before has failed, has answered without a majority, or is late. Of the nodes
-        asked before the one that answers, those without an answer count as silent.
+        asked before the one that answers, those without an answer count as silent. A round ends early if there are new nodes.
         """
-        results: asyncio.Queue[PollResult] = asyncio.Queue()
+        results = self._results = asyncio.Queue()
         polls: dict[str, asyncio.Task[None]] = {}
         remaining = list(addresses)
         try:
@@ -137,9 +155,13 @@
                     wait_s = POLL_WAIT_S if is_first and self._targets.is_responsive(address) else 0.0
                     polls[address] = asyncio.ensure_future(self._poll_into(results, address, wait_s))
                     patience_s = wait_s + NEXT_POLL_AFTER_S
-                result = await _next_result(results, patience_s)
-                if result is None:
+                try:
+                    async with asyncio.timeout(patience_s):
+                        result = await results.get()
+                except TimeoutError:
                     continue
+                if result is None:
+                    return False
                 earlier = list(polls)[: list(polls).index(result.address)]
                 del polls[result.address]
                 if await self._take(result):
@@ -151,7 +173,7 @@
             for poll in polls.values():
                 poll.cancel()
 
-    async def _poll_into(self, results: asyncio.Queue[PollResult], address: str, wait_s: float) -> None:
+    async def _poll_into(self, results: asyncio.Queue[PollResult | None], address: str, wait_s: float) -> None:
         """Poll a node; put the result into a queue, whatever happens: the round waits for one of each poll."""
         result = PollResult(address, None)
         try:
@@ -361,12 +383,3 @@
         except (HttpCallError, UnreadableMessageError):
             self._http.forget(self.leader)
             return False
-
-
-async def _next_result(results: asyncio.Queue[PollResult], patience_s: float | None) -> PollResult | None:
-    """Return the next result, None if there is none within some seconds."""
-    try:
-        async with asyncio.timeout(patience_s):
-            return await results.get()
-    except TimeoutError:
-        return None
--- a/mulleinhatch/data_plane/poll_targets.py
+++ b/mulleinhatch/data_plane/poll_targets.py
@@ -63,6 +63,14 @@
         if self.published == addresses:
             return
         self.published = list(addresses)
+        self._update_positions()
+
+    def replace_seeds(self, seeds: Sequence[str]) -> None:
+        """Replace the addresses that the settings name."""
+        self._seeds = list(seeds)
+        self._update_positions()
+
+    def _update_positions(self) -> None:
         self._positions = self._rank_positions()
         self._states = {address: state for address, state in self._states.items() if address in self._positions}
 
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -17,7 +17,8 @@
 from mulleinhatch.networking.http_server import HttpServer, HttpServerRequest, HttpServerResponse
 from mulleinhatch.process.event_loop import running_watch
 from mulleinhatch.process.garbage_collection import GarbageCollection
-from mulleinhatch.process.settings import Settings
+from mulleinhatch.process.settings import Settings, settings_path
+from mulleinhatch.process.settings_watch import SettingsWatch
 from mulleinhatch.process.supervision import supervise
 from mulleinhatch.process.time_slices import TimeSlicer
 
@@ -64,11 +65,13 @@
         status_server.listen(self._settings.listen["ready"], self._handle_operator_request)
         await self._listener.listen(self._settings.listen["front"])
         self._loop.add_signal_handler(signal.SIGTERM, self._begin_shutdown)
-        self._loop.add_signal_handler(signal.SIGHUP, lambda: LOG.info("SIGHUP ignored: settings are read at start-up only"))
+        settings_watch = SettingsWatch(settings_path(), self._settings, self._control_plane.replace_seeds)
+        self._loop.add_signal_handler(signal.SIGHUP, settings_watch.on_signal)
         self._garbage_collection.start()
         LOG.info("data plane started")
         jobs = {
             "control link": self._control_plane.run,
+            "settings": settings_watch.run,
             "sweep": self._sweep_forever,
             "demand": self._demand_reporter.run,
             "garbage collection": self._garbage_collection.run,
--- a/mulleinhatch/process/settings.py
+++ b/mulleinhatch/process/settings.py
@@ -251,9 +251,14 @@
     return _validate({key: pair.data for key, pair in properties.items()}, path)
 
 
+def settings_path() -> str:
+    """Return the path that the environment variable MULLEINHATCH_NODE_FILE names, empty without one."""
+    return os.environ.get(FILE_VARIABLE, "")
+
+
 def read_settings(path: str | None = None) -> Result[Settings, SettingsError]:
     """Read and validate the file at `path`, or the one named by the environment variable MULLEINHATCH_NODE_FILE."""
-    path = path or os.environ.get(FILE_VARIABLE, "")
+    path = path or settings_path()
     if not path:
         return Err(SettingsError(f"no settings file; set {FILE_VARIABLE} to its path"))
     try:
--- a/tests/system/test_poll_rounds.py
+++ b/tests/system/test_poll_rounds.py
@@ -176,6 +176,35 @@
         self.assertEqual(set(self.core.polled), {first})
 
 
+class NewTargetsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.core = Core()
+        self.addCleanup(self.core.stop)
+        await self.core.start()
+        self.link = ControlPlaneClient(settings(DEAD), HttpClient(), asyncio.get_running_loop().time, lambda snapshot: None)
+        running = asyncio.ensure_future(self.link.run())
+        self.addCleanup(running.cancel)
+
+    # Guards against a data plane that goes on polling addresses which are gone while its settings name living ones (CONFIG).
+    async def test_new_seeds_are_polled_at_once_while_no_node_answers(self):
+        await asyncio.sleep(0.7)  # in the middle of a round of polls
+        self.link.replace_seeds(LIVE)
+        async with asyncio.timeout(0.4):
+            while not self.link.snapshot.table.version:
+                await asyncio.sleep(0.01)
+
+    async def test_new_seeds_do_not_end_the_poll_of_a_node_that_confirms_the_configuration(self):
+        self.link.replace_seeds(LIVE)
+        async with asyncio.timeout(2.0):
+            while not self.link.snapshot.table.version:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        polls = len(self.core.polled)
+        self.link.replace_seeds([*LIVE, *DEAD])
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(self.core.polled), polls)
+
+
 class ConfirmationWatchTest(unittest.TestCase):
     def setUp(self):
         self.targets = PollTargets("data-1", DEAD[:2])
