Control planes call a data plane that no node hears of, and name the nodes that it may poll

Cause: nobody calls a data plane. One that was away while the published chain and the seeds of its settings were replaced depends on a settings file that names living nodes; where that does not change, or lags, it is out of contact for good. A core node in the same place is back at once, as its peers call it.

Why the fix works: a poll tells where the data plane can be called and the incarnation of its process. Nodes report the data planes that poll them in heartbeats (the list travels when it has changed, not otherwise). The call names the chain; the data plane polls it at once, and the poll decides as always (epoch, majority). A call for another name, or, to a process of the system's first start, for another incarnation, is rejected: a former system at the same addresses does no harm. One by an older view, or to a data plane that is confirmed, changes nothing.

Old and new processes form one fleet: an old data plane names no address and is not called, an old node ignores the fields.

--- a/benchmarks/in_force_parts/fleet.py
+++ b/benchmarks/in_force_parts/fleet.py
@@ -78,6 +78,7 @@
         self._seeds = self.control_addresses[:SEED_COUNT]
         self._silent: set[str] = set()
         self._absent: set[str] = set()
+        self._seeds_by_process: dict[str, list[str]] = {}  # as its settings file names them
         self._started_at: dict[str, float] = {}
         self.draw_update: Callable[[], SettingsUpdate] = lambda: SettingsUpdate.SILENT
         self.defect = PlantedDefect.NONE
@@ -157,6 +158,7 @@
         for name in absence.names:
             self._absent.discard(name)
             if absence.is_killed:
+                self._write_settings_with_former_seeds(name)
                 self._start_process(name)
             else:
                 self._processes[name].send_signal(signal.SIGCONT)
@@ -248,9 +250,17 @@
         disk = {"LONGEST_SYNC_S": str(self.longest_sync_s), "STALL_PROBABILITY": str(self.stall_probability)}
         return {**environment, "PYTHONPATH": str(SLOW_DISK), **disk}
 
+    def write_settings(self, name: str, is_first: bool = False) -> None:
+        """Write the settings file of a process with the seeds of this moment."""
+        self._seeds_by_process[name] = list(self._seeds)
+        super().write_settings(name, is_first)
+
+    def _write_settings_with_former_seeds(self, name: str) -> None:
+        super().write_settings(name)
+
     def _settings_lines(self, name: str, is_first: bool) -> list[str]:
         lines = [line for line in super()._settings_lines(name, is_first) if not line.startswith(("seeds=", "zone="))]
-        return [*lines, "seeds=" + ",".join(self._seeds), f"zone={self.zone_of(name)}"]
+        return [*lines, "seeds=" + ",".join(self._seeds_by_process[name]), f"zone={self.zone_of(name)}"]
 
     def _add_outage(self, name: str, kind: str, began_at: float) -> None:
         self._records.outages.append(Outage(name, kind, began_at, self._now()))
--- a/mulleinhatch/control_plane/distribution.py
+++ b/mulleinhatch/control_plane/distribution.py
@@ -12,6 +12,7 @@
 from typing import Protocol, TypedDict
 
 from mulleinhatch.control_plane.configuration_encoder import ConfigurationEncoder, EncodedConfiguration
+from mulleinhatch.control_plane.data_plane_directory import DataPlaneDirectory
 from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.control_plane.registry import BackendRegistry
 from mulleinhatch.messages.cluster import Member, PollRequest, View
@@ -34,6 +35,7 @@
     peers: Peers
     registry: BackendRegistry
     state: ControlState
+    data_planes: DataPlaneDirectory
 
     @property
     def view(self) -> View:
@@ -133,6 +135,7 @@
         """Wait until there is an update for the data plane, its wait time ends or the view changes; then respond."""
         poller = self._pollers.setdefault(request.node, PollerState(self._clock()))
         poller.polled_at, poller.version = self._clock(), request.configuration_version
+        self._node.data_planes.record_poll(request.node, request.call_address, request.incarnation, poller.polled_at)
         end = self._clock() + min(MAX_WAIT_S, request.wait_ms / 1000.0)
         epoch = self._node.view.epoch
         while (
--- a/mulleinhatch/control_plane/heartbeats.py
+++ b/mulleinhatch/control_plane/heartbeats.py
@@ -12,6 +12,7 @@
 from mulleinhatch.control_plane.backend_handoff import BackendHandoff
 from mulleinhatch.control_plane.background_tasks import BackgroundTasks
 from mulleinhatch.control_plane.confirmation_ages import ConfirmationAges
+from mulleinhatch.control_plane.data_plane_directory import DataPlaneDirectory
 from mulleinhatch.control_plane.internal_client import InternalClient
 from mulleinhatch.control_plane.majority_contact import MajorityContact
 from mulleinhatch.control_plane.node_status import NodeStatus
@@ -83,9 +84,10 @@
         handoff: BackendHandoff,
         status: NodeStatus,
         contact: MajorityContact,
+        data_planes: DataPlaneDirectory,
     ) -> None:
         self._clock, self._peers, self._client, self._view_changer = clock, peers, client, view_changer
-        self._handoff, self._status, self._contact = handoff, status, contact
+        self._handoff, self._status, self._contact, self._data_planes = handoff, status, contact, data_planes
 
     async def send(self, address: str) -> None:
         """Send a heartbeat to an address. An unreachable node is not an error."""
@@ -116,6 +118,9 @@
         heartbeat = self._status.build_heartbeat(self._handoff.records(backend_ids, now), now)
         if peer is not None and peer.epoch < self._status.view.epoch:
             heartbeat.newest = self._status.view
+        data_plane_list = self._data_planes.list_for_peers(now)
+        if peer is not None and peer.acknowledged_data_plane_revision != data_plane_list.revision:
+            heartbeat.data_plane_list = data_plane_list
         return heartbeat
 
 
@@ -130,9 +135,10 @@
         handoff: BackendHandoff,
         status: NodeStatus,
         tasks: BackgroundTasks,
+        data_planes: DataPlaneDirectory,
     ) -> None:
         self._clock, self._peers, self._view_changer = clock, peers, view_changer
-        self._handoff, self._status, self._tasks = handoff, status, tasks
+        self._handoff, self._status, self._tasks, self._data_planes = handoff, status, tasks, data_planes
         self._ages = ConfirmationAges(started_at=clock())
         self._has_requested_backends = False
 
@@ -142,11 +148,15 @@
         is_known = heartbeat.sender.identity in self._peers.by_identity
         peer = self._peers.record_heartbeat(heartbeat, now)
         self._handoff.merge(heartbeat.backends, now)
+        self._data_planes.merge(heartbeat.data_plane_list.data_planes, now)
+        if peer is not None:
+            self._data_planes.merge(peer.data_planes_in_contact, now)
         response = HeartbeatResponse(
             sender=self._peers.own,
             epoch=view.epoch,
             current=self._view_changer.confirms_epoch(view.epoch),
             needs_all_backends=not self._has_requested_backends and not is_known,
+            data_plane_revision=peer.data_plane_revision if peer is not None else 0,
         )
         if response.current:
             self._ages.record(heartbeat.sender.internal_address, now)
--- a/mulleinhatch/control_plane/node.py
+++ b/mulleinhatch/control_plane/node.py
@@ -20,6 +20,8 @@
 from mulleinhatch.control_plane.background_tasks import BackgroundTasks
 from mulleinhatch.control_plane.catch_up import CatchUp
 from mulleinhatch.control_plane.configuration_changes import ConfigurationChanges, ConfigurationResult
+from mulleinhatch.control_plane.data_plane_calls import DataPlaneCalls
+from mulleinhatch.control_plane.data_plane_directory import DataPlaneDirectory
 from mulleinhatch.control_plane.heartbeats import HeartbeatResponder, HeartbeatScheduler, HeartbeatSender
 from mulleinhatch.control_plane.internal_client import InternalClient
 from mulleinhatch.control_plane.leadership_claims import LeadershipClaims
@@ -49,6 +51,7 @@
 
 LOG = logging.getLogger(__name__)
 DISK_RETRY_S = 0.5
+REVISIONS_PER_S = 1_000_000  # more than a list of data planes can have: a restarted node does not use a revision again
 
 
 class NodeObserver(LocalActivity, Protocol):
@@ -93,6 +96,7 @@
         self._pauses = PauseDetector(clock, self._extend_grace_periods, self.watch)
         self._tolerance = FaultTolerance(settings.machines_tolerated, settings.zones_tolerated, settings.regions_tolerated)
         self._seeds = settings.seeds
+        self.data_planes = DataPlaneDirectory(first_revision=int(clock() * REVISIONS_PER_S))
         self._applied_departures_index = 0  # departures in entries up to this index are applied to the registry
 
     # Start.
@@ -151,10 +155,11 @@
             self.backend_handoff,
             self.status,
             self.contact,
+            self.data_planes,
         )
         self._heartbeats = HeartbeatScheduler(self.clock, self._heartbeat_addresses, self._heartbeat_sender.send, self._tasks)
         self.heartbeat_responder = HeartbeatResponder(
-            self.clock, self.peers, self.view_changer, self.backend_handoff, self.status, self._tasks
+            self.clock, self.peers, self.view_changer, self.backend_handoff, self.status, self._tasks, self.data_planes
         )
 
     def _wire_writes(self) -> None:
@@ -182,6 +187,9 @@
             self.backend_handoff.expire,
         )
         self._backend_persistence = BackendPersistence(self.registry, self.state_store, self.replica)
+        self._data_plane_calls = DataPlaneCalls(
+            self.clock, self.data_planes, self._client, lambda: self.view, self.has_majority_contact, self._tasks
+        )
 
     def _restore(self, restored: Restored) -> None:
         if restored.snapshot.index:
@@ -210,6 +218,7 @@
             "log replication": self._log_replicator.run,
             "catch-up": self._catch_up.run,
             "backend persistence": self._backend_persistence.run,
+            "calls of data planes": self._data_plane_calls.run,
         }
         await asyncio.gather(*(supervise(name, loop) for name, loop in loops.items()))
 
--- a/mulleinhatch/control_plane/peers.py
+++ b/mulleinhatch/control_plane/peers.py
@@ -8,7 +8,7 @@
 from mulleinhatch.consensus.paxos import identities
 from mulleinhatch.consensus.view_planner import MemberHealth
 from mulleinhatch.membership.view_timing import ALIVE_S, AUTHORITY_S
-from mulleinhatch.messages.cluster import Heartbeat, HeartbeatResponse, Member, View
+from mulleinhatch.messages.cluster import DataPlane, Heartbeat, HeartbeatResponse, Member, View
 
 UNRESPONSIVE_AFTER_S = 1.6  # a member that has not responded for this long is reported to the peers as unresponsive
 PEER_EXPIRY_S = 60.0  # a silent peer that is neither a voter nor in the chain is removed after this long
@@ -35,6 +35,9 @@
     orders_idle_s: float = 0.0
     unresponsive_peers: frozenset[str] = frozenset()  # identities of members that do not respond to it
     keeps_tenants: bool = False  # whether its version applies the tenants of a patch
+    data_plane_revision: int = 0  # of its list of data planes, as last received; 0 before that
+    acknowledged_data_plane_revision: int = 0  # of this node's list, as the peer reported
+    data_planes_in_contact: tuple[DataPlane, ...] = ()  # those that poll it, by its list
     unacknowledged_backends: set[str] = field(default_factory=set)  # their records are sent again (hinted handoff)
 
 
@@ -80,6 +83,10 @@
         peer.data_planes = heartbeat.data_planes
         peer.orders_idle_s = heartbeat.orders_idle_ms / 1000.0
         peer.keeps_tenants = heartbeat.keeps_tenants
+        if heartbeat.data_plane_list.revision:
+            data_planes = heartbeat.data_plane_list.data_planes
+            peer.data_plane_revision = heartbeat.data_plane_list.revision
+            peer.data_planes_in_contact = tuple(one for one in data_planes if one.in_contact)
         self._expire_former_identities(peer)
         return peer
 
@@ -98,6 +105,7 @@
             return None
         peer.answered_at, peer.member = now, response.sender
         peer.epoch = max(peer.epoch, response.epoch)
+        peer.acknowledged_data_plane_revision = response.data_plane_revision
         sent_at = now if sent_at is None else sent_at
         peer.unconfirmed_epoch = 0 if response.current else response.epoch
         if response.current and sent_at >= peer.confirmed_at:
--- a/mulleinhatch/data_plane/control_plane_client.py
+++ b/mulleinhatch/data_plane/control_plane_client.py
@@ -12,7 +12,7 @@
 import math
 import os
 import zlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -27,7 +27,15 @@
 from mulleinhatch.data_plane.control_plane_snapshot import ControlPlaneSnapshot
 from mulleinhatch.data_plane.poll_targets import PollTargets, TargetStatus
 from mulleinhatch.errors import ConfigurationError
-from mulleinhatch.messages.cluster import DemandReport, DemandResponse, ModelDemand, PollRequest, PollResponse
+from mulleinhatch.messages.cluster import (
+    ContactRequest,
+    ContactResponse,
+    DemandReport,
+    DemandResponse,
+    ModelDemand,
+    PollRequest,
+    PollResponse,
+)
 from mulleinhatch.messages.parsing import UnreadableMessageError, parse_message
 from mulleinhatch.networking.http_client import HttpCallError, HttpClient
 from mulleinhatch.process.loop_watch import LoopWatch
@@ -43,6 +51,7 @@
 NEXT_POLL_AFTER_S = 0.2  # without an answer after the wait, the next node is asked beside this one
 POLL_RETRY_DELAY_S = 0.1
 DEMAND_REPORT_TIMEOUT_S = 0.6
+INCARNATION_BYTES = 7  # of the random number that tells this process from others of its name
 DIGEST_KEY_BYTES = 32  # length of the random key for this process's digests of the tenants' API keys
 SLICE_S = 0.001  # of processor time: requests wait for as long as it takes on this machine's share of a core
 
@@ -79,6 +88,11 @@
         on_snapshot: Called with each new snapshot.
         on_new_leader: Called when the placement leader changes.
         slicer: Runs the work that grows with the configuration.
+
+    Attributes:
+        snapshot: The newest snapshot.
+        leader: Internal address of the head of the chain, which leads placement once it holds the lease; empty if unknown.
+        call_address: Where control-plane nodes can call this data plane, empty if they can't.
     """
 
     def __init__(
@@ -90,6 +104,8 @@
         on_new_leader: Callable[[], None] = lambda: None,
         slicer: TimeSlicer | None = None,
     ) -> None:
+        self.call_address = ""
+        self._incarnation = int.from_bytes(os.urandom(INCARNATION_BYTES))
         self._settings, self._http, self._clock = settings, http, clock
         self._slicer = slicer or TimeSlicer(LoopWatch(), SLICE_S)
         self._on_snapshot, self._on_new_leader = on_snapshot, on_new_leader
@@ -110,7 +126,7 @@
         self._deregistrations_index = 0  # log index up to which deregistered backends are known
         self._unconfirmed_since: float | None = None  # when a first configuration was offered without a majority
         self.snapshot = ControlPlaneSnapshot()
-        self.leader = ""  # internal address of the head of the chain, which leads placement once it holds the lease
+        self.leader = ""
 
     def _internal_addresses(self, control_addresses: Sequence[str]) -> list[str]:
         """Return the internal addresses of control-plane nodes: all nodes use the same internal port."""
@@ -130,6 +146,20 @@
         if not self._watch.is_confirmed:
             self._results.put_nowait(None)
 
+    def on_call(self, call: ContactRequest) -> ContactResponse:
+        """Poll the nodes that a control-plane node names in a call, unless one confirms the configuration already.
+
+        A call only tells where to poll. One for another name is rejected; one for another incarnation too if this process was
+        started with the whole system, as it may come from a former system at the same addresses.
+        """
+        is_other_process = call.incarnation != self._incarnation and self._settings.first_start
+        if call.name != self._settings.name or is_other_process:
+            return ContactResponse(is_known=False)
+        if call.epoch >= self._epoch and not self._watch.is_confirmed and self._targets.add_called(call.control_addresses):
+            LOG.info("a control plane called and is polled", extra={"control_planes": call.control_addresses})
+            self._poll_new_targets()
+        return ContactResponse(is_known=True)
+
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
@@ -161,18 +191,22 @@
                 except TimeoutError:
                     continue
                 if result is None:
+                    self._record_silence(polls)
                     return False
                 earlier = list(polls)[: list(polls).index(result.address)]
                 del polls[result.address]
                 if await self._take(result):
-                    for silent in earlier:
-                        self._targets.record_silence(silent, self._clock())
+                    self._record_silence(earlier)
                     return True
             return False
         finally:
             for poll in polls.values():
                 poll.cancel()
 
+    def _record_silence(self, addresses: Iterable[str]) -> None:
+        for address in addresses:
+            self._targets.record_silence(address, self._clock())
+
     async def _poll_into(self, results: asyncio.Queue[PollResult | None], address: str, wait_s: float) -> None:
         """Poll a node; put the result into a queue, whatever happens: the round waits for one of each poll."""
         result = PollResult(address, None)
@@ -199,6 +233,8 @@
             registry_cursor=self._registry_cursor,
             wait_ms=int(1000 * wait_s),
             departure_index=self._deregistrations_index,
+            call_address=self.call_address,
+            incarnation=self._incarnation,
         )
         timeout_s = max(FIRST_POLL_TIMEOUT_S, wait_s + POLL_RESPONSE_MARGIN_S)
         sent_at = self._clock()
@@ -228,6 +264,7 @@
         is_usable = update.authoritative and not self._needs_complete_configuration
         self._targets.record_answer(result.address, is_usable, self._clock())
         if is_usable:
+            self._targets.forget_called()
             self._watch.record_confirmed(result.address, self._clock())
         if is_usable and result.address != self._source:
             fields = {"control_plane": result.address, "former": self._source, "view_epoch": update.epoch}
--- a/mulleinhatch/data_plane/poll_targets.py
+++ b/mulleinhatch/data_plane/poll_targets.py
@@ -4,7 +4,7 @@
 | --- | --- |
 | of the published chain, confirmed by its last answer or not asked lately | first |
 | of the published chain, answered without contact with a majority a moment ago | second |
-| named by the settings only | third |
+| named by the settings, or by a call of a control-plane node | third |
 | did not answer a moment ago | last |
 
 Within a rank, rendezvous hashing spreads the data planes over the nodes.
@@ -19,6 +19,7 @@
 from mulleinhatch.membership.rendezvous import rank_by_weight
 
 SILENT_S = 2.0  # a node that did not answer is asked last for this time
+MAX_CALLED = 9  # addresses named in calls that are kept
 UNCONFIRMED_S = 2.0  # a node that answered without contact with a majority is asked after the others for this time
 
 
@@ -54,6 +55,7 @@
 
     def __init__(self, name: str, seeds: Sequence[str]) -> None:
         self._name, self._seeds = name, list(seeds)
+        self._called: list[str] = []
         self.published: list[str] = []
         self._positions = self._rank_positions()  # by address: its place by rendezvous hashing
         self._states: dict[str, TargetState] = {}
@@ -65,6 +67,19 @@
         self.published = list(addresses)
         self._update_positions()
 
+    def add_called(self, addresses: Sequence[str]) -> bool:
+        """Add addresses that a control-plane node named in a call, the latest `MAX_CALLED`; return whether one is new."""
+        is_new = any(address not in self._positions for address in addresses)
+        self._called = list(dict.fromkeys([*addresses, *self._called]))[:MAX_CALLED]
+        self._update_positions()
+        return is_new
+
+    def forget_called(self) -> None:
+        """Forget the addresses that were named in calls: a node has published its chain since."""
+        if self._called:
+            self._called = []
+            self._update_positions()
+
     def replace_seeds(self, seeds: Sequence[str]) -> None:
         """Replace the addresses that the settings name."""
         self._seeds = list(seeds)
@@ -75,7 +90,7 @@
         self._states = {address: state for address, state in self._states.items() if address in self._positions}
 
     def _rank_positions(self) -> dict[str, int]:
-        order = rank_by_weight(self._name, dict.fromkeys([*self.published, *self._seeds]))
+        order = rank_by_weight(self._name, dict.fromkeys([*self.published, *self._seeds, *self._called]))
         return {address: position for position, address in enumerate(order)}
 
     @property
@@ -86,12 +101,15 @@
     def status(self) -> dict[str, TargetStatus]:
         """Return what is known of each node, by its address."""
         return {
-            address: TargetStatus(
-                named_by="control plane" if address in self.published else "settings", responsive=self.is_responsive(address)
-            )
+            address: TargetStatus(named_by=self._naming(address), responsive=self.is_responsive(address))
             for address in self._positions
         }
 
+    def _naming(self, address: str) -> str:
+        if address in self.published:
+            return "control plane"
+        return "settings" if address in self._seeds else "call"
+
     def ranked(self, now: float) -> list[str]:
         """Return all addresses, the one to poll first in front."""
         published = self.published or self._positions
--- a/mulleinhatch/data_plane/process.py
+++ b/mulleinhatch/data_plane/process.py
@@ -7,6 +7,7 @@
 import signal
 from typing import Any
 
+from mulleinhatch.data_plane.contact_server import ContactServer
 from mulleinhatch.data_plane.control_plane_client import SLICE_S, ControlPlaneClient
 from mulleinhatch.data_plane.demand_reporter import DemandReporter
 from mulleinhatch.data_plane.listener import Listener
@@ -63,6 +64,8 @@
         """Serve until SIGTERM, then until all accepted requests are answered."""
         status_server = HttpServer(self._loop)
         status_server.listen(self._settings.listen["ready"], self._handle_operator_request)
+        contact_server = ContactServer(self._control_plane.on_call)
+        self._control_plane.call_address = contact_server.listen(status_server, self._settings.call_address)
         await self._listener.listen(self._settings.listen["front"])
         self._loop.add_signal_handler(signal.SIGTERM, self._begin_shutdown)
         settings_watch = SettingsWatch(settings_path(), self._settings, self._control_plane.replace_seeds)
--- a/mulleinhatch/messages/cluster.py
+++ b/mulleinhatch/messages/cluster.py
@@ -237,6 +237,63 @@
     # The sender's version applies the tenants in a patch; versions without
     # support for tenants ignore them.
     keeps_tenants: bool = betterproto.bool_field(15)
+    # The data planes that the sender knows, if the receiver is not known to
+    # have this revision of the list.
+    data_plane_list: "DataPlaneList" = betterproto.message_field(16)
+
+
+@dataclass
+class DataPlane(Message):
+    """
+    A data plane, as a control-plane node knows it.
+    """
+
+    name: str = betterproto.string_field(1)
+    # Where it can be called.
+    call_address: str = betterproto.string_field(2)
+    # Drawn at its start.
+    incarnation: int = betterproto.uint64_field(3)
+    # It polled the sender a moment ago.
+    in_contact: bool = betterproto.bool_field(4)
+    # Since its last poll of any node, as far as the sender knows, rounded down;
+    # 0 if in contact.
+    silent_minutes: int = betterproto.uint32_field(5)
+
+
+@dataclass
+class DataPlaneList(Message):
+    """
+    The data planes that a control-plane node knows. Each change has a new
+    revision; a restarted node begins elsewhere.
+    """
+
+    data_planes: List["DataPlane"] = betterproto.message_field(1)
+    revision: int = betterproto.uint64_field(2)
+
+
+@dataclass
+class ContactRequest(Message):
+    """
+    Calls a data plane that no node has heard of for some time: names nodes
+    that it may poll. Sent by control-plane nodes.
+    """
+
+    # The data plane that is called.
+    name: str = betterproto.string_field(1)
+    incarnation: int = betterproto.uint64_field(2)
+    # The epoch of the sender's view, and the internal addresses of its chain.
+    epoch: int = betterproto.uint64_field(3)
+    control_addresses: List[str] = betterproto.string_field(4)
+
+
+@dataclass
+class ContactResponse(Message):
+    """
+    The response to ContactRequest. `is_known` is false if another data plane
+    is at this address: the caller forgets it.
+    """
+
+    is_known: bool = betterproto.bool_field(1)
 
 
 @dataclass
@@ -254,6 +311,9 @@
     # The view of `epoch` is the newest that the responder knows, and it has
     # accepted no later one.
     current: bool = betterproto.bool_field(6)
+    # The revision of the sender's list of data planes that the responder has,
+    # 0 without one.
+    data_plane_revision: int = betterproto.uint64_field(7)
 
 
 @dataclass
@@ -360,6 +420,10 @@
     wait_ms: int = betterproto.uint32_field(7)
     # The index of the newest departure entry that the data plane knows.
     departure_index: int = betterproto.uint64_field(8)
+    # Where the data plane can be called, empty if it can't, and a number that
+    # it drew at its start.
+    call_address: str = betterproto.string_field(9)
+    incarnation: int = betterproto.uint64_field(10)
 
 
 @dataclass
--- a/mulleinhatch/process/settings.py
+++ b/mulleinhatch/process/settings.py
@@ -100,6 +100,8 @@
         bounds: Limits and durations of the deployment's rules.
         zones_tolerated: The number of zones that may fail at once.
         regions_tolerated: The number of regions that may fail at once.
+        call_address: "HOST:PORT" where control-plane nodes can call a data plane: the last internal port of its machine, as a
+            control-plane node of the same machine has the first one. Empty if there is no second port.
     """
 
     name: str
@@ -120,6 +122,7 @@
     bounds: Bounds
     zones_tolerated: int = 0
     regions_tolerated: int = 0
+    call_address: str = ""
 
 
 def _parse_boolean(text: str) -> bool:
@@ -206,13 +209,15 @@
 
 def _build_settings(checked: dict[str, Any], values: dict[str, str]) -> Settings:
     """Build the settings from the validated values and, for keys that the schema does not list, from the raw values."""
+    first_port, last_port = checked["internal_port_range"]
     return Settings(
         name=checked["node_name"],
         ip_address=checked["ip_address"],
         zone=checked["zone"],
         region=checked["region"],
         listen={purpose: text for purpose, text in _with_prefix(values, "listen.").items() if text},
-        internal_address=f"{checked['ip_address']}:{checked['internal_port_range'][0]}",
+        internal_address=f"{checked['ip_address']}:{first_port}",
+        call_address=f"{checked['ip_address']}:{last_port}" if last_port > first_port else "",
         seeds=checked["seeds"],
         first_start=checked["first_start"],
         counts_for_quorum=checked["counts_for_quorum"],
--- a/tests/system/test_old_messages.py
+++ b/tests/system/test_old_messages.py
@@ -54,7 +54,9 @@
 ADDED_FIELDS: dict[type[betterproto.Message], set[int]] = {
     cluster.Member: {5, 6},
     cluster.SnapshotRequest: {2},
-    cluster.Heartbeat: {15},
+    cluster.Heartbeat: {15, 16},
+    cluster.HeartbeatResponse: {7},
+    cluster.PollRequest: {9, 10},
 }
 # Classes that were added since then; the old version has no messages of these classes.
 ADDED_CLASSES = {
@@ -67,6 +69,10 @@
     cluster.QuotaHandoverResponse,
     cluster.ConfirmationAgeRequest,
     cluster.ConfirmationAgeResponse,
+    cluster.DataPlane,
+    cluster.DataPlaneList,
+    cluster.ContactRequest,
+    cluster.ContactResponse,
 }
 CURRENT_INSTANCE_CLASSES: dict[str, type[msgspec.Struct]] = {
     "Letter": gossip_messages.GossipMessage,
@@ -98,12 +104,17 @@
     if isinstance(value, betterproto.Message):
         numbered = [(field.metadata["betterproto"].number, getattr(value, field.name)) for field in dataclasses.fields(value)]
         added = ADDED_FIELDS.get(type(value), set())
-        return {str(number): by_number(one) for number, one in numbered if one or number not in added}
+        return {str(number): by_number(one) for number, one in numbered if number not in added or not is_empty(one)}
     if isinstance(value, list):
         return [by_number(one) for one in value]
     return {"bytes": value.hex()} if isinstance(value, bytes) else value
 
 
+def is_empty(value: Any) -> bool:
+    """Return whether a field has no bytes on the wire."""
+    return not bytes(value) if isinstance(value, betterproto.Message) else not value
+
+
 def as_json(message: msgspec.Struct) -> Any:
     """Return a message between instances as decoded JSON: fields as array elements, bytes in base 64."""
     return json.loads(msgspec.json.encode(message))
--- a/tests/system/test_poll_rounds.py
+++ b/tests/system/test_poll_rounds.py
@@ -7,13 +7,14 @@
 import os
 import unittest
 import zlib
+from dataclasses import replace
 
 from mulleinhatch.data_plane import confirmation_watch
 from mulleinhatch.data_plane.confirmation_watch import ConfirmationWatch
 from mulleinhatch.data_plane.control_plane_client import ControlPlaneClient
-from mulleinhatch.data_plane.poll_targets import SILENT_S, UNCONFIRMED_S, PollTargets
+from mulleinhatch.data_plane.poll_targets import MAX_CALLED, SILENT_S, UNCONFIRMED_S, PollTargets
 from mulleinhatch.membership.rendezvous import rank_by_weight
-from mulleinhatch.messages.cluster import PollRequest, PollResponse
+from mulleinhatch.messages.cluster import ContactRequest, PollRequest, PollResponse
 from mulleinhatch.networking.http_client import HttpClient
 from mulleinhatch.networking.http_streaming import MessageReader, write_response
 from mulleinhatch.process.settings import Bounds, Settings
@@ -205,6 +206,80 @@
         self.assertEqual(len(self.core.polled), polls)
 
 
+class CallsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.core = Core()
+        self.addCleanup(self.core.stop)
+        await self.core.start()
+        self.is_first_start = False
+
+    def start(self) -> None:
+        own = replace(settings(DEAD), first_start=self.is_first_start)
+        self.link = ControlPlaneClient(own, HttpClient(), asyncio.get_running_loop().time, lambda snapshot: None)
+        running = asyncio.ensure_future(self.link.run())
+        self.addCleanup(running.cancel)
+
+    def call(self, name: str = "data-1", incarnation: int = 1, epoch: int = 1, addresses: list[str] = LIVE) -> bool:
+        """Call the data plane; return whether it knows itself by that name and incarnation."""
+        return self.link.on_call(ContactRequest(name, incarnation, epoch, addresses)).is_known
+
+    def named_by_calls(self) -> set[str]:
+        """Return the addresses that only calls named."""
+        return {address for address, one in self.link.targets_status().items() if one["named_by"] == "call"}
+
+    async def is_configured_within(self, seconds: float) -> bool:
+        """Return whether a configuration is in force after some seconds at most."""
+        try:
+            async with asyncio.timeout(seconds):
+                while not self.link.snapshot.table.version:
+                    await asyncio.sleep(0.01)
+        except TimeoutError:
+            return False
+        return True
+
+    # Guards against a data plane that nobody calls while every address that it knows is gone (CONFIG).
+    async def test_the_nodes_that_a_call_names_are_polled_at_once(self):
+        self.start()
+        await asyncio.sleep(0.7)  # in the middle of a round of polls
+        self.assertTrue(self.call())
+        self.assertEqual(self.named_by_calls(), set(LIVE))
+        self.assertTrue(await self.is_configured_within(0.4))
+        self.assertEqual(self.named_by_calls(), set())
+
+    async def test_a_call_for_another_name_has_no_effect(self):
+        self.start()
+        self.assertFalse(self.call(name="data-2"))
+        self.assertFalse(await self.is_configured_within(0.5))
+
+    # Guards against a former system at the same addresses whose nodes call a data plane of the new one.
+    async def test_a_process_that_was_started_with_the_system_rejects_calls_of_another_incarnation(self):
+        self.is_first_start = True
+        self.start()
+        self.assertFalse(self.call())
+        self.assertFalse(await self.is_configured_within(0.5))
+        self.assertTrue(self.call(incarnation=self.link._incarnation))
+        self.assertTrue(await self.is_configured_within(0.5))
+
+    async def test_a_call_by_an_older_view_has_no_effect(self):
+        self.core.epoch = 5
+        self.start()
+        self.link.replace_seeds(LIVE)
+        self.assertTrue(await self.is_configured_within(2.0))
+        self.core.silent |= set(LIVE)
+        await asyncio.sleep(4.0)
+        self.assertTrue(self.call(epoch=4, addresses=["127.4.0.1:1"]))
+        self.assertEqual(self.named_by_calls(), set())
+        self.assertTrue(self.call(epoch=5, addresses=["127.4.0.1:1"]))
+        self.assertEqual(self.named_by_calls(), {"127.4.0.1:1"})
+
+    async def test_calls_change_nothing_while_a_node_confirms_the_configuration(self):
+        self.start()
+        self.link.replace_seeds(LIVE[:1])
+        self.assertTrue(await self.is_configured_within(2.0))
+        self.assertTrue(self.call(epoch=9, addresses=["127.4.0.1:1"]))
+        self.assertEqual(self.named_by_calls(), set())
+
+
 class ConfirmationWatchTest(unittest.TestCase):
     def setUp(self):
         self.targets = PollTargets("data-1", DEAD[:2])
@@ -261,6 +336,14 @@
         self.assertFalse(self.targets.is_responsive(self.order[0]))
         self.assertEqual(self.targets.ranked(SILENT_S)[:3], self.order)
 
+    def test_only_the_latest_addresses_of_calls_are_kept(self):
+        addresses = [f"127.4.0.{number}:1" for number in range(2 * MAX_CALLED)]
+        for address in addresses:
+            self.assertTrue(self.targets.add_called([address]))
+        named = {address for address, one in self.targets.status().items() if one["named_by"] == "call"}
+        self.assertEqual(named, set(addresses[-MAX_CALLED:]))
+        self.assertFalse(self.targets.add_called(addresses[-1:]))
+
     def test_without_published_nodes_the_seeds_are_asked(self):
         self.assertEqual(PollTargets("data-1", DEAD).ranked(0.0), rank_by_weight("data-1", DEAD))
 
--- a/tests/system/test_poll_status.py
+++ b/tests/system/test_poll_status.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 
 from mulleinhatch.configuration.document import Document
+from mulleinhatch.control_plane.data_plane_directory import DataPlaneDirectory
 from mulleinhatch.control_plane.distribution import Distribution
 from mulleinhatch.control_plane.registry import BackendRegistry
 from mulleinhatch.messages.cluster import PollRequest, View
@@ -29,6 +30,7 @@
             peers=SimpleNamespace(by_identity={}),
             registry=BackendRegistry(1.0, lambda backend_id: None),
             state=state,
+            data_planes=DataPlaneDirectory(1),
             view=View(epoch=3),
             head=None,
             has_majority_contact=lambda: is_confirmed,
--- a/tests/system/test_quotas.py
+++ b/tests/system/test_quotas.py
@@ -13,6 +13,7 @@
 
 from mulleinhatch.configuration.document import Document
 from mulleinhatch.control_plane.confirmation_ages import ConfirmationAges
+from mulleinhatch.control_plane.data_plane_directory import DataPlaneDirectory
 from mulleinhatch.control_plane.heartbeats import HeartbeatResponder
 from mulleinhatch.control_plane.peers import Peers
 from mulleinhatch.control_plane.quota_handover import HANDOVER_PATH
@@ -432,6 +433,7 @@
             SimpleNamespace(merge=lambda backends, now: None, resend_all=lambda peer: None),
             SimpleNamespace(view=self.known),
             SimpleNamespace(start=lambda work: work.close()),
+            DataPlaneDirectory(1),
         )
         self.view_changer = view_changer
 
