--- a/benchmarks/days/points.py
+++ b/benchmarks/days/points.py
@@ -1,4 +1,4 @@
-"""Days for the five worst cases (points) of users, at any deployment.
+"""Days for the worst cases (points) of users, and for reported incidents, at any deployment.
 
 Times are seconds from the start of traffic. Faults follow each other as soon as the fault tolerance of the deployment allows.
 """
@@ -6,11 +6,23 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from functools import partial
 from typing import Any
 
 Entry = dict[str, Any]
 FIRST_S = 3.0
-POINTS = ("cut_off", "two_operators", "loss_after_repair", "hundreds_of_changes", "crossed_answers", "all_five")
+POINTS = (
+    "cut_off",
+    "two_operators",
+    "loss_after_repair",
+    "hundreds_of_changes",
+    "crossed_answers",
+    "all_five",
+    "cut_away",
+    "frozen_away",
+)
+FRONT_SHARE_AWAY = 0.3
+RETURN_S = 4.0  # from the end of an absence to the first of the changes that show what is in force
 
 
 def _entry(at: float, kind: str, **more: Any) -> Entry:
@@ -85,6 +97,25 @@
     return [_entry(FIRST_S, "config_change", how="idle")], faults
 
 
+def _away(kind: str, site: Mapping[str, Any], catch_up_s: float, length_s: float) -> tuple[list[Entry], list[Entry]]:
+    """Return a day on which fronts are away while all core machines are replaced, and changes are sparse."""
+    step_s = catch_up_s + 1.0
+    replacements = int((length_s - FIRST_S - 3 * RETURN_S) // step_s)
+    away_s = replacements * step_s + 0.5
+    back_at = FIRST_S + away_s
+    plan = [
+        _entry(0.5, "config_change", how="route"),
+        _entry(1.2, "config_change", how="idle"),
+        _entry(1.8, "config_change", how="weights"),
+        _entry(FIRST_S + step_s, "hup", share=0.5),
+        _entry(back_at + RETURN_S, "config_storm", gap_s=2.6, for_s=length_s - back_at - 2 * RETURN_S, how="idle"),
+        _entry(back_at + RETURN_S + 1.2, "config_storm", gap_s=2.6, for_s=length_s - back_at - 2 * RETURN_S, how="route"),
+    ]
+    faults = [_entry(FIRST_S - 0.5, kind, share=FRONT_SHARE_AWAY, for_s=away_s + 0.5), _entry(FIRST_S + 1.0, "seed_turnover")]
+    faults += [_entry(FIRST_S + number * step_s, "replace_core", x=0.5, how="oldest") for number in range(replacements)]
+    return plan, faults
+
+
 _BUILDERS = {
     "cut_off": _cut_off,
     "two_operators": _two_operators,
@@ -93,6 +124,8 @@
     "crossed_answers": _crossed_answers,
 }
 
+_INCIDENT_BUILDERS = {"cut_away": partial(_away, "node_cut"), "frozen_away": partial(_away, "node_freeze")}
+
 
 def point_day(name: str, site: Mapping[str, Any], seed: int) -> dict[str, Any]:
     """Return the day of a point.
@@ -103,7 +136,7 @@
     if name not in POINTS:
         raise ValueError(f"no point {name!r}; there are {', '.join(POINTS)}")
     catch_up_s, length_s = float(site["timing"]["catch_up_s"]), float(site["length_s"])
-    builders = list(_BUILDERS.values()) if name == "all_five" else [_BUILDERS[name]]
+    builders = list(_BUILDERS.values()) if name == "all_five" else [(_BUILDERS | _INCIDENT_BUILDERS)[name]]
     plan: list[Entry] = []
     faults: list[Entry] = []
     for build in builders:
--- a/benchmarks/in_force_parts/planted/sitecustomize.py
+++ b/benchmarks/in_force_parts/planted/sitecustomize.py
@@ -67,10 +67,21 @@
     ControlPlaneNode.open = open_and_confirm
 
 
+def _keep_first_addresses():
+    from mulleinhatch.process.settings_watch import SettingsWatch
+
+    SettingsWatch.check = lambda self: None
+    if "control_plane.py" in sys.orig_argv[-1]:
+        from mulleinhatch.control_plane.data_plane_calls import DataPlaneCalls
+
+        DataPlaneCalls.call_silent = lambda self: None
+
+
 PLANT = {
     "SERVE_DROPPED_ROUTES": _serve_dropped_routes,
     "KEEP_FORMER_SERVICE": _keep_former_service,
     "STAY_ONE_VERSION_BEHIND": _stay_one_version_behind_after_a_view_change,
+    "KEEP_FIRST_ADDRESSES": _keep_first_addresses,
     "CONFIRM_OLD_VERSION": _confirm_old_version_after_a_restart,
 }
 if DEFECT:
--- a/tests/system/test_in_force.py
+++ b/tests/system/test_in_force.py
@@ -21,6 +21,9 @@
 CORES = ["control-0", "control-1", "control-2"]
 SHORT = RunSize(seconds=8.0, data_planes=2, kinds=("kill",), longest_pause_s=4.0, recovery_s=4.0)
 SEEDS_PER_DEFECT = 5
+SIZES = {
+    PlantedDefect.KEEP_FIRST_ADDRESSES: RunSize(seconds=1.0, data_planes=2, kinds=("replace all away",), longest_pause_s=1.0)
+}
 
 
 def judged_run(seed: int, size: RunSize) -> tuple[list[str], Judge]:
@@ -33,7 +36,7 @@
 
 def finds(defect: PlantedDefect) -> bool:
     """Return whether one of a few runs with a planted defect has a violation."""
-    size = replace(SHORT, defect=defect)
+    size = replace(SIZES.get(defect, SHORT), defect=defect)
     return any(judged_run(seed, size)[0] for seed in range(1, 1 + SEEDS_PER_DEFECT))
 
 
