--- a/benchmarks/soak_parts/fleet.py
+++ b/benchmarks/soak_parts/fleet.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -22,6 +23,8 @@
 RESERVATION_NUMBER = 9  # like a kind's number, of the address that reserves a network
 SCRIPTS = {"control": "control_plane.py", "data": "data_plane.py"}
 EXIT_POLL_S = 0.02
+BROKEN_SETTINGS = "seeds=nowhere\n"
+BROKEN_SETTINGS_INTERVAL = 3  # SIGHUPs of a process
 
 
 @dataclass(frozen=True)
@@ -69,6 +72,7 @@
         self._network = reserve_network()
         self._control_planes, self._data_planes = control_planes, data_planes
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._hang_ups: Counter[str] = Counter()  # by process
         self.disturbances: list[Disturbance] = []
         self.forced_kills = 0  # processes that were killed because they did not exit in the grace period
 
@@ -143,13 +147,15 @@
     def _settings_lines(self, name: str, is_first: bool) -> list[str]:
         kind, _, number = name.partition("-")
         ip = self.ip(name)
+        rotation = self._hang_ups[name] % len(self.control_addresses)
+        seeds = [*self.control_addresses[rotation:], *self.control_addresses[:rotation]]
         lines = [
             f"node_name={name}",
             f"ip_address={ip}",
             f"zone=zone-{number}",
             "region=here",
             f"internal_port_range={INTERNAL_PORT},{INTERNAL_PORT + 9}",
-            "seeds=" + ",".join(self.control_addresses),
+            "seeds=" + ",".join(seeds),
             f"first_start={str(is_first).lower()}",
             f"fault_tolerance.machines={(self._control_planes - 1) // 2}",
             "heartbeat_interval_ms=1000",
@@ -203,7 +209,11 @@
             self._record(name, "freeze", began_at, is_planned=False)
 
     def hang_up(self, name: str) -> None:
-        """Send SIGHUP to a process."""
+        """Change the settings file of a process, each third time to one that can't be used, and send SIGHUP."""
+        self._hang_ups[name] += 1
+        self.write_settings(name)
+        if self._hang_ups[name] % BROKEN_SETTINGS_INTERVAL == 0:
+            self._settings_path(name).write_text(BROKEN_SETTINGS)
         self._processes[name].send_signal(signal.SIGHUP)
         self._record(name, "hang_up", self._now(), is_planned=True)
 
