--- a/mulleinhatch/data_plane/control_plane_client.py
+++ b/mulleinhatch/data_plane/control_plane_client.py
@@ -11,22 +11,14 @@
 import logging
 import math
 import os
-import zlib
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
-from result import Err
-
-from mulleinhatch.configuration.document import EMPTY, Document, accept_patch_steps, replaced_items_steps, with_item_lists_steps
-from mulleinhatch.configuration.encoding import decompressed
-from mulleinhatch.configuration.json_reader import read_json_steps
-from mulleinhatch.configuration.routes import RouteTable, RouteTableBuilder
-from mulleinhatch.configuration.tenants import TenantTableBuilder
+from mulleinhatch.data_plane.configuration_in_force import ConfigurationInForce
 from mulleinhatch.data_plane.confirmation_watch import ConfirmationWatch
 from mulleinhatch.data_plane.control_plane_snapshot import ControlPlaneSnapshot
 from mulleinhatch.data_plane.poll_targets import PollTargets, TargetStatus
-from mulleinhatch.errors import ConfigurationError
 from mulleinhatch.messages.cluster import (
     ContactRequest,
     ContactResponse,
@@ -41,8 +33,7 @@
 from mulleinhatch.process.loop_watch import LoopWatch
 from mulleinhatch.process.settings import Settings
 from mulleinhatch.process.time_slices import TimeSlicer
-from mulleinhatch.steps import Steps, release_steps
-from mulleinhatch.tenants.api_keys import KeyDigester
+from mulleinhatch.steps import release_steps
 
 LOG = logging.getLogger(__name__)
 POLL_WAIT_S = 1.0  # short enough to leave a silent node well within `configuration_apply_s`
@@ -52,14 +43,9 @@
 POLL_RETRY_DELAY_S = 0.1
 DEMAND_REPORT_TIMEOUT_S = 0.6
 INCARNATION_BYTES = 7  # of the random number that tells this process from others of its name
-DIGEST_KEY_BYTES = 32  # length of the random key for this process's digests of the tenants' API keys
 SLICE_S = 0.001  # of processor time: requests wait for as long as it takes on this machine's share of a core
 
 
-class UnusableConfigurationError(ConfigurationError):
-    """A configuration update from a node can't be applied; the complete configuration is requested instead."""
-
-
 @dataclass(frozen=True)
 class PollResult:
     """The end of one poll.
@@ -109,12 +95,8 @@
         self._settings, self._http, self._clock = settings, http, clock
         self._slicer = slicer or TimeSlicer(LoopWatch(), SLICE_S)
         self._on_snapshot, self._on_new_leader = on_snapshot, on_new_leader
-        self._document: Document = EMPTY
-        self._table = RouteTable()
-        self._table_builder = RouteTableBuilder()
-        self._tenants = TenantTableBuilder(KeyDigester(os.urandom(DIGEST_KEY_BYTES)))
+        self._configuration = ConfigurationInForce(self._slicer)
         self._confirmed_at = -math.inf  # when a node with a majority last confirmed the configuration in force
-        self._needs_complete_configuration = False  # an update could not be applied to the one in force
         self._registry_source, self._registry_cursor = "", 0
         self._targets = PollTargets(settings.name, self._internal_addresses(settings.seeds))
         self._results: asyncio.Queue[PollResult | None] = asyncio.Queue()  # of the current round; None ends it
@@ -164,7 +146,7 @@
         """Poll until cancelled."""
         while True:
             if not await self._poll_round(self._targets.ranked(self._clock())):
-                self._watch.record_unconfirmed(self._document.version, self._clock())
+                self._watch.record_unconfirmed(self._configuration.version, self._clock())
                 await asyncio.sleep(POLL_RETRY_DELAY_S)
 
     async def _poll_round(self, addresses: Sequence[str]) -> bool:
@@ -228,7 +210,7 @@
         request = PollRequest(
             node=self._settings.name,
             zone=self._settings.zone,
-            configuration_version=0 if self._needs_complete_configuration else self._document.version,
+            configuration_version=self._configuration.base_version,
             registry_source=self._registry_source,
             registry_cursor=self._registry_cursor,
             wait_ms=int(1000 * wait_s),
@@ -261,7 +243,7 @@
         self._epoch = max(self._epoch, update.epoch)
         self._answering = result.address
         await self._apply(update, result.answered_at)
-        is_usable = update.authoritative and not self._needs_complete_configuration
+        is_usable = update.authoritative and not self._configuration.is_incomplete
         self._targets.record_answer(result.address, is_usable, self._clock())
         if is_usable:
             self._targets.forget_called()
@@ -276,7 +258,7 @@
 
     async def _apply(self, update: PollResponse, answered_at: float) -> None:
         replaced = await self._apply_configuration(update)
-        if update.authoritative and self._document.version >= update.configuration_version > 0:
+        if update.authoritative and self._configuration.version >= update.configuration_version > 0:
             self._confirmed_at = max(self._confirmed_at, answered_at)
         self._apply_control_addresses(update)
         backends = self.snapshot.backends
@@ -291,7 +273,7 @@
         else:
             data_planes = max(self.snapshot.data_planes, update.data_planes)
         self.snapshot = ControlPlaneSnapshot(
-            self._table,
+            self._configuration.table,
             backends,
             data_planes,
             update.authoritative,
@@ -316,36 +298,12 @@
 
     async def _apply_configuration(self, update: PollResponse) -> list[Any]:
         """Put the configuration of an update into force; return what it replaced, to be released once nothing else uses it."""
-        if not update.configuration or not self._is_wanted(update):
+        configuration = self._configuration
+        if not update.configuration or not configuration.is_wanted(update):
             return []
-        if not self._document.version and not update.authoritative and not self._may_use_unconfirmed():
+        if not configuration.version and not update.authoritative and not self._may_use_unconfirmed():
             return []
-        try:
-            document = await self._slicer.run("decoding of a configuration", self._decode_configuration(update))
-            table = await self._slicer.run("building of a route table", self._build_table(document))
-        except UnusableConfigurationError as error:
-            self._table_builder = RouteTableBuilder()  # it may have followed a part of the update
-            LOG.error(
-                "configuration update can't be applied; requesting the complete configuration",
-                extra={"version": update.configuration_version, "error": str(error)},
-            )
-            self._needs_complete_configuration = True
-            return []
-        replaced = await self._slicer.run("building of a route table", replaced_items_steps(self._document, document))
-        replaced += [*self._table_builder.replaced, *self._tenants.replaced]
-        self._table_builder.replaced, self._tenants.replaced = [], []
-        self._document, self._table, self._needs_complete_configuration = document, table, False
-        source = {"control_plane": self._answering, "view_epoch": update.epoch, "is_confirmed": update.authoritative}
-        LOG.info("configuration in force", extra={"version": document.version, **source})
-        return replaced
-
-    def _is_wanted(self, update: PollResponse) -> bool:
-        """Return whether an update is newer than the configuration in force, or a complete one that was requested."""
-        if update.base_version:
-            return update.configuration_version > self._document.version == update.base_version
-        if self._needs_complete_configuration:
-            return update.configuration_version >= self._document.version
-        return update.configuration_version > self._document.version
+        return await configuration.replace(update, self._answering)
 
     def _may_use_unconfirmed(self) -> bool:
         """Return whether a first configuration may be used although its source has no majority.
@@ -357,44 +315,6 @@
         bounds = self._settings.bounds
         return self._clock() - self._unconfirmed_since >= bounds.contact_s + bounds.configuration_apply_s
 
-    def _decode_configuration(self, update: PollResponse) -> Steps[Document]:
-        """Return the configuration of an update, which holds either a complete one or patches.
-
-        Raises:
-            UnusableConfigurationError: The bytes can't be read, a patch does not apply, or the resulting version differs.
-        """
-        try:
-            value = yield from read_json_steps((yield from decompressed(update.configuration)))
-        except (zlib.error, ValueError, RecursionError) as error:
-            raise UnusableConfigurationError(f"its bytes can't be read: {error}") from error
-        if not update.base_version:
-            return Document(update.configuration_version, (yield from with_item_lists_steps(value)))
-        document = self._document
-        for patch in value:
-            yield
-            try:
-                patched = yield from accept_patch_steps(document, patch)
-            except (AttributeError, KeyError, TypeError) as error:
-                raise UnusableConfigurationError(f"a patch is malformed: {error!r}") from error
-            if isinstance(patched, Err):
-                raise UnusableConfigurationError(f"a patch does not apply: {patched.err_value}")
-            document = patched.ok_value
-        if document.version != update.configuration_version:
-            raise UnusableConfigurationError(f"its patches lead to version {document.version}")
-        return document
-
-    def _build_table(self, document: Document) -> Steps[RouteTable]:
-        """Return the route table of a configuration that a control-plane node sent.
-
-        Raises:
-            UnusableConfigurationError: The value is not a valid configuration.
-        """
-        try:
-            tenants = yield from self._tenants.build_steps(document.value)
-            return (yield from self._table_builder.build_steps(document, tenants))
-        except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
-            raise UnusableConfigurationError(f"it is not a valid configuration: {error!r}") from error
-
     def targets_status(self) -> dict[str, TargetStatus]:
         """Return what is known of each control-plane node that may be polled, by its address."""
         return self._targets.status()
