Nodes that a call named are polled before those of the settings; a round of polls asks living ones first

A call is fresh news that its nodes live. Where many seeds are dead, nodes named by a call stood among them by rendezvous hashing and waited 0.2 s for each dead one before. Found by making the tests of stricter (seven dead seeds): 'the nodes that a call names are polled at once' failed before this commit.

--- a/mulleinhatch/data_plane/poll_targets.py
+++ b/mulleinhatch/data_plane/poll_targets.py
@@ -4,7 +4,8 @@
 | --- | --- |
 | of the published chain, confirmed by its last answer or not asked lately | first |
 | of the published chain, answered without contact with a majority a moment ago | second |
-| named by the settings, or by a call of a control-plane node | third |
+| named by a call of a control-plane node only | third |
+| named by the settings only | fourth |
 | did not answer a moment ago | last |
 
 Within a rank, rendezvous hashing spreads the data planes over the nodes.
@@ -14,6 +15,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TypedDict
 
 from mulleinhatch.membership.rendezvous import rank_by_weight
@@ -35,10 +37,21 @@
 NEVER_POLLED = TargetState()
 
 
+class Naming(StrEnum):
+    """Who named a node; where several did, the one that counts."""
+
+    CONTROL_PLANE = "control plane"
+    CALL = "call"
+    SETTINGS = "settings"
+
+
+NAMING_RANKS = {naming: rank for rank, naming in enumerate(Naming)}
+
+
 class TargetStatus(TypedDict):
     """One node, for the status page: who named it, and whether it answered its last poll."""
 
-    named_by: str
+    named_by: Naming
     responsive: bool
 
 
@@ -105,19 +118,19 @@
             for address in self._positions
         }
 
-    def _naming(self, address: str) -> str:
+    def _naming(self, address: str) -> Naming:
         if address in self.published:
-            return "control plane"
-        return "settings" if address in self._seeds else "call"
+            return Naming.CONTROL_PLANE
+        return Naming.CALL if address in self._called else Naming.SETTINGS
 
     def ranked(self, now: float) -> list[str]:
         """Return all addresses, the one to poll first in front."""
-        published = self.published or self._positions
 
-        def rank(address: str) -> tuple[float, bool, bool, int]:
+        def rank(address: str) -> tuple[float, int, bool, int]:
             state = self._states.get(address, NEVER_POLLED)
             silent_s = max(0.0, state.silent_until - now)
-            return silent_s, address not in published, now < state.unconfirmed_until, self._positions[address]
+            naming_rank = NAMING_RANKS[self._naming(address)]
+            return silent_s, naming_rank, now < state.unconfirmed_until, self._positions[address]
 
         return sorted(self._positions, key=rank)
 
