--- a/mulleinhatch/control_plane/data_plane_directory.py
+++ b/mulleinhatch/control_plane/data_plane_directory.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from mulleinhatch.messages.cluster import DataPlane, DataPlaneList
 
@@ -19,6 +20,16 @@
 NEVER = -1e9
 
 
+class DataPlaneReport(NamedTuple):
+    """The fields of a `DataPlane` message, in their order."""
+
+    name: str
+    call_address: str
+    incarnation: int
+    in_contact: bool
+    silent_minutes: int
+
+
 @dataclass
 class DataPlaneRecord:
     """What is known of one data plane. Times are monotonic seconds of this node.
@@ -39,6 +50,12 @@
         """Return whether it polled this node a moment ago."""
         return now - self.polled_at < CONTACT_S
 
+    def report(self, name: str, now: float) -> DataPlaneReport:
+        """Return what peers are told of it."""
+        in_contact = self.is_in_contact(now)
+        silent_minutes = 0 if in_contact else int((now - self.heard_at) / MINUTE_S)
+        return DataPlaneReport(name, self.call_address, self.incarnation, in_contact, silent_minutes)
+
 
 class DataPlaneDirectory:
     """All data planes that can be called, by name.
@@ -49,6 +66,7 @@
 
     def __init__(self, first_revision: int) -> None:
         self._records: dict[str, DataPlaneRecord] = {}
+        self._reports: list[DataPlaneReport] = []  # the content of the list: comparing messages would cost more
         self._list = DataPlaneList(revision=max(1, first_revision))
 
     def __len__(self) -> int:
@@ -97,12 +115,9 @@
 
     def list_for_peers(self, now: float) -> DataPlaneList:
         """Return the list to report; its revision is the former one if nothing has changed."""
-        data_planes = [self._describe(name, record, now) for name, record in self._records.items()]
-        if data_planes != self._list.data_planes:
+        reports = [record.report(name, now) for name, record in self._records.items()]
+        if reports != self._reports:
+            self._reports = reports
+            data_planes = [DataPlane(*report) for report in reports]
             self._list = DataPlaneList(data_planes=data_planes, revision=self._list.revision + 1)
         return self._list
-
-    def _describe(self, name: str, record: DataPlaneRecord, now: float) -> DataPlane:
-        in_contact = record.is_in_contact(now)
-        silent_minutes = 0 if in_contact else int((now - record.heard_at) / MINUTE_S)
-        return DataPlane(name, record.call_address, record.incarnation, in_contact, silent_minutes)
